--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -6,9 +6,9 @@
 //! either is taken only while there is no configuration yet.
 
 use corianderfork_config::Change;
-use corianderfork_platform::key;
-use corianderfork_platform::record::Config;
-use corianderfork_platform::store::{self, Entry, Found, MAX_VALUE};
+use corianderfork_provider::key;
+use corianderfork_provider::record::Config;
+use corianderfork_provider::store::{self, Entry, Found, MAX_VALUE};
 use serde::Serialize;
 
 use crate::check;
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use corianderfork_model::Time;
-use corianderfork_platform::store::Store;
+use corianderfork_provider::store::Store;
 
 /// Time as commands see it.
 pub trait Clock {
--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -4,9 +4,9 @@
 //! the one who asked first.
 
 use corianderfork_model::Name;
-use corianderfork_platform::record::Drain;
-use corianderfork_platform::store::{Found, Revision};
-use corianderfork_platform::{key, record as records};
+use corianderfork_provider::record::Drain;
+use corianderfork_provider::store::{Found, Revision};
+use corianderfork_provider::{key, record as records};
 use corianderfork_rules::nearest;
 use serde::Serialize;
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use corianderfork_config::{Change, Diagnostic, Report, Severity};
-use corianderfork_platform::store;
+use corianderfork_provider::store;
 use miette::SourceCode;
 use serde::Serialize;
 
--- a/crates/cli/src/ini.rs
+++ b/crates/cli/src/ini.rs
@@ -4,7 +4,7 @@
 use std::io::Read;
 
 use corianderfork_config::{Change, Diagnostic, Parsed, diff};
-use corianderfork_platform::store::MAX_VALUE;
+use corianderfork_provider::store::MAX_VALUE;
 use serde::Serialize;
 
 use crate::error::{Error, Kind};
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 
 use corianderfork_cli::context::System;
 use corianderfork_cli::run::{Setup, run};
-use corianderfork_platform::http::{Client, Config};
+use corianderfork_provider::http::{Client, Config};
 
 fn main() -> ExitCode {
     let clock = System::default();
--- a/crates/cli/src/record.rs
+++ b/crates/cli/src/record.rs
@@ -1,13 +1,13 @@
 //! Records as the store holds them, and the audit of changing them.
 
-use corianderfork_platform::record::{Config, Line};
-use corianderfork_platform::store::{Found, Revision};
-use corianderfork_platform::{key, store};
+use corianderfork_provider::record::{Config, Line};
+use corianderfork_provider::store::{Found, Revision};
+use corianderfork_provider::{key, store};
 use serde::de::DeserializeOwned;
 
 use crate::context::Context;
 use crate::error::{Error, Kind};
-use corianderfork_platform::audit::Writer;
+use corianderfork_provider::audit::Writer;
 
 /// The pause between two attempts to write the audit trail.
 const PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -10,7 +10,7 @@
 use clap::error::ErrorKind;
 use clap_complete::Shell;
 use corianderfork_model::Name;
-use corianderfork_platform::store::Store;
+use corianderfork_provider::store::Store;
 use uuid::Uuid;
 
 use crate::apply::{self, Request};
--- a/crates/cli/src/settle.rs
+++ b/crates/cli/src/settle.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use corianderfork_platform::store::{Change, Entry, Error, Expect, Found, Revision};
+use corianderfork_provider::store::{Change, Entry, Error, Expect, Found, Revision};
 
 use crate::context::Context;
 
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -1,8 +1,8 @@
 //! `show`, `history` and `explain`: the records for readers and for scripts.
 
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Explain, Holder, Line, Member, Wave};
-use corianderfork_platform::store::Range;
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Explain, Holder, Line, Member, Wave};
+use corianderfork_provider::store::Range;
 use serde::Serialize;
 
 use crate::context::Context;
@@ -13,7 +13,7 @@
 use crate::table::{Table, plain};
 use crate::time;
 use crate::view::{self, PoolRow, ServiceRow, View, VmRow};
-use corianderfork_platform::audit::Trail;
+use corianderfork_provider::audit::Trail;
 
 #[derive(Serialize)]
 struct ConfigJson<'a> {
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -4,9 +4,9 @@
 
 use corianderfork_model::service::Service;
 use corianderfork_model::{Fleet, Name};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Drain, Member, Phase, Runner, Vm, Wave};
-use corianderfork_platform::store::{Change, Entry, Range};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Drain, Member, Phase, Runner, Vm, Wave};
+use corianderfork_provider::store::{Change, Entry, Range};
 use serde::Serialize;
 
 use crate::error::Error;
@@ -135,7 +135,7 @@
     /// Fails if the configuration can't be read, or not by this version.
     pub fn fleet(&self) -> Result<Fleet, Error> {
         let Some(entry) = self.entries.get(key::CONFIG) else { return Ok(Fleet::default()) };
-        let config: corianderfork_platform::record::Config = record::parse(entry)?;
+        let config: corianderfork_provider::record::Config = record::parse(entry)?;
         let parsed = corianderfork_config::parse(&config.text);
         let first = |mistakes: &[corianderfork_config::Diagnostic]| {
             mistakes.first().map_or_else(String::new, ToString::to_string)
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use corianderfork_platform::key;
-use corianderfork_platform::record::Wave;
-use corianderfork_platform::store::{Error as Failure, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::Wave;
+use corianderfork_provider::store::{Error as Failure, Revision};
 use serde::Serialize;
 
 use crate::context::Context;
--- a/crates/cli/src/wave.rs
+++ b/crates/cli/src/wave.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use corianderfork_model::Name;
-use corianderfork_platform::key;
-use corianderfork_platform::record::Wave;
-use corianderfork_platform::store::Found;
+use corianderfork_provider::key;
+use corianderfork_provider::record::Wave;
+use corianderfork_provider::store::Found;
 use serde::Serialize;
 
 use crate::context::Context;
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -2,8 +2,8 @@
 
 mod fake;
 
-use corianderfork_platform::key::{AUDIT, CONFIG, audit};
-use corianderfork_platform::record::{Audit, Config};
+use corianderfork_provider::key::{AUDIT, CONFIG, audit};
+use corianderfork_provider::record::{Audit, Config};
 use fake::{Fake, Fault, file, json, sample, theirs};
 use std::sync::Arc;
 
--- a/crates/cli/tests/audit.rs
+++ b/crates/cli/tests/audit.rs
@@ -2,10 +2,10 @@
 
 mod fake;
 
-use corianderfork_platform::audit::{FIELD_CHARS, SEGMENT_BYTES, SEGMENTS, Trail, Writer};
-use corianderfork_platform::key::{AUDIT, audit};
-use corianderfork_platform::record::Line;
-use corianderfork_platform::store::{MAX_VALUE, Store};
+use corianderfork_provider::audit::{FIELD_CHARS, SEGMENT_BYTES, SEGMENTS, Trail, Writer};
+use corianderfork_provider::key::{AUDIT, audit};
+use corianderfork_provider::record::Line;
+use corianderfork_provider::store::{MAX_VALUE, Store};
 use fake::{Fake, Fault};
 
 fn line(revision: u64) -> Line {
--- a/crates/cli/tests/drain.rs
+++ b/crates/cli/tests/drain.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use corianderfork_platform::key::{CONFIG, audit};
-use corianderfork_platform::record::Audit;
+use corianderfork_provider::key::{CONFIG, audit};
+use corianderfork_provider::record::Audit;
 use fake::{Fake, Fault, json, sample, theirs};
 
 const KEY: &str = "shared/drain/v01";
--- a/crates/cli/tests/fake/mod.rs
+++ b/crates/cli/tests/fake/mod.rs
@@ -11,7 +11,7 @@
 use corianderfork_cli::context::Clock;
 use corianderfork_cli::run::{Setup, run};
 use corianderfork_model::Time;
-use corianderfork_platform::store::{
+use corianderfork_provider::store::{
     Change, Changes, Entry, Error, Expect, Found, LeaseId, Range, Revision, Store,
 };
 
--- a/crates/cli/tests/output.rs
+++ b/crates/cli/tests/output.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use corianderfork_platform::key::{CONFIG, EXPLAIN, PLANNER, WAVE};
+use corianderfork_provider::key::{CONFIG, EXPLAIN, PLANNER, WAVE};
 use fake::{Fake, file, json, plain, sample, theirs};
 use serde_json::json as value;
 
--- a/crates/cli/tests/wave.rs
+++ b/crates/cli/tests/wave.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use corianderfork_platform::key::{CONFIG, WAVE};
-use corianderfork_platform::record::Wave;
+use corianderfork_provider::key::{CONFIG, WAVE};
+use corianderfork_provider::record::Wave;
 use fake::{Fake, json, sample, theirs};
 
 fn fleet() -> Arc<Fake> {
--- a/crates/controller/src/actor/gossip.rs
+++ b/crates/controller/src/actor/gossip.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Config, Member, Phase};
-use corianderfork_platform::store::{Entry, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Config, Member, Phase};
+use corianderfork_provider::store::{Entry, Revision};
 use corianderfork_runtime::core::Handle;
 use corianderfork_runtime::peers::{Error, Handler, Peers, Reply};
 use corianderfork_runtime::port::Port;
--- a/crates/controller/src/actor/planner/end.rs
+++ b/crates/controller/src/actor/planner/end.rs
@@ -1,9 +1,9 @@
 //! Takes in how writes and calls have ended.
 
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Line, Wave};
-use corianderfork_platform::store::{Entry, Error, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Line, Wave};
+use corianderfork_provider::store::{Entry, Error, Revision};
 use corianderfork_runtime::clock::unix_millis;
 use stakker::CX;
 
--- a/crates/controller/src/actor/planner/poll.rs
+++ b/crates/controller/src/actor/planner/poll.rs
@@ -5,10 +5,10 @@
 
 use corianderfork_coord::backoff::Backoff;
 use corianderfork_model::Time;
-use corianderfork_platform::fleet::{Task, Usage, Vm};
-use corianderfork_platform::key;
-use corianderfork_platform::record::Wave;
-use corianderfork_platform::store::{Error, Revision, Store};
+use corianderfork_provider::fleet::{Task, Usage, Vm};
+use corianderfork_provider::key;
+use corianderfork_provider::record::Wave;
+use corianderfork_provider::store::{Error, Revision, Store};
 use corianderfork_runtime::clock::unix_millis;
 use corianderfork_runtime::timer::Tick;
 use stakker::CX;
--- a/crates/controller/src/actor/planner/submit.rs
+++ b/crates/controller/src/actor/planner/submit.rs
@@ -3,9 +3,9 @@
 use std::sync::{Arc, PoisonError};
 
 use corianderfork_model::Time;
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Explain, Wave};
-use corianderfork_platform::store::{Expect, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Explain, Wave};
+use corianderfork_provider::store::{Expect, Revision};
 
 use super::{Incoming, Planner};
 use crate::facts::Change;
--- a/crates/controller/src/actor/view.rs
+++ b/crates/controller/src/actor/view.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use corianderfork_runtime::sync::{News, Update};
 use corianderfork_runtime::timer::Tick;
 use stakker::{CX, Share};
--- a/crates/controller/src/daemon/calls.rs
+++ b/crates/controller/src/daemon/calls.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use corianderfork_model::Name;
-use corianderfork_platform::count::Counted;
-use corianderfork_platform::fleet::{self, Control};
-use corianderfork_platform::http::Client;
-use corianderfork_platform::store;
+use corianderfork_provider::count::Counted;
+use corianderfork_provider::fleet::{self, Control};
+use corianderfork_provider::http::Client;
+use corianderfork_provider::store;
 
 /// The control of the platform behind the client that counts calls to its
 /// store.
--- a/crates/controller/src/daemon/mod.rs
+++ b/crates/controller/src/daemon/mod.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use corianderfork_coord::member;
-use corianderfork_platform::count::Counted;
-use corianderfork_platform::fleet::Control;
-use corianderfork_platform::http::{self, Client};
-use corianderfork_platform::record::{Member, Role};
-use corianderfork_platform::store::Store;
+use corianderfork_provider::count::Counted;
+use corianderfork_provider::fleet::Control;
+use corianderfork_provider::http::{self, Client};
+use corianderfork_provider::record::{Member, Role};
+use corianderfork_provider::store::Store;
 use corianderfork_runtime::clock::{Monotonic, unix_millis};
 use corianderfork_runtime::core::{self, Handle};
 use corianderfork_runtime::metrics::Metrics;
--- a/crates/controller/src/daemon/tree.rs
+++ b/crates/controller/src/daemon/tree.rs
@@ -3,9 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Holder, Member};
-use corianderfork_platform::store::Store;
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Holder, Member};
+use corianderfork_provider::store::Store;
 use corianderfork_runtime::clock::{Monotonic, seed};
 use corianderfork_runtime::core::Handle;
 use corianderfork_runtime::peers::Peers;
--- a/crates/controller/src/facts.rs
+++ b/crates/controller/src/facts.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::fleet::{Task, TaskState, Usage, Vm, VmState};
-use corianderfork_platform::record::Wave;
-use corianderfork_platform::store::Revision;
+use corianderfork_provider::fleet::{Task, TaskState, Usage, Vm, VmState};
+use corianderfork_provider::record::Wave;
+use corianderfork_provider::store::Revision;
 
 /// A copy: a VM and a service.
 pub type Copy = (Name, Name);
--- a/crates/controller/src/gauges.rs
+++ b/crates/controller/src/gauges.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderfork_platform::count::Counted;
-use corianderfork_platform::http::Client;
-use corianderfork_platform::record::Wave;
+use corianderfork_provider::count::Counted;
+use corianderfork_provider::http::Client;
+use corianderfork_provider::record::Wave;
 use corianderfork_runtime::metrics::Metrics;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
-use corianderfork_platform::record::{Explain, Line};
-use corianderfork_platform::store::Revision;
+use corianderfork_provider::record::{Explain, Line};
+use corianderfork_provider::store::Revision;
 
 use crate::plan::explain::essence;
 
--- a/crates/controller/src/message.rs
+++ b/crates/controller/src/message.rs
@@ -1,7 +1,7 @@
 //! Members as peers send them.
 
 use corianderfork_model::Name;
-use corianderfork_platform::record::{Member, Role};
+use corianderfork_provider::record::{Member, Role};
 use corianderfork_wire::peer;
 
 /// A member as peers send it; `None` if it is not one.
--- a/crates/controller/src/perform.rs
+++ b/crates/controller/src/perform.rs
@@ -1,7 +1,7 @@
 //! Carries out one write or call, on a thread that may block.
 
-use corianderfork_platform::fleet::Control;
-use corianderfork_platform::store::{Entry, Error, Expect, Revision, Store};
+use corianderfork_provider::fleet::Control;
+use corianderfork_provider::store::{Entry, Error, Expect, Revision, Store};
 
 use crate::plan::action::Action;
 
--- a/crates/controller/src/plan/action.rs
+++ b/crates/controller/src/plan/action.rs
@@ -1,8 +1,8 @@
 //! What a decision asks the shell to do.
 
 use corianderfork_model::Name;
-use corianderfork_platform::record::{Vm, Wave};
-use corianderfork_platform::store::Expect;
+use corianderfork_provider::record::{Vm, Wave};
+use corianderfork_provider::store::Expect;
 
 use crate::facts::Copy;
 
--- a/crates/controller/src/plan/carry.rs
+++ b/crates/controller/src/plan/carry.rs
@@ -4,10 +4,10 @@
 use corianderfork_model::place::VmId;
 use corianderfork_model::service::ServiceId;
 use corianderfork_model::{Fleet, Name};
-use corianderfork_platform::fleet::TaskState;
-use corianderfork_platform::record::Phase;
 use corianderfork_policy::state::Purpose;
 use corianderfork_policy::{Act, Reason, Step};
+use corianderfork_provider::fleet::TaskState;
+use corianderfork_provider::record::Phase;
 
 use crate::facts::{Change, Copy};
 use crate::plan::action::Action;
--- a/crates/controller/src/plan/change.rs
+++ b/crates/controller/src/plan/change.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::record::{Phase, Runner, Vm};
+use corianderfork_provider::record::{Phase, Runner, Vm};
 
 use crate::plan::reason;
 
--- a/crates/controller/src/plan/explain.rs
+++ b/crates/controller/src/plan/explain.rs
@@ -1,8 +1,8 @@
 //! What was decided and why, for operators.
 
 use corianderfork_model::{Fleet, Time};
-use corianderfork_platform::record::Explain;
 use corianderfork_policy::{Note, Step};
+use corianderfork_provider::record::Explain;
 use corianderfork_rules::Explanation;
 use corianderfork_rules::explain::Seen;
 
--- a/crates/controller/src/plan/follow.rs
+++ b/crates/controller/src/plan/follow.rs
@@ -7,9 +7,9 @@
 use corianderfork_coord::drain::{Reason, Status, Wait};
 use corianderfork_model::place::VmId;
 use corianderfork_model::{Fleet, Name};
-use corianderfork_platform::fleet::TaskState;
-use corianderfork_platform::record::{Phase, Runner, Vm};
-use corianderfork_platform::store::Expect;
+use corianderfork_provider::fleet::TaskState;
+use corianderfork_provider::record::{Phase, Runner, Vm};
+use corianderfork_provider::store::Expect;
 
 use crate::facts::{Copy, Next};
 use crate::plan::action::{Action, Write};
--- a/crates/controller/src/plan/mod.rs
+++ b/crates/controller/src/plan/mod.rs
@@ -36,10 +36,10 @@
 
 use corianderfork_config::Parsed;
 use corianderfork_model::{Fleet, Name, Time};
-use corianderfork_platform::record::{Explain, Phase};
-use corianderfork_platform::store::Expect;
 use corianderfork_policy::State;
 use corianderfork_policy::sizing::{Sizer, Usage};
+use corianderfork_provider::record::{Explain, Phase};
+use corianderfork_provider::store::Expect;
 
 use crate::directory::Directory;
 use crate::facts::{Copy, Facts};
@@ -168,7 +168,7 @@
     }
 
     /// Takes in what tasks use.
-    pub fn on_usage(&mut self, unix: Time, usage: &[corianderfork_platform::fleet::Usage]) {
+    pub fn on_usage(&mut self, unix: Time, usage: &[corianderfork_provider::fleet::Usage]) {
         let Some(parsed) = self.parsed.clone() else { return };
         for one in usage {
             let copy = (one.vm.clone(), one.service.clone());
--- a/crates/controller/src/plan/observe.rs
+++ b/crates/controller/src/plan/observe.rs
@@ -3,9 +3,9 @@
 
 use corianderfork_model::place::{PoolId, VmId};
 use corianderfork_model::{Fleet, Name, Time};
-use corianderfork_platform::fleet::{TaskState, VmState};
-use corianderfork_platform::record::{self, Phase};
 use corianderfork_policy::state::{self, Purpose};
+use corianderfork_provider::fleet::{TaskState, VmState};
+use corianderfork_provider::record::{self, Phase};
 
 use crate::facts::{Copy, Facts};
 use crate::plan::{Inputs, Planner, reason, wave};
--- a/crates/controller/src/plan/pace.rs
+++ b/crates/controller/src/plan/pace.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 
 use crate::facts::{Copy, Facts};
 use crate::plan::Turn;
@@ -114,7 +114,7 @@
 /// What takes work off a VM goes first, what only makes a record last.
 fn urgency(write: &Write) -> u8 {
     let fewer =
-        |from: &corianderfork_platform::record::Vm| from.runners.len() > write.record.runners.len();
+        |from: &corianderfork_provider::record::Vm| from.runners.len() > write.record.runners.len();
     match (&write.from, write.record.phase) {
         (None, _) => 4,
         (_, Phase::Draining) => 0,
--- a/crates/controller/src/plan/reason.rs
+++ b/crates/controller/src/plan/reason.rs
@@ -2,8 +2,8 @@
 //! has it on loan. A successor reads both back.
 
 use corianderfork_model::Fleet;
-use corianderfork_platform::record::Vm;
 use corianderfork_policy::state::Purpose;
+use corianderfork_provider::record::Vm;
 
 /// Marks a VM that another pool than its home has on loan. Without it, a VM
 /// whose home operators changed could not be told from one that was lent, and
--- a/crates/controller/src/plan/track.rs
+++ b/crates/controller/src/plan/track.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use corianderfork_model::{Fleet, Name, Time};
-use corianderfork_platform::fleet::TaskState;
 use corianderfork_policy::State;
+use corianderfork_provider::fleet::TaskState;
 
 use crate::directory::Directory;
 use crate::facts::{Change, Copy, Facts};
--- a/crates/controller/src/plan/wave.rs
+++ b/crates/controller/src/plan/wave.rs
@@ -9,11 +9,11 @@
 
 use corianderfork_model::place::VmId;
 use corianderfork_model::{Fleet, Name, Time};
-use corianderfork_platform::record::Wave;
 use corianderfork_policy::directive::{Directive, Pace};
 use corianderfork_policy::state::{Phase, Purpose, Vm};
 use corianderfork_policy::wave::Order;
 use corianderfork_policy::{Note, State};
+use corianderfork_provider::record::Wave;
 
 /// How long a wave may take before its deadline presses, if none is named.
 const DEADLINE: Duration = Duration::from_secs(24 * 3600);
--- a/crates/controller/src/tenure.rs
+++ b/crates/controller/src/tenure.rs
@@ -5,7 +5,7 @@
 
 use corianderfork_coord::lease::{Action, Answer, Config, Event, Holder, Key, Token};
 use corianderfork_model::Time;
-use corianderfork_platform::store::{Error, Expect, LeaseId, Store};
+use corianderfork_provider::store::{Error, Expect, LeaseId, Store};
 use corianderfork_runtime::clock::Monotonic;
 use corianderfork_runtime::worker::Pool;
 
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -10,9 +10,9 @@
 use corianderfork_config::Parsed;
 use corianderfork_coord::register::{Offer, Register};
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Config, Drain, Member, Vm};
-use corianderfork_platform::store::{Changes, Entry, Range, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Config, Drain, Member, Vm};
+use corianderfork_provider::store::{Changes, Entry, Range, Revision};
 use serde::de::DeserializeOwned;
 
 /// The configuration in force.
--- a/crates/controller/tests/phases.rs
+++ b/crates/controller/tests/phases.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use corianderfork_platform::fleet::VmState;
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::fleet::VmState;
+use corianderfork_provider::record::Phase;
 use support::{FLEET, World, moved, name};
 
 fn serving() -> World {
--- a/crates/controller/tests/races.rs
+++ b/crates/controller/tests/races.rs
@@ -4,8 +4,8 @@
 
 use corianderfork_controller::plan::Limits;
 use corianderfork_controller::plan::action::Action;
-use corianderfork_platform::fleet::VmState;
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::fleet::VmState;
+use corianderfork_provider::record::Phase;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::{FLEET, World, moved, settings, without_rally};
--- a/crates/controller/tests/records.rs
+++ b/crates/controller/tests/records.rs
@@ -9,10 +9,10 @@
 use corianderfork_controller::plan::action::Action;
 use corianderfork_controller::view::View;
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::fleet::{Control, Task, Usage, Vm};
-use corianderfork_platform::key;
-use corianderfork_platform::record::Line;
-use corianderfork_platform::store::{
+use corianderfork_provider::fleet::{Control, Task, Usage, Vm};
+use corianderfork_provider::key;
+use corianderfork_provider::record::Line;
+use corianderfork_provider::store::{
     Changes, Entry, Error, Expect, Found, LeaseId, Range, Revision, Store,
 };
 
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -14,10 +14,10 @@
 use corianderfork_controller::{Settings, plan::Round};
 use corianderfork_coord::member;
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::fleet::{self, Task, TaskState, VmState};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Config, Member, Phase, Role, Vm, Wave};
-use corianderfork_platform::store::{Entry, Expect, Range, Revision};
+use corianderfork_provider::fleet::{self, Task, TaskState, VmState};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Config, Member, Phase, Role, Vm, Wave};
+use corianderfork_provider::store::{Entry, Expect, Range, Revision};
 use corianderfork_wire::peer;
 
 pub fn name(text: &str) -> Name {
--- a/crates/controller/tests/waves.rs
+++ b/crates/controller/tests/waves.rs
@@ -6,9 +6,9 @@
 use corianderfork_controller::message::message;
 use corianderfork_controller::plan::wave;
 use corianderfork_model::Time;
-use corianderfork_platform::record::{Phase, Role, Wave};
 use corianderfork_policy::directive::{Directive, Pace};
 use corianderfork_policy::{Note, State, state};
+use corianderfork_provider::record::{Phase, Role, Wave};
 use corianderfork_wire::peer;
 use support::{FLEET, World, name};
 
@@ -85,8 +85,8 @@
     let mut vm = world.store.vm("v1");
     vm.pool = name("gone");
     let value = serde_json::to_string(&vm).expect("a record is JSON");
-    let key = corianderfork_platform::key::vm(&name("v1"));
-    let _ = world.store.put(&key, value, corianderfork_platform::store::Expect::Anything);
+    let key = corianderfork_provider::key::vm(&name("v1"));
+    let _ = world.store.put(&key, value, corianderfork_provider::store::Expect::Anything);
     world.now += 500;
     world.read(0);
     let explain = world.decide(0).expect("there is a configuration").explain;
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -8,10 +8,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use corianderfork_platform::http::{Client as Platform, Config as Platforms};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Holder, Phase, Vm};
-use corianderfork_platform::store::{Entry, Revision, Store};
+use corianderfork_provider::http::{Client as Platform, Config as Platforms};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Holder, Phase, Vm};
+use corianderfork_provider::store::{Entry, Revision, Store};
 use corianderfork_standins::history::{Call, Outcome};
 use corianderfork_standins::load::{self, Client};
 use rand::rngs::SmallRng;
--- a/crates/e2e/src/play.rs
+++ b/crates/e2e/src/play.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use corianderfork_standins::history::{self, Call, Findings};
 use corianderfork_standins::load::{self, Load, Summary};
 
@@ -104,7 +104,7 @@
 /// Waits until the newest configuration is in force at every proxy; gives the
 /// time from now.
 pub fn in_force(system: &System) -> Duration {
-    use corianderfork_platform::{key, store::Store};
+    use corianderfork_provider::{key, store::Store};
     let entry = system.store().get(key::CONFIG).expect("the store is up").entry;
     let revision = entry.expect("applied").revision.0 as f64;
     let proxies = system.entries.iter().filter(|entry| entry.proxy.is_some());
--- a/crates/e2e/src/system.rs
+++ b/crates/e2e/src/system.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use corianderfork_model::Name;
-use corianderfork_platform::http::{Client, Config as Platform};
-use corianderfork_platform::record::{self, Phase};
-use corianderfork_platform::store::{Entry as StoreEntry, Store};
-use corianderfork_platform::{key, store};
+use corianderfork_provider::http::{Client, Config as Platform};
+use corianderfork_provider::record::{self, Phase};
+use corianderfork_provider::store::{Entry as StoreEntry, Store};
+use corianderfork_provider::{key, store};
 use corianderfork_standins::history::Runs;
 use corianderfork_standins::spawn::{self, Process};
 use serde_json::json;
--- a/crates/e2e/tests/availability.rs
+++ b/crates/e2e/tests/availability.rs
@@ -10,11 +10,11 @@
 use corianderfork_e2e::fleet::{Callers, Calling, Records, holder, wide};
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::{http, wait};
-use corianderfork_platform::fleet::{Control, TaskState};
-use corianderfork_platform::http::{Client as Platform, Config as Platforms};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Phase, Vm, Wave};
-use corianderfork_platform::store::Store;
+use corianderfork_provider::fleet::{Control, TaskState};
+use corianderfork_provider::http::{Client as Platform, Config as Platforms};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Phase, Vm, Wave};
+use corianderfork_provider::store::Store;
 use corianderfork_standins::history::{self, Outcome};
 use serde_json::json;
 
--- a/crates/e2e/tests/config.rs
+++ b/crates/e2e/tests/config.rs
@@ -6,8 +6,8 @@
 use corianderfork_e2e::config::SMALL;
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::{http, play, wait};
-use corianderfork_platform::key;
-use corianderfork_platform::store::Store;
+use corianderfork_provider::key;
+use corianderfork_provider::store::Store;
 use serde_json::json;
 
 /// What is promised to operators.
--- a/crates/e2e/tests/graceful.rs
+++ b/crates/e2e/tests/graceful.rs
@@ -8,7 +8,7 @@
 use corianderfork_e2e::http;
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::wait;
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use corianderfork_standins::history::{self, Call, Outcome};
 use serde_json::json;
 
--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -8,9 +8,9 @@
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::wait;
 use corianderfork_model::Name;
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Drain, Phase, Vm};
-use corianderfork_platform::store::{Expect, Store};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Drain, Phase, Vm};
+use corianderfork_provider::store::{Expect, Store};
 use serde_json::json;
 
 /// What is promised, in milliseconds.
--- a/crates/e2e/tests/one_pool.rs
+++ b/crates/e2e/tests/one_pool.rs
@@ -6,7 +6,7 @@
 use corianderfork_e2e::fleet::{Callers, Calling, Records, Written, holder};
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::wait;
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use corianderfork_standins::history::{self, Run};
 use serde_json::json;
 
--- a/crates/e2e/tests/path.rs
+++ b/crates/e2e/tests/path.rs
@@ -3,7 +3,7 @@
 use corianderfork_e2e::config::SMALL;
 use corianderfork_e2e::system::{Config, System};
 use corianderfork_e2e::wait;
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use corianderfork_standins::history::{self, Call, Outcome};
 use corianderfork_standins::load::{self, Client};
 use rand::SeedableRng;
--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,152 @@
+//! Who does what: each pool's work and the fleet's planning have one holder.
+//!
+//! Pure: the state that all see in the store goes in, who should take what comes
+//! out. Whoever decides to take a duty writes itself into its record by
+//! compare-and-swap; the revision of that write is its fence.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderfork_model::Time;
+use serde::{Deserialize, Serialize};
+
+/// The prefix of members' records; the name follows.
+pub const MEMBERS: &str = "entry/member/";
+/// The prefix of duties' records; the name follows.
+pub const DUTIES: &str = "entry/duty/";
+/// The prefix of both.
+pub const PREFIX: &str = "entry/";
+/// The duty of planning for the fleet.
+pub const FLEET: &str = "fleet";
+
+/// How long a holder's member record may be missing before it counts as dead.
+/// When the store comes back from an outage in which leases ran out, all members
+/// register anew within one renewal; without this pause the first one back would
+/// take everything from holders that live.
+const ABSENT: Duration = Duration::from_millis(900);
+/// How much later the next in line tries, when those before it don't.
+const NEXT: Duration = Duration::from_millis(700);
+
+/// A process that lives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// A number of this one start.
+    pub boot: u64,
+    /// Where peers reach it.
+    pub peers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its share of a core, in thousandths.
+    pub cpu_share: u64,
+}
+
+/// Who holds a duty; nobody if `name` is empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The member's name.
+    pub name: String,
+    /// Its start.
+    pub boot: u64,
+    /// Where peers reach it.
+    pub peers: Option<SocketAddr>,
+}
+
+/// A duty's record.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// The holder.
+    pub holder: Holder,
+    /// The revision; 0 if there is none.
+    pub revision: u64,
+}
+
+/// Members and duties as the store tells of them.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Members by name.
+    pub members: BTreeMap<String, Member>,
+    /// Duties by name.
+    pub duties: BTreeMap<String, Record>,
+    /// Since when a duty has no live holder, by duty.
+    vacant: HashMap<String, (Time, Duration)>,
+}
+
+impl Table {
+    /// Whether the holder of a record is known to live.
+    pub fn is_live(&self, holder: &Holder) -> bool {
+        self.members.get(&holder.name).is_some_and(|member| member.boot == holder.boot)
+    }
+
+    /// Which of `duties` the member `me` is to take now.
+    ///
+    /// Vacant duties go to members with few duties for their processors, drawn
+    /// by a hash so that all see the same order without talking. The first in
+    /// line takes at once, the next ones later and only if it didn't.
+    pub fn to_take(&mut self, now: Time, me: &str, duties: &[String]) -> Vec<String> {
+        let mut held = self.held();
+        let mut mine = Vec::new();
+        for duty in duties {
+            let Some(since) = self.vacant_since(now, duty) else { continue };
+            let line = self.line(duty, &held);
+            if let Some(first) = line.first() {
+                *held.entry(first.clone()).or_default() += 1;
+            }
+            let Some(rank) = line.iter().position(|name| name == me) else { continue };
+            let (since, pause) = since;
+            let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+            if now - since >= pause + NEXT.saturating_mul(rank) {
+                mine.push(duty.clone());
+            }
+        }
+        mine
+    }
+
+    fn vacant_since(&mut self, now: Time, duty: &str) -> Option<(Time, Duration)> {
+        let record = self.duties.get(duty).cloned().unwrap_or_default();
+        if !record.holder.name.is_empty() && self.is_live(&record.holder) {
+            self.vacant.remove(duty);
+            return None;
+        }
+        // Nobody holds it, or its holder has started anew: no need to wait.
+        let is_certain =
+            record.holder.name.is_empty() || self.members.contains_key(&record.holder.name);
+        let pause = if is_certain { Duration::ZERO } else { ABSENT };
+        let row = self.vacant.entry(duty.to_owned()).or_insert((now, pause));
+        row.1 = row.1.min(pause);
+        Some(*row)
+    }
+
+    fn held(&self) -> HashMap<String, u64> {
+        let mut held = HashMap::new();
+        for record in self.duties.values().filter(|record| self.is_live(&record.holder)) {
+            *held.entry(record.holder.name.clone()).or_default() += 1;
+        }
+        held
+    }
+
+    /// Members in the order in which they are to take `duty`.
+    fn line(&self, duty: &str, held: &HashMap<String, u64>) -> Vec<String> {
+        let mut line: Vec<(u64, u64, &String)> = self
+            .members
+            .iter()
+            .map(|(name, member)| {
+                let duties = held.get(name).copied().unwrap_or(0) + 1;
+                let load = duties * 1_000_000 / member.cpu_share.max(1);
+                (load, hash(duty, name), name)
+            })
+            .collect();
+        line.sort();
+        line.into_iter().map(|(.., name)| name.clone()).collect()
+    }
+}
+
+/// FNV-1a over both names: the same in every process and version, unlike the
+/// standard library's hasher.
+fn hash(duty: &str, name: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let bytes = duty.bytes().chain([0]).chain(name.bytes());
+    let mixed = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    mixed ^ (mixed >> 29)
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,187 @@
+//! Follows keys of the store: a read of all, then what changes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::config;
+use corianderfork_adapter::store::{Event, Item, Watched};
+use corianderfork_adapter::worker;
+use serde_json::json;
+
+use crate::clock;
+use crate::duty::{self, DUTIES, MEMBERS};
+use crate::node::Node;
+
+/// How long a watch waits. Its end is what shows that it still works: one whose
+/// connection went silent is noticed after this and the time for an answer, well
+/// inside the two seconds in which a configuration has to be in force.
+const WAIT: Duration = Duration::from_millis(900);
+/// The pause after the store didn't answer.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// News of followed keys.
+pub enum News {
+    /// All keys there are.
+    All(Vec<Item>),
+    /// One change.
+    Change(Event),
+}
+
+/// Follows the keys with `prefix` for as long as `is_wanted`.
+pub async fn follow(
+    node: Rc<Node>,
+    prefix: String,
+    is_wanted: impl Fn() -> bool,
+    mut learn: impl FnMut(News),
+) {
+    while is_wanted() {
+        let Ok((items, mut after)) = node.store.range(&prefix).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        learn(News::All(items));
+        while is_wanted() {
+            match node.store.watch(&prefix, after, WAIT).await {
+                Ok(Watched::Events(events, revision)) => {
+                    for event in events {
+                        learn(News::Change(event));
+                    }
+                    after = after.max(revision);
+                }
+                Ok(Watched::Compacted) => {
+                    node.trace.line("history lost", json!({ "prefix": prefix, "after": after }));
+                    break;
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+}
+
+/// Follows what operators write.
+pub async fn operators(node: Rc<Node>) {
+    let learner = node.clone();
+    let learn = move |news: News| match news {
+        News::All(items) => {
+            for item in items {
+                operators_key(&learner, &item.key, &item.value);
+            }
+        }
+        News::Change(event) => {
+            if let Some(value) = event.value {
+                operators_key(&learner, &event.key, &value);
+            }
+        }
+    };
+    follow(node, config::PREFIX.to_owned(), || true, learn).await;
+}
+
+fn operators_key(node: &Rc<Node>, key: &str, value: &[u8]) {
+    if key == config::KEY {
+        match config::parse(value) {
+            Ok(config) => node.set_config(config),
+            Err(error) => {
+                node.trace.line("configuration unreadable", json!({ "why": error.to_string() }))
+            }
+        }
+    } else if key.starts_with(config::WAVES) {
+        match config::wave(value) {
+            Ok(wave) => {
+                let mut waves = node.waves.borrow_mut();
+                let number = wave.number;
+                if !waves.contains_key(&number) {
+                    node.trace
+                        .line("wave asked for", json!({ "wave": number, "vms": wave.vms.len() }));
+                    waves.insert(number, (wave, clock::now()));
+                }
+            }
+            Err(error) => node.trace.line("wave unreadable", json!({ "why": error.to_string() })),
+        }
+    }
+}
+
+/// Follows members and duties.
+pub async fn entries(node: Rc<Node>) {
+    let learner = node.clone();
+    let learn = move |news: News| {
+        match news {
+            News::All(items) => {
+                let mut table = learner.table.borrow_mut();
+                table.members.clear();
+                table.duties.clear();
+                for item in items {
+                    put(&mut table, &item.key, Some(&item.value), item.revision);
+                }
+            }
+            News::Change(event) => {
+                let value = event.value.as_deref();
+                put(&mut learner.table.borrow_mut(), &event.key, value, event.revision);
+                learner.trace.line(
+                    "duty or member changed",
+                    json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
+                );
+            }
+        }
+        learner.changed.notify_waiters();
+    };
+    follow(node, duty::PREFIX.to_owned(), || true, learn).await;
+}
+
+fn put(table: &mut duty::Table, key: &str, value: Option<&[u8]>, revision: u64) {
+    if let Some(name) = key.strip_prefix(MEMBERS) {
+        match value.and_then(|value| serde_json::from_slice(value).ok()) {
+            Some(member) => drop(table.members.insert(name.to_owned(), member)),
+            None => drop(table.members.remove(name)),
+        }
+    } else if let Some(name) = key.strip_prefix(DUTIES) {
+        let holder = value.and_then(|value| serde_json::from_slice(value).ok()).unwrap_or_default();
+        let revision = if value.is_some() { revision } else { 0 };
+        table.duties.insert(name.to_owned(), duty::Record { holder, revision });
+    }
+}
+
+/// Follows workers while this daemon owns the work of a pool.
+pub async fn workers(node: Rc<Node>) {
+    loop {
+        if node.owners.borrow().is_empty() {
+            node.servers_known.set(false);
+            node.changed.notified().await;
+            continue;
+        }
+        let (learner, wanted) = (node.clone(), node.clone());
+        let is_wanted = move || !wanted.owners.borrow().is_empty();
+        let learn = move |news: News| {
+            match news {
+                News::All(items) => {
+                    learner.servers.borrow_mut().clear();
+                    for item in items {
+                        put_worker(&learner, &item.key, Some(&item.value));
+                    }
+                    learner.servers_known.set(true);
+                }
+                News::Change(event) => put_worker(&learner, &event.key, event.value.as_deref()),
+            }
+            for owner in learner.owners.borrow().values() {
+                owner.list_changed.set(true);
+                owner.wake.notify_one();
+            }
+        };
+        follow(node.clone(), worker::PREFIX.to_owned(), is_wanted, learn).await;
+    }
+}
+
+fn put_worker(node: &Rc<Node>, key: &str, value: Option<&[u8]>) {
+    let id = key.strip_prefix(worker::PREFIX).unwrap_or(key);
+    let Some(value) = value else {
+        if node.servers.borrow_mut().remove(id).is_some() {
+            node.trace.line("worker unlisted", json!({ "worker": id }));
+        }
+        return;
+    };
+    match worker::listed(key, value) {
+        Ok(listed) => drop(node.servers.borrow_mut().insert(listed.entry.id.clone(), listed)),
+        Err(error) => node
+            .trace
+            .line("worker's entry unreadable", json!({ "worker": id, "why": error.to_string() })),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,344 @@
+//! Callers: jobs handed in, asked for and taken back, at any entry VM.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::caller;
+use corianderfork_adapter::config::Route;
+use corianderfork_adapter::store::{MAX_ROWS, Outcome, Txn};
+use corianderfork_jobs::{JobId, Record};
+use corianderfork_model::Time;
+use serde_json::json;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use crate::clock;
+use crate::http::Failed;
+use crate::node::Node;
+use crate::owner::{job_key, ms, run_key};
+use crate::peer::{self, Ask, Reply};
+use crate::server::{Asked, Told};
+use crate::store::Error;
+
+/// How long the store is asked to take a job before the caller is told that it
+/// did not. Within a quarter of the time that callers wait.
+const ACCEPT: Duration = Duration::from_millis(700);
+/// The pause between two tries.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Rows of a write that one job takes: two conditions and a value.
+const JOB_ROWS: usize = 3;
+/// Writes of jobs under way at once: a second one goes out while the first
+/// waits for its answer.
+const WRITES: usize = 4;
+/// When a caller that is refused is told to come back, in seconds.
+const RETRY_AFTER: u64 = 1;
+/// How long an owner may take over a cancellation.
+const CANCEL: Duration = Duration::from_millis(2_600);
+
+/// What became of a job handed in.
+enum Accepted {
+    /// It is stored, at this revision, or was before.
+    Stored(Option<u64>),
+    /// It was not stored and never will be.
+    NotStored,
+    /// Nobody knows.
+    Unknown,
+}
+
+struct Waiting {
+    pool: String,
+    id: String,
+    value: Vec<u8>,
+    until: Time,
+    /// Whether a write of it may have been done though nobody said so.
+    maybe: bool,
+    told: oneshot::Sender<Accepted>,
+}
+
+/// Answers callers.
+pub struct Gateway {
+    node: Rc<Node>,
+    waiting: RefCell<VecDeque<Waiting>>,
+    writing: Cell<usize>,
+}
+
+impl Gateway {
+    /// The gateway of a daemon.
+    pub fn new(node: Rc<Node>) -> Rc<Self> {
+        Rc::new(Self { node, waiting: RefCell::default(), writing: Cell::new(0) })
+    }
+
+    /// Answers a request.
+    pub async fn answer(self: &Rc<Self>, asked: Asked) -> Told {
+        let begun = clock::now();
+        let config = self.node.config.borrow().clone();
+        let Some(config) = config else {
+            return self.log(
+                &asked,
+                begun,
+                refuse("this entry VM has no configuration yet"),
+                "no configuration",
+            );
+        };
+        let Some(route) = config.route(&asked.host, &asked.path) else {
+            let told = Told::new(404, caller::error("no such queue"));
+            return self.log(&asked, begun, told, "no route");
+        };
+        let id = asked.path[route.prefix.len()..].to_owned();
+        let (told, why) = match (asked.method.as_str(), id.as_str()) {
+            ("GET", "") => self.queued(route).await,
+            ("POST", id) => self.submit(route, id, &asked).await,
+            ("GET", id) => self.state(route, id).await,
+            ("DELETE", id) => self.cancel(route, id).await,
+            _ => (Told::new(405, caller::error("send POST, GET or DELETE")), "method"),
+        };
+        self.log(&asked, begun, told, why)
+    }
+
+    fn log(&self, asked: &Asked, begun: Time, told: Told, why: &'static str) -> Told {
+        let took = clock::now() - begun;
+        self.node.metrics.request(&asked.method, told.status, took);
+        // What a caller asks again and again is told in the metrics alone.
+        if asked.method != "GET" || told.status >= 400 {
+            self.node.trace.line(
+                "request answered",
+                json!({ "method": asked.method, "path": asked.path, "status": told.status, "why": why,
+                    "took_ms": ms(took), "deadline_ms": asked.deadline_ms,
+                    "config": self.node.config.borrow().as_ref().map(|config| config.version) }),
+            );
+        }
+        told
+    }
+
+    async fn submit(
+        self: &Rc<Self>,
+        route: &Route,
+        id: &str,
+        asked: &Asked,
+    ) -> (Told, &'static str) {
+        if let Err(error) = id.parse::<JobId>() {
+            return (Told::new(400, caller::error(&error.to_string())), "bad id");
+        }
+        let Some(body) = &asked.body else {
+            return (Told::new(413, caller::error("the body is too long or was cut off")), "body");
+        };
+        let job = match caller::job(body) {
+            Ok(job) => job,
+            Err(why) => return (Told::new(400, caller::error(&why)), "bad job"),
+        };
+        let record = Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job };
+        match self.store(route, id, &record).await {
+            Accepted::Stored(revision) => {
+                if let Some(revision) = revision {
+                    self.tell_owner(&route.pool, id, record, revision);
+                }
+                (
+                    Told::new(200, b"{}".to_vec()),
+                    if revision.is_some() { "stored" } else { "known" },
+                )
+            }
+            Accepted::NotStored => (refuse("the store took no job; come back"), "not stored"),
+            // It may be stored yet: 503 would promise that it never runs.
+            Accepted::Unknown => (
+                Told::new(
+                    504,
+                    caller::error("it is not known whether the job was stored; send it again"),
+                ),
+                "unknown",
+            ),
+        }
+    }
+
+    /// Tells the owner at once; its watch would, a moment later.
+    fn tell_owner(self: &Rc<Self>, pool: &str, id: &str, record: Record, revision: u64) {
+        let (node, pool) = (self.node.clone(), pool.to_owned());
+        let ask = Ask::Accepted {
+            pool: pool.clone(),
+            id: id.to_owned(),
+            record: Box::new(record),
+            revision,
+        };
+        spawn_local(async move {
+            // If it doesn't arrive the owner's watch brings the job.
+            let _ = node.ask_owner(&pool, ask, peer::ANSWER).await;
+        });
+    }
+
+    async fn store(self: &Rc<Self>, route: &Route, id: &str, record: &Record) -> Accepted {
+        let pools = self.node.pools_of(&route.name, &route.pool);
+        for earlier in pools.iter().skip(1) {
+            match self.is_known(earlier, id).await {
+                Ok(true) => return Accepted::Stored(None),
+                Ok(false) => {}
+                Err(_) => return Accepted::NotStored,
+            }
+        }
+        let (told, accepted) = oneshot::channel();
+        self.waiting.borrow_mut().push_back(Waiting {
+            pool: route.pool.clone(),
+            id: id.to_owned(),
+            value: serde_json::to_vec(record).unwrap_or_default(),
+            until: clock::now() + ACCEPT,
+            maybe: false,
+            told,
+        });
+        self.write_some();
+        accepted.await.unwrap_or(Accepted::Unknown)
+    }
+
+    /// Starts a write of what waits, unless enough are under way: what comes
+    /// meanwhile goes together in the next.
+    fn write_some(self: &Rc<Self>) {
+        if self.writing.get() >= WRITES || self.waiting.borrow().is_empty() {
+            return;
+        }
+        let most = MAX_ROWS / JOB_ROWS;
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(most);
+        let jobs: Vec<Waiting> = waiting.drain(..count).collect();
+        drop(waiting);
+        self.writing.set(self.writing.get() + 1);
+        let gateway = self.clone();
+        spawn_local(async move {
+            gateway.write(jobs).await;
+            gateway.writing.set(gateway.writing.get() - 1);
+            gateway.write_some();
+        });
+    }
+
+    /// Writes jobs until each is known to be stored or its time is over.
+    async fn write(&self, mut jobs: Vec<Waiting>) {
+        while !jobs.is_empty() {
+            let failed = match self.node.store.txn(&txn(&jobs)).await {
+                Ok(Outcome::Written(revision)) => {
+                    for job in jobs {
+                        // A caller that left finds its job when it asks again.
+                        let _ = job.told.send(Accepted::Stored(Some(revision)));
+                    }
+                    return;
+                }
+                Ok(Outcome::Conflict(items)) => {
+                    let is_stored = |job: &Waiting| {
+                        let keys = [job_key(&job.pool, &job.id), run_key(&job.pool, &job.id)];
+                        items.iter().any(|item| keys.contains(&item.key))
+                    };
+                    let (stored, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(is_stored);
+                    jobs = rest;
+                    for job in stored {
+                        let _ = job.told.send(Accepted::Stored(None));
+                    }
+                    continue;
+                }
+                Ok(Outcome::NoLease) | Err(Error::Unknown) => true,
+                Err(Error::NotDone(_)) => false,
+            };
+            jobs.iter_mut().for_each(|job| job.maybe |= failed);
+            jobs = give_up(jobs);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn is_known(&self, pool: &str, id: &str) -> Result<bool, Error> {
+        let job = self.node.store.get(&job_key(pool, id)).await?;
+        if job.is_some() {
+            return Ok(true);
+        }
+        Ok(self.node.store.get(&run_key(pool, id)).await?.is_some())
+    }
+
+    async fn state(&self, route: &Route, id: &str) -> (Told, &'static str) {
+        let mut is_failed = false;
+        for pool in self.node.pools_of(&route.name, &route.pool) {
+            let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
+            match self.node.ask_owner(&pool, ask, peer::ANSWER).await {
+                Ok(Reply::State { state }) => {
+                    return (Told::new(200, caller::state(state)), "owner");
+                }
+                _ => match self.stored_state(&pool, id).await {
+                    Ok(Some(state)) => return (Told::new(200, caller::state(state)), "store"),
+                    Ok(None) => {}
+                    Err(_) => is_failed = true,
+                },
+            }
+        }
+        if is_failed {
+            return (refuse("neither the owner nor the store answers; come back"), "no answer");
+        }
+        (Told::new(410, caller::error("no such job")), "unknown job")
+    }
+
+    /// Where a job stands by the store: what the owner can't say, or not yet.
+    async fn stored_state(
+        &self,
+        pool: &str,
+        id: &str,
+    ) -> Result<Option<corianderfork_jobs::record::State>, Error> {
+        let run = self.node.store.get(&run_key(pool, id)).await?;
+        if let Some(run) = run
+            && let Ok(progress) =
+                serde_json::from_slice::<corianderfork_jobs::record::Progress>(&run.value)
+        {
+            return Ok(Some(progress.state));
+        }
+        let job = self.node.store.get(&job_key(pool, id)).await?;
+        Ok(job.map(|_| corianderfork_jobs::record::State::Queued))
+    }
+
+    async fn cancel(&self, route: &Route, id: &str) -> (Told, &'static str) {
+        let mut is_failed = false;
+        for pool in self.node.pools_of(&route.name, &route.pool) {
+            let ask = Ask::Cancel { pool: pool.clone(), id: id.to_owned() };
+            match self.node.ask_owner(&pool, ask, CANCEL).await {
+                Ok(Reply::Done) => return (Told::new(200, b"{}".to_vec()), "cancelled"),
+                Ok(Reply::Unknown) => {}
+                Ok(_) | Err(Failed::Unsent | Failed::Lost) => is_failed = true,
+            }
+        }
+        if is_failed {
+            return (refuse("the cancellation could not be written; ask again"), "not written");
+        }
+        (Told::new(410, caller::error("no such job")), "unknown job")
+    }
+
+    async fn queued(&self, route: &Route) -> (Told, &'static str) {
+        let ask = Ask::Queued { pool: route.pool.clone(), queue: route.name.clone() };
+        if let Ok(Reply::Queued { jobs }) =
+            self.node.ask_owner(&route.pool, ask, peer::ANSWER).await
+        {
+            self.node.queued.borrow_mut().insert(route.name.clone(), jobs);
+            return (Told::new(200, caller::waiting(jobs)), "owner");
+        }
+        match self.node.queued.borrow().get(&route.name) {
+            Some(jobs) => (Told::new(200, caller::waiting(*jobs)), "last heard"),
+            None => (refuse("the queue's owner doesn't answer; come back"), "no answer"),
+        }
+    }
+}
+
+fn txn(jobs: &[Waiting]) -> Txn {
+    let mut txn = Txn::default();
+    for job in jobs {
+        let key = job_key(&job.pool, &job.id);
+        txn.expect.push((key.clone(), 0));
+        txn.expect.push((run_key(&job.pool, &job.id), 0));
+        txn.set.push((key, job.value.clone(), 0));
+    }
+    txn
+}
+
+/// Answers those whose time is over, and keeps the others.
+fn give_up(jobs: Vec<Waiting>) -> Vec<Waiting> {
+    let now = clock::now();
+    let (over, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(|job| now >= job.until);
+    for job in over {
+        let accepted = if job.maybe { Accepted::Unknown } else { Accepted::NotStored };
+        let _ = job.told.send(accepted);
+    }
+    rest
+}
+
+fn refuse(why: &str) -> Told {
+    Told { status: 503, body: caller::error(why), retry_after: Some(RETRY_AFTER) }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,64 @@
+//! What the daemon counts.
+
+use std::time::Duration;
+
+use corianderfork_runtime::metrics;
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
+
+/// Counters and histograms. Clones share the same numbers.
+#[derive(Clone)]
+pub struct Metrics {
+    all: metrics::Metrics,
+    store: HistogramVec,
+    requests: HistogramVec,
+    worker_calls: HistogramVec,
+    events: IntCounterVec,
+    gauges: IntGaugeVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let all = metrics::Metrics::new();
+        Self {
+            store: all.seconds("store_seconds", "Calls to the store", &["kind", "outcome"]),
+            requests: all.seconds("request_seconds", "Requests of callers", &["kind", "status"]),
+            worker_calls: all.seconds("worker_seconds", "Calls to workers", &["kind", "outcome"]),
+            events: all.counter("events", "Decisions and beliefs, by kind", &["event"]),
+            gauges: all.gauge("state", "What is held", &["what"]),
+            all,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a call to the store.
+    pub fn store(&self, kind: &str, outcome: &str, took: Duration) {
+        self.store.with_label_values(&[kind, outcome]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a request.
+    pub fn request(&self, kind: &str, status: u16, took: Duration) {
+        let status = status.to_string();
+        self.requests.with_label_values(&[kind, &status]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to a worker.
+    pub fn worker(&self, kind: &str, outcome: &str, took: Duration) {
+        self.worker_calls.with_label_values(&[kind, outcome]).observe(took.as_secs_f64());
+    }
+
+    /// Counts something that happened.
+    pub fn event(&self, event: &str) {
+        self.events.with_label_values(&[event]).inc();
+    }
+
+    /// Tells how much of something there is.
+    pub fn set(&self, what: &str, number: usize) {
+        self.gauges.with_label_values(&[what]).set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// All as text.
+    pub fn text(&self) -> String {
+        self.all.text()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,175 @@
+//! What the parts of one daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::config::{Config, Wave};
+use corianderfork_adapter::worker::Listed;
+use corianderfork_model::Time;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::duty::{Holder, Table};
+use crate::http::{Client, Failed};
+use crate::metrics::Metrics;
+use crate::owner::Owner;
+use crate::peer::{self, Ask, Reply};
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::trace::Trace;
+
+/// How long a member's lease is. After it a holder that died is replaced;
+/// renewals and their answers must fit into it several times.
+pub const TTL: Duration = Duration::from_millis(2_500);
+/// How long a holder goes on that was not renewed because the store answers
+/// nobody: while it is away, nobody else can take over either.
+pub const HOLD_ON: Duration = Duration::from_millis(8_000);
+
+/// The state of one daemon.
+pub struct Node {
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// A number of this one start.
+    pub boot: u64,
+    /// Calls over HTTP.
+    pub client: Rc<Client>,
+    /// The platform's store.
+    pub store: Store,
+    /// The log.
+    pub trace: Trace,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The configuration in force.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Pools that a queue was in before, by queue: jobs stay where they were
+    /// accepted.
+    pub earlier: RefCell<HashMap<String, Vec<String>>>,
+    /// Waves, with the time at which they were first seen.
+    pub waves: RefCell<BTreeMap<u64, (Wave, Time)>>,
+    /// Members and duties.
+    pub table: RefCell<Table>,
+    /// The pools whose work this daemon owns.
+    pub owners: RefCell<HashMap<String, Rc<Owner>>>,
+    /// Duties that are being taken.
+    pub taking: RefCell<HashSet<String>>,
+    /// The fence of the fleet's planner, while this daemon is it.
+    pub planner: Cell<Option<u64>>,
+    /// Workers by the id of their life.
+    pub servers: RefCell<BTreeMap<String, Listed>>,
+    /// Whether the workers have been read once.
+    pub servers_known: Cell<bool>,
+    /// When the last renewal of the member's lease that succeeded was sent.
+    pub renewed: Cell<Time>,
+    /// Whether the daemon is to end.
+    pub stopping: Cell<bool>,
+    /// Told when members, duties or the configuration change.
+    pub changed: Notify,
+    /// Jobs that have not begun, by queue, as last heard.
+    pub queued: RefCell<HashMap<String, usize>>,
+}
+
+impl Node {
+    /// Whether orders may go out: this daemon's lease holds, or the store
+    /// answers nobody and it has not been away itself.
+    pub fn may_order(&self) -> bool {
+        let now = clock::now();
+        let since = now - self.renewed.get();
+        if since < TTL {
+            return true;
+        }
+        let is_store_silent = self.store.answered() <= self.renewed.get() + TTL;
+        is_store_silent && since < HOLD_ON
+    }
+
+    /// The name under which this daemon holds duties.
+    pub fn holder(&self) -> Holder {
+        let name = self.settings.name.as_str().to_owned();
+        Holder { name, boot: self.boot, peers: Some(self.settings.peers) }
+    }
+
+    /// Whether a record names this start of this daemon.
+    pub fn is_me(&self, holder: &Holder) -> bool {
+        holder.boot == self.boot && holder.name == self.settings.name.as_str()
+    }
+
+    /// The owner of a pool, if it is this daemon.
+    pub fn own(&self, pool: &str) -> Option<Rc<Owner>> {
+        self.owners.borrow().get(pool).filter(|owner| owner.is_loaded()).cloned()
+    }
+
+    /// Asks the owner of a pool, in this process or in another.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none that answers.
+    pub async fn ask_owner(
+        self: &Rc<Self>,
+        pool: &str,
+        ask: Ask,
+        within: Duration,
+    ) -> Result<Reply, Failed> {
+        if let Some(owner) = self.own(pool) {
+            return Ok(owner.answer(ask).await);
+        }
+        let peers = {
+            let table = self.table.borrow();
+            let holder = table.duties.get(pool).map(|record| record.holder.clone());
+            holder.filter(|holder| !self.is_me(holder)).and_then(|holder| holder.peers)
+        };
+        let Some(peers) = peers else { return Err(Failed::Unsent) };
+        peer::ask(&self.client, peers, &ask, within).await
+    }
+
+    /// Takes in a configuration, unless a newer one is known.
+    pub fn set_config(&self, config: Config) {
+        let known = self.config.borrow().as_ref().map_or(0, |config| config.version);
+        if config.version <= known {
+            return;
+        }
+        self.trace.line(
+            "configuration in force",
+            json!({ "version": config.version, "before": known, "routes": config.routes.len() }),
+        );
+        if let Some(old) = self.config.borrow().as_ref() {
+            self.note_moved_queues(old, &config);
+        }
+        let queues = config.queues();
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        for owner in self.owners.borrow().values() {
+            owner.pool.borrow_mut().set_queues(queues.clone());
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn note_moved_queues(&self, old: &Config, new: &Config) {
+        let mut earlier = self.earlier.borrow_mut();
+        for route in &old.routes {
+            let pool = new.routes.iter().find(|r| r.name == route.name).map(|r| &r.pool);
+            if pool != Some(&route.pool) {
+                earlier.entry(route.name.clone()).or_default().push(route.pool.clone());
+            }
+        }
+    }
+
+    /// Where a queue's jobs may be: in its pool, and in those it was in before.
+    pub fn pools_of(&self, queue: &str, pool: &str) -> Vec<String> {
+        let mut pools = vec![pool.to_owned()];
+        let earlier = self.earlier.borrow();
+        let before = earlier.get(queue).into_iter().flatten();
+        for before in before {
+            if !pools.contains(before) {
+                pools.push(before.clone());
+            }
+        }
+        pools
+    }
+
+    /// The workers of a pool.
+    pub fn workers_of(&self, pool: &str) -> Vec<corianderfork_jobs::worker::Entry> {
+        let servers = self.servers.borrow();
+        servers.values().filter(|s| s.pool == pool).map(|s| s.entry.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,176 @@
+//! What entry daemons ask of each other.
+//!
+//! One JSON message a request, over the same HTTP as everything else here: a
+//! second stack for a handful of small messages would cost memory that is billed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::Call;
+use corianderfork_jobs::Record;
+use corianderfork_jobs::record::State;
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Client, Failed};
+
+/// How long a peer may take over an answer.
+pub const ANSWER: Duration = Duration::from_millis(700);
+
+/// A question.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "ask", rename_all = "kebab-case")]
+pub enum Ask {
+    /// A job was accepted; to the owner of its pool.
+    Accepted {
+        /// The pool.
+        pool: String,
+        /// The job's id.
+        id: String,
+        /// The job.
+        record: Box<Record>,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// Where does a job stand? To the owner of its pool.
+    State {
+        /// The pool.
+        pool: String,
+        /// The job's id.
+        id: String,
+    },
+    /// Take a job back; to the owner of its pool.
+    Cancel {
+        /// The pool.
+        pool: String,
+        /// The job's id.
+        id: String,
+    },
+    /// How many jobs have not begun? To the owner of the pool.
+    Queued {
+        /// The pool.
+        pool: String,
+        /// The queue.
+        queue: String,
+    },
+    /// Empty a worker and tell how far you are; to the owner of its pool.
+    Vacate {
+        /// The pool.
+        pool: String,
+        /// The worker's life.
+        worker: String,
+    },
+    /// How busy is the pool? To its owner.
+    Load {
+        /// The pool.
+        pool: String,
+    },
+    /// Somebody else holds the duty now; to the one that held it before.
+    Retire {
+        /// The duty.
+        duty: String,
+        /// The fence of the new holder.
+        fence: u64,
+    },
+    /// Call the store for me, which turns me away.
+    Store {
+        /// The method.
+        method: String,
+        /// Path and query.
+        target: String,
+        /// The body.
+        body: String,
+        /// How long it may take, in milliseconds.
+        within_ms: u64,
+    },
+}
+
+impl Ask {
+    /// The pool whose owner is asked; empty for what others are asked.
+    pub fn pool(&self) -> &str {
+        match self {
+            Self::Accepted { pool, .. }
+            | Self::State { pool, .. }
+            | Self::Cancel { pool, .. }
+            | Self::Queued { pool, .. }
+            | Self::Vacate { pool, .. }
+            | Self::Load { pool } => pool,
+            Self::Retire { .. } | Self::Store { .. } => "",
+        }
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "reply", rename_all = "kebab-case")]
+pub enum Reply {
+    /// It is done.
+    Done,
+    /// The one asked doesn't own the pool.
+    NotOwner,
+    /// There is no such job, or none that is known here.
+    Unknown,
+    /// Where a job stands.
+    State {
+        /// The state.
+        state: State,
+    },
+    /// It could not be written in time; ask again.
+    Later,
+    /// How many jobs have not begun.
+    Queued {
+        /// The number.
+        jobs: usize,
+    },
+    /// How far a worker is emptied; `None` if it isn't known.
+    Vacated {
+        /// Whether it is empty.
+        empty: Option<bool>,
+    },
+    /// How busy the pool is.
+    Load {
+        /// VMs that take work.
+        workers: u32,
+        /// Thousandths of a core that they have.
+        cpu: u64,
+        /// Thousandths of a core in use.
+        used: u64,
+        /// Thousandths of a core that are waited for.
+        waiting: u64,
+    },
+    /// How long what was granted to workers holds, in milliseconds.
+    Retired {
+        /// By worker's life; `None` if the duty was not held.
+        grants: Option<BTreeMap<String, u64>>,
+    },
+    /// What the store said.
+    Store {
+        /// The status; 0 for no answer.
+        status: u16,
+        /// Whether anything was sent.
+        sent: bool,
+        /// The body.
+        body: String,
+    },
+}
+
+/// Asks a peer.
+///
+/// # Errors
+///
+/// Fails if there is no answer that can be read.
+pub async fn ask(
+    client: &Rc<Client>,
+    peer: SocketAddr,
+    ask: &Ask,
+    within: Duration,
+) -> Result<Reply, Failed> {
+    let body = serde_json::to_vec(ask).unwrap_or_default();
+    let call = Call { method: "POST", target: "/peer".to_owned(), headers: Vec::new(), body };
+    let (status, body) = client.call(peer, &call, within).await?;
+    if status != 200 {
+        return Err(Failed::Lost);
+    }
+    serde_json::from_slice(&body).map_err(|_| Failed::Lost)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,323 @@
+//! The daemon's start, its end, and what it answers in between.
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::{Call, caller};
+use corianderfork_model::Time;
+use hyper::body::Bytes;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::gateway::Gateway;
+use crate::http::{Client, Failed};
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::peer::{Ask, Reply};
+use crate::server::{self, Asked, Gauge, Handler, Told};
+use crate::settings::Settings;
+use crate::store::{Relay, Store};
+use crate::trace::Trace;
+use crate::{clock, follow, member, peer};
+
+/// Descriptors kept for the store, workers, peers and the log.
+const OWN_FDS: usize = 300;
+/// The largest body of a peer: an answer of the store on its way.
+const PEER_BODY: usize = 8 << 20;
+/// How often the settings file is looked at: it may change without a signal.
+const SETTINGS: Duration = Duration::from_secs(2);
+/// How long after SIGTERM new connections still come: the balancer notices
+/// after two looks of a second each.
+const NOTICED: Duration = Duration::from_millis(2_600);
+/// What is left of the grace period when the daemon ends at the latest.
+const SPARE: Duration = Duration::from_millis(500);
+/// Peers asked to make a call to the store, one after the other.
+const RELAYS: usize = 2;
+
+/// Runs the daemon.
+pub fn run(settings: Settings, path: &Path) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("no event loop ({error}); see the limits of the process");
+            return ExitCode::FAILURE;
+        }
+    };
+    let path = path.to_owned();
+    LocalSet::new().block_on(&runtime, serve(settings, path))
+}
+
+fn node(settings: Settings) -> Rc<Node> {
+    let trace = Trace::start(settings.name.as_str());
+    let metrics = Metrics::default();
+    let client = Rc::new(Client::default());
+    let store = Store::new(settings.store, client.clone(), trace.clone(), metrics.clone());
+    Rc::new(Node {
+        settings,
+        boot: corianderfork_runtime::clock::seed() >> 12,
+        client,
+        store,
+        trace,
+        metrics,
+        config: RefCell::default(),
+        earlier: RefCell::default(),
+        waves: RefCell::default(),
+        table: RefCell::default(),
+        owners: RefCell::default(),
+        taking: RefCell::default(),
+        planner: Cell::new(None),
+        servers: RefCell::default(),
+        servers_known: Cell::new(false),
+        renewed: Cell::new(Time::ZERO),
+        stopping: Cell::new(false),
+        changed: Notify::new(),
+        queued: RefCell::default(),
+    })
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> ExitCode {
+    let node = node(settings);
+    let gauge = Gauge::default();
+    gauge.most.set(node.settings.max_fds.saturating_sub(OWN_FDS).max(16));
+    if let Err(error) = open(&node, &gauge).await {
+        eprintln!("an address can't be had ({error}); see [listen] of the settings");
+        return ExitCode::FAILURE;
+    }
+    node.trace.line("started", json!({ "boot": node.boot, "callers": node.settings.callers }));
+    node.store.set_relay(relay(&node));
+    spawn_local(follow::operators(node.clone()));
+    spawn_local(follow::entries(node.clone()));
+    spawn_local(follow::workers(node.clone()));
+    spawn_local(member::attend(node.clone()));
+    let kept = spawn_local(member::keep(node.clone()));
+    spawn_local(watch_settings(node.clone(), path));
+    wait_for_stop().await;
+    stop(&node, &gauge, kept).await;
+    ExitCode::SUCCESS
+}
+
+async fn open(node: &Rc<Node>, gauge: &Gauge) -> std::io::Result<()> {
+    let readiness = server::listen(node.settings.readiness).await?;
+    let metrics = server::listen(node.settings.metrics).await?;
+    let peers = server::listen(node.settings.peers).await?;
+    let callers = server::listen(node.settings.callers).await?;
+    let own = Gauge::default();
+    own.most.set(OWN_FDS / 2);
+    own.max_body.set(PEER_BODY);
+    spawn_local(server::serve(readiness, own.clone(), ready_handler(node)));
+    spawn_local(server::serve(metrics, own.clone(), metrics_handler(node, gauge)));
+    spawn_local(server::serve(peers, own, peer_handler(node)));
+    spawn_local(server::serve(callers, gauge.clone(), caller_handler(node, gauge)));
+    Ok(())
+}
+
+fn ready_handler(node: &Rc<Node>) -> Handler {
+    let node = node.clone();
+    Rc::new(move |_| {
+        let is_ready = node.config.borrow().is_some() && !node.stopping.get();
+        let status = if is_ready { 200 } else { 503 };
+        Box::pin(async move { Told::new(status, b"{}".to_vec()) })
+    })
+}
+
+fn metrics_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
+    let (node, gauge) = (node.clone(), gauge.clone());
+    Rc::new(move |_| {
+        node.metrics.set("connections", gauge.connections.get());
+        node.metrics.set("requests", gauge.requests.get());
+        node.metrics.set("duties", node.owners.borrow().len());
+        let text = node.metrics.text();
+        Box::pin(async move { Told::new(200, text.into_bytes()) })
+    })
+}
+
+fn caller_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
+    let gateway = Gateway::new(node.clone());
+    let (node, gauge) = (node.clone(), gauge.clone());
+    gauge.max_body.set(1 << 20);
+    Rc::new(move |asked: Asked| {
+        let gateway = gateway.clone();
+        let max_body = node.config.borrow().as_ref().map(|config| config.max_body);
+        gauge.max_body.set(max_body.unwrap_or(1 << 20));
+        Box::pin(async move {
+            if asked.path == caller::READY {
+                return Told::new(404, caller::error("no such queue"));
+            }
+            gateway.answer(asked).await
+        })
+    })
+}
+
+fn peer_handler(node: &Rc<Node>) -> Handler {
+    let node = node.clone();
+    Rc::new(move |asked: Asked| {
+        let node = node.clone();
+        Box::pin(async move {
+            let ask = asked.body.and_then(|body| serde_json::from_slice::<Ask>(&body).ok());
+            let Some(ask) = ask else {
+                return Told::new(400, b"a peer sends a message of this version".to_vec());
+            };
+            let reply = answer(&node, ask).await;
+            Told::new(200, serde_json::to_vec(&reply).unwrap_or_default())
+        })
+    })
+}
+
+async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
+    match ask {
+        Ask::Retire { duty, fence } => {
+            let owner = node.owners.borrow().get(&duty).cloned();
+            Reply::Retired { grants: owner.and_then(|owner| owner.give_way(fence)) }
+        }
+        Ask::Store { method, target, body, within_ms } => {
+            relayed(node, &method, target, body, within_ms).await
+        }
+        ask => match node.own(ask.pool()) {
+            Some(owner) => owner.answer(ask).await,
+            None => Reply::NotOwner,
+        },
+    }
+}
+
+async fn relayed(
+    node: &Rc<Node>,
+    method: &str,
+    target: String,
+    body: String,
+    within_ms: u64,
+) -> Reply {
+    let method = match method {
+        "GET" => "GET",
+        "DELETE" => "DELETE",
+        _ => "POST",
+    };
+    let call = Call { method, target, headers: Vec::new(), body: body.into_bytes() };
+    match node.store.relayed(&call, Duration::from_millis(within_ms)).await {
+        Ok((status, body)) => {
+            Reply::Store { status, sent: true, body: String::from_utf8_lossy(&body).into_owned() }
+        }
+        Err(failed) => {
+            Reply::Store { status: 0, sent: failed == Failed::Lost, body: String::new() }
+        }
+    }
+}
+
+/// Calls the store by way of peers that reach it.
+fn relay(node: &Rc<Node>) -> Relay {
+    let node = node.clone();
+    Rc::new(move |call: Call, within: Duration| {
+        let node = node.clone();
+        Box::pin(async move { relay_call(&node, &call, within).await })
+    })
+}
+
+async fn relay_call(
+    node: &Rc<Node>,
+    call: &Call,
+    within: Duration,
+) -> Result<(u16, Bytes), Failed> {
+    let me = node.settings.name.as_str();
+    let mut peers: Vec<std::net::SocketAddr> = {
+        let table = node.table.borrow();
+        table.members.iter().filter(|(name, _)| *name != me).map(|(_, m)| m.peers).collect()
+    };
+    let mut is_lost = false;
+    for _ in 0..RELAYS {
+        if peers.is_empty() {
+            break;
+        }
+        let peer = peers.swap_remove(draw(peers.len()));
+        let ask = Ask::Store {
+            method: call.method.to_owned(),
+            target: call.target.clone(),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
+            within_ms: crate::owner::ms(within),
+        };
+        let slack = Duration::from_millis(100);
+        match peer::ask(&node.client, peer, &ask, within + slack).await {
+            Ok(Reply::Store { status, body, .. })
+                if status != 0 && status != 429 && status != 503 =>
+            {
+                return Ok((status, Bytes::from(body)));
+            }
+            Ok(Reply::Store { sent, status, .. }) => is_lost |= sent && status == 0,
+            Err(Failed::Unsent) => {}
+            _ => is_lost = true,
+        }
+    }
+    Err(if is_lost { Failed::Lost } else { Failed::Unsent })
+}
+
+async fn wait_for_stop() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    // SIGHUP says that the settings changed, which is looked at anyway; without
+    // a handler it would end the process.
+    let hup = signal(SignalKind::hangup());
+    if let Ok(mut hup) = hup {
+        spawn_local(async move { while hup.recv().await.is_some() {} });
+    }
+    term.recv().await;
+}
+
+/// Looks whether the settings changed. What can change in a running process is
+/// told; an address can't.
+async fn watch_settings(node: Rc<Node>, path: PathBuf) {
+    let mut last = node.settings.clone();
+    loop {
+        tokio::time::sleep(SETTINGS).await;
+        match Settings::read(&path) {
+            Ok(settings) if settings != last => {
+                node.trace.line("settings changed", json!({ "applied": "at the next start" }));
+                last = settings;
+            }
+            Ok(_) => {}
+            Err(error) => {
+                node.trace.line("settings unreadable", json!({ "why": error.to_string() }))
+            }
+        }
+    }
+}
+
+/// Ends gracefully: not ready at once, duties handed over at once, and every
+/// request on an open connection answered until the end.
+async fn stop(node: &Rc<Node>, gauge: &Gauge, kept: tokio::task::JoinHandle<()>) {
+    let begun = clock::now();
+    node.trace.line(
+        "stopping",
+        json!({ "requests": gauge.requests.get(), "duties": node.owners.borrow().len() }),
+    );
+    node.stopping.set(true);
+    gauge.closing.set(true);
+    member::hand_over(node).await;
+    // Its record goes last: peers still ask here what was granted.
+    let _ = kept.await;
+    let last = node.settings.grace.saturating_sub(SPARE);
+    loop {
+        let since = clock::now() - begun;
+        let is_idle = gauge.requests.get() == 0 && gauge.connections.get() == 0;
+        if since >= last || (since >= NOTICED && is_idle) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    node.trace.line(
+        "stopped",
+        json!({ "requests": gauge.requests.get(), "connections": gauge.connections.get() }),
+    );
+    // The log's thread writes what is queued.
+    tokio::time::sleep(Duration::from_millis(30)).await;
+}
+
+/// A number below `bound`, so that peers share what is relayed.
+fn draw(bound: usize) -> usize {
+    let seed = corianderfork_runtime::clock::seed() % (bound.max(1) as u64);
+    usize::try_from(seed).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,93 @@
+//! What the daemon is told at its start.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use corianderfork_model::Name;
+use corianderfork_runtime::settings::{Error, File};
+
+/// The settings of an entry daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The entry VM's name.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where peers reach it.
+    pub peers: SocketAddr,
+    /// Where its metrics are read.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The service that moves and maintains VMs, if there is one.
+    pub fleet: Option<SocketAddr>,
+    /// The share of a core that it has, in thousandths.
+    pub cpu_share: u64,
+    /// Descriptors that it may have open.
+    pub max_fds: usize,
+    /// How long it has from SIGTERM to its end.
+    pub grace: Duration,
+    /// The longest lease that a worker takes.
+    pub max_lease: Duration,
+    /// How long the state of a finished job is told.
+    pub remember: Duration,
+    /// How long two holders' orders for a VM have to be apart.
+    pub order_gap: Duration,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all that is missing, wrong or unknown.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        Self::take(File::read(path)?)
+    }
+
+    /// Reads settings from a text.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::read`].
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        Self::take(File::parse(text)?)
+    }
+
+    fn take(mut file: File) -> Result<Self, Error> {
+        let ip = file.required("process", "ip", IpAddr::V4(Ipv4Addr::LOCALHOST));
+        let port = |port: u64| SocketAddr::new(ip, u16::try_from(port).unwrap_or(0));
+        let share: f64 = file.or("limits", "cpu_share", 1.0);
+        let fleet: String = file.or("fleet", "address", String::new());
+        let seconds = |seconds: f64| Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0));
+        let settings = Self {
+            name: file.name("process", "name"),
+            data_centre: file.name("process", "data_centre"),
+            callers: file.address("listen", "callers"),
+            readiness: file.address("listen", "readiness"),
+            peers: port(file.number("listen", "peers_port", 0, 0..=65_535)),
+            metrics: port(file.number("listen", "metrics_port", 9_464, 0..=65_535)),
+            store: file.address("store", "address"),
+            fleet: fleet.parse().ok(),
+            cpu_share: (share.clamp(0.001, 64.0) * 1_000.0) as u64,
+            max_fds: usize::try_from(file.number("limits", "max_fds", 1_024, 64..=1_000_000))
+                .unwrap_or(1_024),
+            grace: seconds(file.or("bounds", "grace_s", 6.0)),
+            max_lease: file.millis(
+                "bounds",
+                "max_lease_ms",
+                Duration::from_secs(10),
+                500..=600_000,
+            ),
+            remember: seconds(file.or("bounds", "remember_s", 120.0)),
+            order_gap: file.millis("bounds", "order_gap_ms", Duration::from_secs(3), 0..=600_000),
+        };
+        file.finish()?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/trace.rs
@@ -0,0 +1,94 @@
+//! Structured lines on standard output, one a decision.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use serde_json::{Map, Value};
+
+use crate::clock;
+
+/// Lines that may wait to be written. A reader of the output that stalls costs
+/// lines, which are counted, and never a caller's time.
+const QUEUE: usize = 2_048;
+/// Lines a second, in the long run: at about 200 bytes a line, 60 KB a second.
+const RATE: f64 = 300.0;
+/// Lines at once.
+const BURST: f64 = 1_500.0;
+
+/// Writes the log. Clones write to the same.
+#[derive(Clone)]
+pub struct Trace {
+    sender: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+    budget: Arc<Mutex<(f64, Instant)>>,
+    node: Arc<str>,
+}
+
+impl Trace {
+    /// Starts the thread that writes: the output may block, the daemon must not.
+    pub fn start(node: &str) -> Self {
+        let (sender, receiver) = sync_channel(QUEUE);
+        let started =
+            std::thread::Builder::new().name("log".to_owned()).spawn(move || write(&receiver));
+        if let Err(error) = started {
+            eprintln!("no thread for the log ({error}); the log stays empty");
+        }
+        let budget = Arc::new(Mutex::new((BURST, Instant::now())));
+        Self { sender, dropped: Arc::default(), budget, node: node.into() }
+    }
+
+    /// Writes a line, unless there have been too many lately.
+    pub fn line(&self, event: &'static str, fields: Value) {
+        if !self.take_budget() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.send("lines dropped", &serde_json::json!({ "lines": dropped }));
+        }
+        self.send(event, &fields);
+    }
+
+    fn send(&self, event: &'static str, fields: &Value) {
+        let mut line = Map::new();
+        line.insert("at_ms".to_owned(), clock::wall_ms().into());
+        line.insert("node".to_owned(), (*self.node).into());
+        line.insert("event".to_owned(), event.into());
+        if let Value::Object(fields) = fields {
+            line.extend(fields.iter().map(|(key, value)| (key.clone(), value.clone())));
+        }
+        if self.sender.try_send(Value::Object(line).to_string()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn take_budget(&self) -> bool {
+        // Only the daemon's one thread takes this lock.
+        let Ok(mut budget) = self.budget.lock() else { return false };
+        let (left, at) = *budget;
+        let now = Instant::now();
+        let left = (left + now.duration_since(at).as_secs_f64() * RATE).min(BURST);
+        let is_left = left >= 1.0;
+        *budget = (if is_left { left - 1.0 } else { left }, now);
+        is_left
+    }
+}
+
+fn write(receiver: &Receiver<String>) {
+    let mut lines = String::new();
+    while let Ok(line) = receiver.recv() {
+        lines.clear();
+        lines.push_str(&line);
+        lines.push('\n');
+        for line in receiver.try_iter().take(256) {
+            lines.push_str(&line);
+            lines.push('\n');
+        }
+        // There is nobody to tell that the output is gone.
+        let _ = std::io::stdout().write_all(lines.as_bytes());
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool.rs
@@ -0,0 +1,226 @@
+//! The work of one pool of workers.
+
+mod evacuate;
+mod journal;
+mod look;
+mod order;
+mod pace;
+mod place;
+mod table;
+mod workers;
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use corianderfork_model::Time;
+use slotmap::SlotMap;
+
+pub use journal::{Batch, Row};
+pub use look::{Look, Report};
+pub use order::{Answer, Order, What};
+
+use crate::id::JobId;
+use crate::queue::Queue;
+use crate::record::State;
+use crate::task;
+use crate::worker::{self, Worker};
+use table::Entry;
+
+slotmap::new_key_type! {
+    /// A job of a pool.
+    pub struct JobKey;
+}
+
+/// Bits of a run's number that count starts; the owner's fence stands above
+/// them, so that a successor's numbers are higher without a write a start.
+const RUN_BITS: u32 = 20;
+
+/// How a pool is run.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The owner's fence: the revision at which it became the owner.
+    pub(crate) fence: u64,
+    /// How long a lease on a worker is.
+    pub(crate) lease: Duration,
+    /// How long a finished job's state is told.
+    pub(crate) remember: Duration,
+    /// Until when grants of a predecessor may hold that can't be asked.
+    pub(crate) inherited_until: Time,
+}
+
+impl Config {
+    /// An owner with `fence`, whose predecessors' grants all end by
+    /// `inherited_until`.
+    pub fn new(fence: u64, inherited_until: Time) -> Self {
+        Self {
+            fence,
+            lease: Duration::from_secs(4),
+            remember: Duration::from_secs(125),
+            inherited_until,
+        }
+    }
+
+    /// Sets how long a lease on a worker is: longer ones ride out a longer
+    /// silence of ours, shorter ones free the tasks of a lost worker sooner.
+    #[must_use]
+    pub fn lease(mut self, lease: Duration) -> Self {
+        self.lease = lease;
+        self
+    }
+
+    /// Sets how long a finished job's state is told.
+    #[must_use]
+    pub fn remember(mut self, remember: Duration) -> Self {
+        self.remember = remember;
+        self
+    }
+}
+
+/// How busy a pool is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Workers that take work.
+    pub workers: u32,
+    /// Thousandths of a core that they have.
+    pub cpu: u64,
+    /// Thousandths of a core in use by what is counted.
+    pub used: u64,
+    /// Thousandths of a core that tasks wait for whose turn has come.
+    pub waiting: u64,
+    /// Jobs without a started task.
+    pub queued: u32,
+}
+
+/// What an owner knows of its pool, and what it decides.
+#[derive(Debug)]
+pub struct Pool {
+    config: Config,
+    queues: HashMap<String, Queue>,
+    workers: SlotMap<worker::Key, Worker>,
+    by_id: HashMap<String, worker::Key>,
+    jobs: SlotMap<JobKey, Entry>,
+    by_job: HashMap<JobId, JobKey>,
+    /// Jobs with something to write, oldest first.
+    dirty: BTreeSet<(Time, JobId)>,
+    starts: u64,
+    deposed: bool,
+    roster_written: BTreeSet<worker::Seat>,
+    notes: Vec<Note>,
+}
+
+/// Something worth a line in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// What was decided or learned.
+    pub what: &'static str,
+    /// The job or task, if it is about one.
+    pub task: Option<task::Name>,
+    /// The worker, if it is about one.
+    pub worker: Option<String>,
+    /// What decided it.
+    pub why: String,
+}
+
+impl Pool {
+    /// A pool of which nothing is known.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            queues: HashMap::new(),
+            workers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            by_job: HashMap::new(),
+            dirty: BTreeSet::new(),
+            starts: 0,
+            deposed: false,
+            roster_written: BTreeSet::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Applies what the configuration says of queues.
+    pub fn set_queues(&mut self, queues: HashMap<String, Queue>) {
+        self.queues = queues;
+    }
+
+    /// The owner's fence.
+    pub fn fence(&self) -> u64 {
+        self.config.fence
+    }
+
+    /// Whether a worker said that another owner has taken over.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Where a job stands, as it may be told: an end only once it is written.
+    pub fn state(&self, id: JobId) -> Option<State> {
+        let entry = self.entry(id)?;
+        if entry.state.is_final() && entry.written < entry.version {
+            return Some(State::Running);
+        }
+        Some(entry.state)
+    }
+
+    /// How many jobs of `queue` have no started task.
+    pub fn queued(&self, queue: &str) -> usize {
+        let is_queued = |entry: &&Entry| entry.queue == queue && entry.state == State::Queued;
+        self.jobs.values().filter(is_queued).count()
+    }
+
+    /// How busy the pool is.
+    pub fn load(&self, now: Time) -> Load {
+        let mut load = Load::default();
+        for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
+            load.workers += 1;
+            load.cpu += worker.room.cpu;
+            load.used += worker.used.cpu;
+        }
+        for entry in self.jobs.values() {
+            load.waiting += entry.waiting_cpu();
+            load.queued += u32::from(entry.state == State::Queued);
+        }
+        load
+    }
+
+    /// What happened since the last call, for the log.
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    fn note(
+        &mut self,
+        what: &'static str,
+        task: Option<task::Name>,
+        worker: Option<worker::Key>,
+        why: String,
+    ) {
+        let worker = worker.and_then(|key| self.workers.get(key)).map(|worker| worker.id.clone());
+        self.notes.push(Note { what, task, worker, why });
+    }
+
+    fn entry(&self, id: JobId) -> Option<&Entry> {
+        self.by_job.get(&id).and_then(|key| self.jobs.get(*key))
+    }
+
+    fn entry_mut(&mut self, id: JobId) -> Option<&mut Entry> {
+        let key = self.by_job.get(&id)?;
+        self.jobs.get_mut(*key)
+    }
+
+    fn queue(&self, name: &str) -> Queue {
+        self.queues.get(name).cloned().unwrap_or_default()
+    }
+
+    fn next_run(&mut self) -> u64 {
+        self.starts += 1;
+        (self.config.fence << RUN_BITS) + self.starts
+    }
+
+    /// Whether a predecessor's run may still be alive where this owner can't
+    /// look. Tasks that a predecessor may have started wait until then.
+    pub fn is_recovering(&self, now: Time) -> bool {
+        self.workers.values().any(|worker| !worker.fenced && now < worker.inherited_until)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/journal.rs
@@ -0,0 +1,109 @@
+//! What has to be written, in batches.
+
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use crate::id::JobId;
+use crate::record::Progress;
+use crate::worker;
+
+/// How long an end that nobody waits for may stay unwritten. Most jobs end
+/// within a second or two of their first end, and are then written once.
+pub(super) const LINGER: Duration = Duration::from_millis(1_000);
+
+/// A job's row of a batch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The job.
+    pub id: JobId,
+    /// How far it is.
+    pub progress: Progress,
+    version: u64,
+}
+
+/// Changes to be written all or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// How far jobs are. The record of one that ended goes in the same write.
+    pub rows: Vec<Row>,
+    /// Jobs to be forgotten.
+    pub forget: Vec<JobId>,
+}
+
+impl Batch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.forget.is_empty()
+    }
+}
+
+impl Pool {
+    /// What is to be written now, at most `most` keys. `wall_ms` is the time of
+    /// day, kept with ends.
+    pub fn batch(&mut self, now: Time, wall_ms: u64, most: usize) -> Batch {
+        let mut batch = Batch::default();
+        let mut keys = 0;
+        let due: Vec<JobId> =
+            self.dirty.iter().take_while(|(at, _)| *at <= now).map(|(_, id)| *id).collect();
+        if due.is_empty() {
+            self.forget_old(now, most, &mut batch);
+            return batch;
+        }
+        // Once a write is due, what could wait goes with it for nothing.
+        let all: Vec<JobId> = self.dirty.iter().map(|(_, id)| *id).collect();
+        for id in all {
+            let Some(entry) = self.entry_mut(id) else { continue };
+            if entry.state.is_final() && entry.ended_ms == 0 {
+                entry.ended_ms = wall_ms;
+            }
+            keys += if entry.state.is_final() { 2 } else { 1 };
+            if keys > most {
+                break;
+            }
+            batch.rows.push(Row { id, progress: entry.progress(), version: entry.version });
+        }
+        batch
+    }
+
+    /// Whether nothing is left to write.
+    pub fn is_all_written(&self) -> bool {
+        self.dirty.is_empty()
+    }
+
+    fn forget_old(&mut self, now: Time, most: usize, batch: &mut Batch) {
+        let remember = self.config.remember;
+        let is_old = |ended: Option<Time>| ended.is_some_and(|at| now - at > remember);
+        let old = self.jobs.values().filter(|e| is_old(e.ended) && e.written == e.version);
+        batch.forget = old.map(|entry| entry.id).take(most / 2).collect();
+        // A write for one or two is not worth its price.
+        if batch.forget.len() < most / 4 {
+            batch.forget.clear();
+        }
+    }
+
+    /// Takes in that a batch was written.
+    pub fn written(&mut self, batch: &Batch) {
+        for row in &batch.rows {
+            self.row_written(row);
+        }
+        for id in &batch.forget {
+            if let Some(key) = self.by_job.remove(id) {
+                self.jobs.remove(key);
+            }
+        }
+        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        for key in keys {
+            self.advance_seen(key);
+        }
+    }
+
+    fn row_written(&mut self, row: &Row) {
+        let Some(entry) = self.entry_mut(row.id) else { return };
+        entry.written = entry.written.max(row.version);
+        if entry.written == entry.version {
+            self.dirty.retain(|(_, id)| *id != row.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/order.rs
@@ -0,0 +1,227 @@
+//! Orders to workers, and what their answers mean.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::look::AVOID;
+use super::table::{At, Phase};
+use crate::task;
+use crate::worker;
+
+/// When an order without an answer is sent again: an answer takes a few
+/// milliseconds, and a repeated order is harmless.
+const AGAIN: Duration = Duration::from_millis(400);
+/// The pause after a worker said that it has no room.
+const NO_ROOM: Duration = Duration::from_millis(200);
+
+/// An order to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The worker.
+    pub worker: worker::Key,
+    /// One life of it.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The owner's fence.
+    pub fence: u64,
+    /// The task.
+    pub task: task::Name,
+    /// The number of the start.
+    pub run: u64,
+    /// What to do with it.
+    pub what: What,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// Start the task, under a lease until `deadline_ms` on the worker's clock.
+    Start {
+        /// What to run.
+        spec: Rc<str>,
+        /// The end of the lease.
+        deadline_ms: u64,
+        /// Progress to go on from; empty to begin anew.
+        saved: Rc<str>,
+    },
+    /// Stop it.
+    Stop,
+    /// Let it work at this share of its speed, in percent.
+    Pace(u32),
+}
+
+/// A worker's answer to an order or a look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer<T> {
+    /// It is done, or was before.
+    Done(T),
+    /// Another owner has a higher fence; nothing was done.
+    Fenced,
+    /// The run is not newer than one that ended or was stopped there.
+    Old,
+    /// The lease had ended when the order came; nothing was done.
+    Late,
+    /// There is no room; nothing was done.
+    Full,
+    /// It is refused for what is not kept track of (a ticket, a malformed order).
+    Refused,
+    /// The worker is unhealthy; nothing was done.
+    Unhealthy,
+    /// Another life of the worker answers; this one has ended.
+    Gone,
+    /// No answer: it may have been done, or may still be.
+    Lost,
+}
+
+impl Pool {
+    /// Takes in the answer to an order.
+    pub fn ordered(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
+        match answer {
+            Answer::Fenced => return self.depose(order.worker),
+            Answer::Gone => {
+                return self.remove_worker(now, order.worker, "another life of the worker answers");
+            }
+            Answer::Done(clock) => {
+                if let Some(worker) = self.workers.get_mut(order.worker) {
+                    worker.heard(now, *clock);
+                }
+            }
+            _ => {}
+        }
+        match order.what {
+            What::Start { .. } => self.started(now, order, answer),
+            What::Stop => self.stopped(now, order, answer),
+            What::Pace(percent) => self.paced(order, percent, answer),
+        }
+    }
+
+    fn started(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
+        let Some(place) = self.current(order) else { return };
+        if !matches!(place.phase, Phase::Starting { .. }) {
+            return;
+        }
+        match answer {
+            Answer::Done(_) => {
+                place.phase = Phase::Running { confirmed: now };
+                place.moved = now;
+                let Some(entry) = self.entry_mut(order.task.job) else { return };
+                if entry.state == crate::record::State::Queued {
+                    entry.state = crate::record::State::Running;
+                }
+            }
+            // Whether it runs is not known: the same order is sent again, to the
+            // same worker, until an answer or a look tells, or its lease ends.
+            Answer::Lost | Answer::Late => place.phase = Phase::Starting { again: now + AGAIN },
+            Answer::Old => self.unplace(now, order, Duration::ZERO),
+            Answer::Full | Answer::Refused => self.unplace(now, order, NO_ROOM),
+            _ => {
+                if let Some(worker) = self.workers.get_mut(order.worker) {
+                    worker.avoid_until = now + AVOID / 5;
+                }
+                self.unplace(now, order, Duration::ZERO);
+            }
+        }
+    }
+
+    /// Takes back a start that was certainly not carried out.
+    fn unplace(&mut self, now: Time, order: &Order, pause: Duration) {
+        if let Some(worker) = self.workers.get_mut(order.worker) {
+            worker.release(order.task, order.run);
+        }
+        self.requeue(order.task, now + pause);
+        let why = format!("run {} was refused", order.run);
+        self.note("start refused", Some(order.task), Some(order.worker), why);
+    }
+
+    fn stopped(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
+        if let Some(place) = self.current(order)
+            && let Phase::Stopping { again, confirmed } = &mut place.phase
+        {
+            *again = now + AGAIN;
+            if matches!(answer, Answer::Done(_)) {
+                confirmed.get_or_insert(now);
+            }
+        }
+    }
+
+    fn paced(&mut self, order: &Order, percent: u32, answer: &Answer<u64>) {
+        if let Some(place) = self.current(order)
+            && matches!(answer, Answer::Done(_))
+        {
+            place.pace = percent;
+        }
+    }
+
+    fn current(&mut self, order: &Order) -> Option<&mut super::table::Place> {
+        let place = self.entry_mut(order.task.job)?.place_mut(order.task)?;
+        (place.run == order.run && place.worker == order.worker).then_some(place)
+    }
+
+    pub(super) fn order(
+        &self,
+        key: worker::Key,
+        task: task::Name,
+        run: u64,
+        what: What,
+    ) -> Option<Order> {
+        let worker = self.workers.get(key)?;
+        let fence = self.config.fence;
+        Some(Order {
+            worker: key,
+            id: worker.id.clone(),
+            address: worker.address,
+            fence,
+            task,
+            run,
+            what,
+        })
+    }
+
+    /// Orders that have to be sent again, and stops that were asked for.
+    pub(super) fn pending_orders(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let placed: Vec<task::Name> =
+            self.jobs.values().flat_map(super::table::Entry::placed).collect();
+        for name in placed {
+            let Some(place) = self.entry(name.job).and_then(|entry| entry.place(name)) else {
+                continue;
+            };
+            let (key, run) = (place.worker, place.run);
+            match place.phase {
+                Phase::Starting { again } if now >= again => self.start_again(now, name, orders),
+                Phase::Stopping { again, .. } if now >= again => {
+                    if let Some(entry) = self.entry_mut(name.job)
+                        && let Some(place) = entry.place_mut(name)
+                        && let Phase::Stopping { again, .. } = &mut place.phase
+                    {
+                        *again = now + AGAIN;
+                    }
+                    orders.extend(self.order(key, name, run, What::Stop));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start_again(&mut self, now: Time, name: task::Name, orders: &mut Vec<Order>) {
+        let Some(entry) = self.entry_mut(name.job) else { return };
+        let spec = entry.spec.clone();
+        let Some(task) = entry.task_mut(name) else { return };
+        let saved = task.saved.clone();
+        let At::On(place) = &mut task.at else { return };
+        place.phase = Phase::Starting { again: now + AGAIN };
+        let (key, run) = (place.worker, place.run);
+        let lease = self.config.lease;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        // A worker that doesn't answer gets nothing more; see `next_look`.
+        if worker.unanswered >= 2 {
+            return;
+        }
+        let Some(deadline_ms) = worker.grant(now, lease) else { return };
+        orders.extend(self.order(key, name, run, What::Start { spec, deadline_ms, saved }));
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/pace.rs
@@ -0,0 +1,103 @@
+//! How fast filling tasks may work beside serving ones.
+
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::order::{Order, What};
+use super::table::Phase;
+use crate::task;
+use crate::worker;
+
+/// Time between two changes of a worker's pace: the gauge covers half a second,
+/// and a new pace holds a tenth of a second after the order.
+const STEP: Duration = Duration::from_millis(700);
+/// How often an order that changes nothing is sent again.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Above this share of the target, in percent, filling tasks are slowed.
+const SLOW_AT: u64 = 85;
+/// Below this share of the target, in percent, they are sped up again.
+const FAST_AT: u64 = 60;
+/// How much faster, in percent of full speed, at each step.
+const FASTER: u32 = 10;
+
+impl Pool {
+    /// Slows filling tasks where a serving task nears its target, and speeds
+    /// them up again where it is far from it.
+    pub(super) fn pace(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        for key in keys {
+            self.pace_worker(now, key, orders);
+        }
+    }
+
+    fn pace_worker(&mut self, now: Time, key: worker::Key, orders: &mut Vec<Order>) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let mut fills = Vec::new();
+        let mut worst = None;
+        for name in worker.hosted.keys() {
+            let Some(entry) = self.entry(name.job) else { continue };
+            let (Some(step), Some(place)) = (entry.step(*name), entry.place(*name)) else {
+                continue;
+            };
+            if !matches!(place.phase, Phase::Running { .. }) || place.worker != key {
+                continue;
+            }
+            if step.fills {
+                fills.push((*name, place.run, place.pace, place.pace_asked));
+            } else if step.target_ms > 0 {
+                let share = place.gauge * 100 / step.target_ms;
+                worst = worst.max(Some(share));
+            }
+        }
+        if fills.is_empty() {
+            return;
+        }
+        let pace = self.next_pace(now, key, worst);
+        fills.sort();
+        for (name, run, has, asked) in fills {
+            if has != pace && now - asked >= AGAIN {
+                self.order_pace(now, key, name, run, pace, orders);
+            }
+        }
+    }
+
+    fn next_pace(&mut self, now: Time, key: worker::Key, worst: Option<u64>) -> u32 {
+        let Some(worker) = self.workers.get_mut(key) else { return 100 };
+        let Some(share) = worst else {
+            worker.pace = 100;
+            return 100;
+        };
+        if now - worker.paced < STEP {
+            return worker.pace;
+        }
+        let pace = match share {
+            share if share > 100 => worker.pace / 4,
+            share if share > SLOW_AT => worker.pace / 2,
+            share if share < FAST_AT => (worker.pace + FASTER).min(100),
+            _ => worker.pace,
+        };
+        if pace != worker.pace {
+            worker.pace = pace;
+            worker.paced = now;
+        }
+        pace
+    }
+
+    fn order_pace(
+        &mut self,
+        now: Time,
+        key: worker::Key,
+        name: task::Name,
+        run: u64,
+        pace: u32,
+        orders: &mut Vec<Order>,
+    ) {
+        if let Some(place) = self.entry_mut(name.job).and_then(|entry| entry.place_mut(name)) {
+            place.pace_asked = now;
+        }
+        orders.extend(self.order(key, name, run, What::Pace(pace)));
+        self.note("task paced", Some(name), Some(key), format!("to {pace}%"));
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/place.rs
@@ -0,0 +1,317 @@
+//! Which task starts next, and where.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::order::{Order, What};
+use super::table::{At, Entry, Phase, Place, name};
+use super::{JobKey, Pool};
+use crate::job::{Room, Step};
+use crate::task;
+use crate::worker::{self, Worker};
+
+/// How long an order may be on its way before it is sent again.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// What a failed run in a row counts for in the choice of a worker, in
+/// thousandths of a core left free: two failures outweigh any difference in
+/// load between workers of one size.
+const FAILURE_COST: i64 = 1_000_000;
+/// What a serving task beside it counts for where a filling one is placed.
+const NEIGHBOUR_COST: i64 = 500_000;
+/// The pause before a stray is asked to stop, and between two such orders: the
+/// store may be about to tell of its job.
+const STRAY: Duration = Duration::from_millis(1_500);
+
+/// A step whose turn has come.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    job: JobKey,
+    occurrence: u32,
+    step: usize,
+}
+
+impl Pool {
+    /// Decides what is to be ordered now. `wall_ms` is the time of day, by which
+    /// occurrences are due.
+    pub fn plan(&mut self, now: Time, wall_ms: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.lapse(now);
+        self.begin_due(wall_ms);
+        self.release_ended();
+        self.stop_stalled(now);
+        self.evacuate(now);
+        self.pending_orders(now, &mut orders);
+        self.stop_strays(now, &mut orders);
+        self.pace(now, &mut orders);
+        self.place(now, &mut orders);
+        orders
+    }
+
+    fn begin_due(&mut self, wall_ms: u64) {
+        let scheduled = self.jobs.values_mut().filter(|entry| entry.schedule.is_some());
+        for entry in scheduled.filter(|entry| !entry.state.is_final()) {
+            entry.begin_due(wall_ms);
+        }
+    }
+
+    /// Frees what an ended job held once nothing of it runs any more.
+    fn release_ended(&mut self) {
+        let ended = self.jobs.values_mut().filter(|entry| entry.state.is_final());
+        for entry in ended.filter(|entry| !entry.occurrences.is_empty()) {
+            if entry.placed().is_empty() {
+                entry.occurrences.clear();
+                entry.spec = "".into();
+                entry.steps = [].into();
+            }
+        }
+    }
+
+    fn stop_strays(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let mut due = Vec::new();
+        for (key, worker) in &mut self.workers {
+            for (name, stray) in &mut worker.strays {
+                if now - stray.since >= STRAY && now - stray.asked >= STRAY {
+                    stray.asked = now;
+                    due.push((key, *name, stray.run));
+                }
+            }
+        }
+        for (key, name, run) in due {
+            orders.extend(self.order(key, name, run, What::Stop));
+            self.note("stray stopped", Some(name), Some(key), format!("run {run} is nobody's"));
+        }
+    }
+
+    fn place(&mut self, now: Time, orders: &mut Vec<Order>) {
+        if !self.is_surveyed() {
+            return;
+        }
+        let mut room = self.largest_room(now);
+        for turn in self.turns(now) {
+            let Some(step) = self.jobs.get(turn.job).and_then(|e| e.steps.get(turn.step)) else {
+                continue;
+            };
+            if room.cpu < step.room().cpu || room.memory_mb < step.room().memory_mb {
+                continue;
+            }
+            let step = step.clone();
+            let before = orders.len();
+            if step.gang {
+                self.place_gang(now, turn, &step, orders);
+            } else {
+                self.place_step(now, turn, &step, orders);
+            }
+            if orders.len() > before {
+                room = self.largest_room(now);
+            }
+        }
+    }
+
+    /// Whether each listed worker was looked at once under this owner's fence,
+    /// or could not be. A task started before that could be running on a worker
+    /// where the owner before started it just now.
+    fn is_surveyed(&self) -> bool {
+        self.workers.values().all(|worker| worker.tried || worker.missing_since.is_some())
+    }
+
+    /// The most that any one worker has left: a cheap test before all workers
+    /// are gone through for a task that fits nowhere.
+    fn largest_room(&self, now: Time) -> Room {
+        let mut most = Room::default();
+        for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
+            most.cpu = most.cpu.max(worker.room.cpu.saturating_sub(worker.used.cpu));
+            let memory = worker.room.memory_mb.saturating_sub(worker.used.memory_mb);
+            most.memory_mb = most.memory_mb.max(memory);
+        }
+        most
+    }
+
+    /// Steps with tasks to start, in the order in which they get room: by the
+    /// operators' priority, then what can still be in time before what can't,
+    /// then what is due first.
+    fn turns(&self, now: Time) -> Vec<Turn> {
+        let is_recovering = self.is_recovering(now);
+        let mut ranked = Vec::new();
+        for (job, entry) in &self.jobs {
+            let is_open = !entry.state.is_final();
+            // What a predecessor may have started may still run where this
+            // owner can't look.
+            let is_clear = !is_recovering || entry.revision > self.config.fence;
+            if is_open && is_clear {
+                let priority = self.queues.get(&entry.queue).map_or(u32::MAX, |q| q.priority);
+                let rank = (priority, now > entry.due && !entry.lasts, entry.due, entry.id);
+                ready_steps(job, entry, |turn| ranked.push((rank, turn)));
+            }
+        }
+        ranked.sort_by_key(|(rank, turn)| (*rank, turn.occurrence, turn.step));
+        ranked.into_iter().map(|(_, turn)| turn).collect()
+    }
+
+    fn place_step(&mut self, now: Time, turn: Turn, step: &Step, orders: &mut Vec<Order>) {
+        for index in 0..step.count as usize {
+            let Some(entry) = self.jobs.get(turn.job) else { return };
+            let name = name(entry.id, turn.occurrence, turn.step, index);
+            let Some(task) = entry.task(name) else { return };
+            if !matches!(task.at, At::Waiting) || now < task.not_before {
+                continue;
+            }
+            let Some(key) = self.choose(now, name, step, None) else { return };
+            let run = self.next_run();
+            self.start(now, key, name, step, run, orders);
+        }
+    }
+
+    /// Starts all tasks of a gang or none, in one rack where that matters.
+    fn place_gang(&mut self, now: Time, turn: Turn, step: &Step, orders: &mut Vec<Order>) {
+        let Some(entry) = self.jobs.get(turn.job) else { return };
+        let id = entry.id;
+        let names: Vec<task::Name> =
+            (0..step.count as usize).map(|i| name(id, turn.occurrence, turn.step, i)).collect();
+        let is_ready = |name: &task::Name| {
+            entry.task(*name).is_some_and(|t| matches!(t.at, At::Waiting) && now >= t.not_before)
+        };
+        if !names.iter().all(is_ready) {
+            return;
+        }
+        let racks = if step.same_rack { self.racks() } else { Vec::new() };
+        let seats = racks
+            .iter()
+            .find_map(|rack| self.seat_gang(now, &names, step, Some(rack)))
+            .or_else(|| self.seat_gang(now, &names, step, None));
+        let Some(seats) = seats else { return };
+        let run = self.next_run();
+        // All members go on from the same progress.
+        let saved = entry_saved(self, &names);
+        for (name, key) in names.iter().zip(seats) {
+            if let Some(task) = self.entry_mut(id).and_then(|entry| entry.task_mut(*name)) {
+                task.saved = saved.clone();
+            }
+            self.start(now, key, *name, step, run, orders);
+        }
+    }
+
+    fn racks(&self) -> Vec<String> {
+        let mut racks: Vec<String> =
+            self.workers.values().flat_map(|worker| worker.labels.iter().cloned()).collect();
+        racks.sort();
+        racks.dedup();
+        racks
+    }
+
+    /// Places for all of a gang, found by taking their room on trial.
+    fn seat_gang(
+        &mut self,
+        now: Time,
+        names: &[task::Name],
+        step: &Step,
+        rack: Option<&str>,
+    ) -> Option<Vec<worker::Key>> {
+        let mut seats = Vec::new();
+        for name in names {
+            let Some(key) = self.choose(now, *name, step, rack) else { break };
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.host(*name, 0, step.room());
+            }
+            seats.push(key);
+        }
+        for (name, key) in names.iter().zip(&seats) {
+            if let Some(worker) = self.workers.get_mut(*key) {
+                worker.release(*name, 0);
+            }
+        }
+        (seats.len() == names.len()).then_some(seats)
+    }
+
+    /// The worker for a task: one that has all it needs, near its data, that
+    /// fails least, and with the most left.
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        name: task::Name,
+        step: &Step,
+        rack: Option<&str>,
+    ) -> Option<worker::Key> {
+        let room = step.room();
+        let is_fit = |worker: &Worker| {
+            worker.is_usable(now)
+                && worker.room.fits(&worker.used, &room)
+                && !worker.hosted.contains_key(&name)
+                && step.label.as_ref().is_none_or(|label| worker.is_in_rack(label))
+                && rack.is_none_or(|rack| worker.is_in_rack(rack))
+                && (step.most_together == 0 || worker.together(name) < step.most_together)
+        };
+        let fit = self.workers.iter().filter(|(_, worker)| is_fit(worker));
+        fit.max_by_key(|(key, worker)| (self.score(worker, step), Reverse(*key)))
+            .map(|(key, _)| key)
+    }
+
+    fn score(&self, worker: &Worker, step: &Step) -> (bool, i64) {
+        let is_near = step.near.as_ref().is_some_and(|rack| worker.is_in_rack(rack));
+        let free = worker.room.cpu.saturating_sub(worker.used.cpu);
+        let mut score = i64::try_from(free).unwrap_or(i64::MAX);
+        score -= i64::from(worker.failures) * FAILURE_COST;
+        if step.fills {
+            score -= i64::from(self.serving_on(worker)) * NEIGHBOUR_COST;
+        }
+        (is_near, score)
+    }
+
+    fn serving_on(&self, worker: &Worker) -> u32 {
+        let is_serving = |name: &&task::Name| {
+            let step = self.entry(name.job).and_then(|entry| entry.step(**name));
+            step.is_some_and(|step| step.target_ms > 0)
+        };
+        u32::try_from(worker.hosted.keys().filter(is_serving).count()).unwrap_or(u32::MAX)
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        key: worker::Key,
+        name: task::Name,
+        step: &Step,
+        run: u64,
+        orders: &mut Vec<Order>,
+    ) {
+        let lease = self.config.lease;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(deadline_ms) = worker.grant(now, lease) else { return };
+        worker.host(name, run, step.room());
+        let why = format!("run {run}, {} of {} in use", worker.used.cpu, worker.room.cpu);
+        let Some(entry) = self.entry_mut(name.job) else { return };
+        let spec = entry.spec.clone();
+        let saved = entry.task(name).map(|task| task.saved.clone()).unwrap_or_default();
+        let phase = Phase::Starting { again: now + ANSWER };
+        entry.put(name, At::On(Place::new(key, run, now, phase)));
+        orders.extend(self.order(key, name, run, What::Start { spec, deadline_ms, saved }));
+        self.note("task ordered", Some(name), Some(key), why);
+    }
+}
+
+impl Worker {
+    /// Tasks here of the same step of the same occurrence.
+    fn together(&self, name: task::Name) -> u32 {
+        let is_sibling = |other: &&task::Name| {
+            other.job == name.job && other.occurrence == name.occurrence && other.step == name.step
+        };
+        u32::try_from(self.hosted.keys().filter(is_sibling).count()).unwrap_or(u32::MAX)
+    }
+}
+
+fn entry_saved(pool: &Pool, names: &[task::Name]) -> std::rc::Rc<str> {
+    let saved = names.iter().filter_map(|name| Some(&pool.entry(name.job)?.task(*name)?.saved));
+    saved.filter(|saved| !saved.is_empty()).next_back().cloned().unwrap_or_default()
+}
+
+fn ready_steps(job: JobKey, entry: &Entry, mut found: impl FnMut(Turn)) {
+    for (occurrence, row) in &entry.occurrences {
+        for (step, state) in row.steps.iter().enumerate() {
+            let is_ready = entry.steps.get(step).is_some_and(|step| row.is_ready(step));
+            if state.waiting > 0 && is_ready {
+                found(Turn { job, occurrence: *occurrence, step });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/pool/workers.rs
@@ -0,0 +1,165 @@
+//! Workers that come, leave, fall silent and are gone.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use crate::task;
+use crate::worker::{self, Entry, Seat, Worker};
+
+impl Pool {
+    pub(super) fn add_worker(&mut self, seat: Seat, inherited_until: Time) -> worker::Key {
+        let id = seat.id.clone();
+        let key = self.workers.insert(Worker::new(seat, inherited_until));
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Takes in the list of the pool's workers, whole.
+    pub fn set_workers(&mut self, now: Time, entries: &[Entry]) {
+        let listed: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
+        for entry in entries {
+            self.set_worker(now, entry);
+        }
+        let mut missing = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if !listed.contains(worker.id.as_str()) {
+                worker.missing_since.get_or_insert(now);
+                missing.push((key, worker.id.clone(), worker.address));
+            }
+        }
+        for (key, _, address) in missing {
+            if entries.iter().any(|entry| entry.address == address) {
+                self.remove_worker(now, key, "another life has its address");
+            }
+        }
+    }
+
+    fn set_worker(&mut self, now: Time, entry: &Entry) {
+        let seat = Seat { id: entry.id.clone(), address: entry.address };
+        let known = self.by_id.get(&entry.id).copied();
+        let key = known.unwrap_or_else(|| self.add_worker(seat.clone(), now));
+        let is_rostered = self.roster_written.contains(&seat);
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.rostered = is_rostered;
+        worker.labels.clone_from(&entry.labels);
+        worker.room = entry.room;
+        worker.missing_since = None;
+        let is_new_drain = entry.draining && !worker.draining;
+        worker.draining = entry.draining;
+        if known.is_none() {
+            let why = format!("{:?}", entry.room);
+            self.note("worker listed", None, Some(key), why);
+        }
+        if is_new_drain {
+            self.note("worker draining", None, Some(key), "its own entry says so".to_owned());
+        }
+    }
+
+    /// Takes in where workers of a predecessor may be, before any of them is
+    /// asked.
+    pub fn set_roster(&mut self, seats: Vec<Seat>) {
+        for seat in &seats {
+            if !self.by_id.contains_key(&seat.id) {
+                let until = self.config.inherited_until;
+                self.add_worker(seat.clone(), until);
+            }
+        }
+        self.roster_written = seats.into_iter().collect();
+    }
+
+    /// Hears from a predecessor until when its grants on a worker hold at most.
+    pub fn set_inherited(&mut self, now: Time, grants: &BTreeMap<String, u64>) {
+        for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
+            let left = grants.get(&worker.id).copied().unwrap_or(0);
+            let until = now + Duration::from_millis(left);
+            worker.inherited_until = worker.inherited_until.min(until);
+        }
+    }
+
+    /// How long what this owner granted holds at most, by worker, for a
+    /// successor.
+    pub fn grants(&self, now: Time) -> BTreeMap<String, u64> {
+        let left = |worker: &Worker| worker::millis(worker.lapses() - now);
+        self.workers.values().map(|worker| (worker.id.clone(), left(worker))).collect()
+    }
+
+    /// A worker's life is over: nothing of it runs any more.
+    pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
+        self.note("worker gone", None, Some(key), why.to_owned());
+        let Some(worker) = self.workers.remove(key) else { return };
+        self.by_id.remove(&worker.id);
+        self.free_tasks(now, key, worker.hosted.keys().copied().collect());
+    }
+
+    fn free_tasks(&mut self, now: Time, key: worker::Key, names: Vec<task::Name>) {
+        for name in names {
+            let Some(entry) = self.entry(name.job) else { continue };
+            if entry.place(name).is_some_and(|place| place.worker == key) {
+                self.requeue(name, now);
+                self.note(
+                    "task lost",
+                    Some(name),
+                    Some(key),
+                    "its worker ended or lapsed".to_owned(),
+                );
+            }
+        }
+    }
+
+    /// Frees what ran on workers that were silent for longer than any lease.
+    pub(super) fn lapse(&mut self, now: Time) {
+        let is_over = |worker: &Worker| worker.unanswered > 0 && now >= worker.lapses();
+        let over: Vec<worker::Key> =
+            self.workers.iter().filter(|(_, w)| is_over(w)).map(|(key, _)| key).collect();
+        for key in over {
+            let Some(worker) = self.workers.get_mut(key) else { continue };
+            if worker.missing_since.is_some() {
+                self.remove_worker(now, key, "silent past its lease and not listed");
+                continue;
+            }
+            let names: Vec<task::Name> = worker.hosted.keys().copied().collect();
+            worker.hosted.clear();
+            worker.strays.clear();
+            worker.used = crate::job::Room::default();
+            self.free_tasks(now, key, names);
+        }
+    }
+
+    /// Where workers of the pool are, if the store doesn't know that yet.
+    ///
+    /// A successor has to ask every worker that may run something before it
+    /// starts a task of before. One that is cut off and has lost its entry would
+    /// be missed, and its tasks would run twice; so a worker gets its first
+    /// order only after its seat is in the store.
+    pub fn roster(&self) -> Option<Vec<Seat>> {
+        let seats: BTreeSet<Seat> = self.workers.values().map(Worker::seat).collect();
+        let is_known = seats.is_subset(&self.roster_written);
+        let is_bloated = self.roster_written.len() > 2 * seats.len() + 8;
+        (!is_known || is_bloated).then(|| seats.into_iter().collect())
+    }
+
+    /// Takes in that a roster was written.
+    pub fn roster_written(&mut self, seats: Vec<Seat>) {
+        self.roster_written = seats.into_iter().collect();
+        for worker in self.workers.values_mut() {
+            worker.rostered = self.roster_written.contains(&worker.seat());
+        }
+    }
+
+    /// Asks that a worker take nothing new and be emptied, for `time`. Whether
+    /// it is empty; `None` if there is no such worker.
+    pub fn vacate(&mut self, now: Time, id: &str, time: Duration) -> Option<bool> {
+        let key = *self.by_id.get(id)?;
+        let worker = self.workers.get_mut(key)?;
+        let was_vacating = worker.is_vacating(now);
+        worker.vacate_until = now + time;
+        let is_empty = worker.fenced && worker.answers() && worker.hosted.is_empty();
+        if !was_vacating {
+            self.note("worker vacates", None, Some(key), "the fleet's planner asked".to_owned());
+        }
+        Some(is_empty)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/queue.rs
@@ -0,0 +1,33 @@
+//! What the operators say of a queue.
+
+use std::time::Duration;
+
+/// How a queue's jobs are treated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// 0 comes first.
+    pub priority: u32,
+    /// How many failed runs of a task fail its job.
+    pub attempts: u32,
+    /// A job is in time within so many times its longest chain, and
+    /// [`Queue::aim`] more.
+    pub stretch: f64,
+    /// See [`Queue::stretch`].
+    pub aim: Duration,
+    /// Whether a service has to be asked which workers may run a step.
+    pub advised: bool,
+}
+
+impl Default for Queue {
+    /// What holds for a queue that the configuration no longer has: its jobs
+    /// were accepted and run on, after the others.
+    fn default() -> Self {
+        Self {
+            priority: u32::MAX,
+            attempts: 1,
+            stretch: 2.0,
+            aim: Duration::from_secs(2),
+            advised: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/worker.rs
@@ -0,0 +1,223 @@
+//! One worker, as the owner of its pool knows it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderfork_model::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::id::JobId;
+use crate::job::Room;
+use crate::task;
+
+slotmap::new_key_type! {
+    /// A worker of a pool.
+    pub struct Key;
+}
+
+/// A worker's clock may run slow by this share, in percent: what the platform
+/// promises of its clocks.
+const CLOCK_SLOW_PERCENT: u64 = 2;
+
+/// What the list of workers says of one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// One life of the worker.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its labels, its rack among them.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub room: Room,
+    /// Whether it is about to leave.
+    pub draining: bool,
+}
+
+/// Where a worker can be found again: kept in the store for a successor.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Seat {
+    /// One life of the worker.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+}
+
+/// An end that the worker may not forget yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Pending {
+    /// Until this version of the job's progress is written.
+    Written { job: JobId, version: u64 },
+    /// Until the job is known, or then.
+    Unknown { until: Time },
+}
+
+/// A run that takes room on the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hosted {
+    pub run: u64,
+    pub room: Room,
+}
+
+/// A run that the worker lists and the owner didn't ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Stray {
+    pub run: u64,
+    pub since: Time,
+    pub asked: Time,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) labels: Vec<String>,
+    pub(crate) room: Room,
+    pub(crate) used: Room,
+    pub(crate) draining: bool,
+    /// When the list last ceased to hold it.
+    pub(crate) missing_since: Option<Time>,
+    /// Whether it has answered under the owner's fence.
+    pub(crate) fenced: bool,
+    /// Whether a look at it has been tried.
+    pub(crate) tried: bool,
+    /// Whether the store's roster names it.
+    pub(crate) rostered: bool,
+    /// Looks in a row that it didn't answer.
+    pub(crate) unanswered: u32,
+    /// Its clock, and when it was heard.
+    clock: Option<(u64, Time)>,
+    /// Until when, on its clock, anything may run there.
+    granted_ms: u64,
+    /// Until when, at the latest, a predecessor's grants hold.
+    pub(crate) inherited_until: Time,
+    /// The last end that was taken in.
+    pub(crate) taken: u64,
+    /// The last end that it may forget.
+    pub(crate) seen: u64,
+    pub(crate) pending: BTreeMap<u64, Pending>,
+    pub(crate) orphans: Vec<task::Ended>,
+    pub(crate) hosted: HashMap<task::Name, Hosted>,
+    pub(crate) strays: HashMap<task::Name, Stray>,
+    pub(crate) vacate_until: Time,
+    pub(crate) avoid_until: Time,
+    /// Failed ends in a row, of different jobs.
+    pub(crate) failures: u32,
+    pub(crate) failed_job: Option<JobId>,
+    /// The share that filling tasks here are let work at, and since when.
+    pub(crate) pace: u32,
+    pub(crate) paced: Time,
+}
+
+impl Worker {
+    pub(crate) fn new(seat: Seat, inherited_until: Time) -> Self {
+        Self {
+            id: seat.id,
+            address: seat.address,
+            labels: Vec::new(),
+            room: Room::default(),
+            used: Room::default(),
+            draining: false,
+            missing_since: None,
+            fenced: false,
+            tried: false,
+            rostered: false,
+            unanswered: 0,
+            clock: None,
+            granted_ms: 0,
+            inherited_until,
+            taken: 0,
+            seen: 0,
+            pending: BTreeMap::new(),
+            orphans: Vec::new(),
+            hosted: HashMap::new(),
+            strays: HashMap::new(),
+            vacate_until: Time::ZERO,
+            avoid_until: Time::ZERO,
+            failures: 0,
+            failed_job: None,
+            pace: 100,
+            paced: Time::ZERO,
+        }
+    }
+
+    pub(crate) fn seat(&self) -> Seat {
+        Seat { id: self.id.clone(), address: self.address }
+    }
+
+    /// Learns the worker's clock from an answer.
+    pub(crate) fn heard(&mut self, now: Time, clock_ms: u64) {
+        // Answers overtake each other; only a later clock is news.
+        if self.clock.is_none_or(|(known, _)| clock_ms >= known) {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// The deadline, on the worker's clock, of a lease of `length` from now, if
+    /// its clock is known. What is sent counts as granted: an order without an
+    /// answer may have been carried out.
+    pub(crate) fn grant(&mut self, now: Time, length: Duration) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let deadline = clock + millis(now - at) + millis(length);
+        self.granted_ms = self.granted_ms.max(deadline);
+        Some(deadline)
+    }
+
+    /// When all that was granted has certainly ended, on the owner's clock.
+    ///
+    /// The worker's clock may be slow: it shows at least what was heard and 98%
+    /// of the time since.
+    pub(crate) fn lapses(&self) -> Time {
+        let Some((clock, at)) = self.clock else { return self.inherited_until };
+        let left = self.granted_ms.saturating_sub(clock);
+        let stretched = left * 100 / (100 - CLOCK_SLOW_PERCENT) + 1;
+        (at + Duration::from_millis(stretched)).max(self.inherited_until)
+    }
+
+    /// Whether it has answered lately.
+    pub(crate) fn answers(&self) -> bool {
+        self.unanswered == 0
+    }
+
+    /// Counts a run's room. Fits or not: what runs runs.
+    pub(crate) fn host(&mut self, task: task::Name, run: u64, room: Room) {
+        if let Some(old) = self.hosted.insert(task, Hosted { run, room }) {
+            self.used.sub(&old.room);
+        }
+        self.used.add(&room);
+    }
+
+    /// Frees a run's room; another run of the task keeps its own.
+    pub(crate) fn release(&mut self, task: task::Name, run: u64) {
+        if self.hosted.get(&task).is_some_and(|hosted| hosted.run == run)
+            && let Some(old) = self.hosted.remove(&task)
+        {
+            self.used.sub(&old.room);
+        }
+    }
+
+    pub(crate) fn is_in_rack(&self, rack: &str) -> bool {
+        self.labels.iter().any(|label| label == rack)
+    }
+
+    pub(crate) fn is_vacating(&self, now: Time) -> bool {
+        now < self.vacate_until
+    }
+
+    /// Whether new work may go there.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.fenced
+            && self.rostered
+            && self.answers()
+            && !self.draining
+            && self.missing_since.is_none()
+            && !self.is_vacating(now)
+            && now >= self.avoid_until
+    }
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/platform/src/audit.rs
+++ b/crates/provider/src/audit.rs
@@ -64,9 +64,9 @@
 /// The end of the trail as it was last seen.
 ///
 /// ```
-/// use corianderfork_platform::audit::Trail;
-/// use corianderfork_platform::record::Line;
-/// use corianderfork_platform::store::{Range, Revision};
+/// use corianderfork_provider::audit::Trail;
+/// use corianderfork_provider::record::Line;
+/// use corianderfork_provider::store::{Range, Revision};
 ///
 /// let trail = Trail::new(&Range { revision: Revision(7), entries: Vec::new() });
 /// let line = Line {
--- a/crates/platform/src/lib.rs
+++ b/crates/provider/src/lib.rs
@@ -11,7 +11,7 @@
 //! answer was lost and only reading back tells.
 //!
 //! ```no_run
-//! use corianderfork_platform::{http, store::{Expect, Store}};
+//! use corianderfork_provider::{http, store::{Expect, Store}};
 //!
 //! let client = http::Client::new(http::Config::new("127.0.0.1:7000".parse()?).caller("doc"));
 //! let revision = client.put("shared/drain/v01", "{}", Expect::Absent, None)?;
--- a/crates/platform/tests/http.rs
+++ b/crates/provider/tests/http.rs
@@ -5,8 +5,8 @@
 use std::sync::Barrier;
 use std::time::Duration;
 
-use corianderfork_platform::http::{Client, Config};
-use corianderfork_platform::store::{Error, Expect, Store};
+use corianderfork_provider::http::{Client, Config};
+use corianderfork_provider::store::{Error, Expect, Store};
 use corianderfork_standins::platform;
 
 /// Idle connections that have gone silent.
--- a/crates/proxy/src/claimant.rs
+++ b/crates/proxy/src/claimant.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_coord::claim::{Attempt, End, Id, shard};
-use corianderfork_platform::record::{Holder, Member};
+use corianderfork_provider::record::{Holder, Member};
 use corianderfork_runtime::peers::Peers;
 use corianderfork_wire::peer;
 use peer::Verdict;
--- a/crates/proxy/src/claims/journal.rs
+++ b/crates/proxy/src/claims/journal.rs
@@ -1,8 +1,8 @@
 //! A shard's journal in the store: calls for its machine.
 
 use corianderfork_coord::claim::{Action, Answer, Segment, segment};
-use corianderfork_platform::store::{Error, Expect, Store};
-use corianderfork_platform::{key, store};
+use corianderfork_provider::store::{Error, Expect, Store};
+use corianderfork_provider::{key, store};
 
 /// The answer to a call that was not made.
 pub(super) fn failure(action: &Action) -> Option<Answer> {
--- a/crates/proxy/src/convert.rs
+++ b/crates/proxy/src/convert.rs
@@ -4,7 +4,7 @@
 
 use corianderfork_coord::claim::{Attempt, Outcome, Verdict};
 use corianderfork_model::Name;
-use corianderfork_platform::record::{Member, Role};
+use corianderfork_provider::record::{Member, Role};
 use corianderfork_routing::report::{Demand, Drain, Report, Runner};
 use corianderfork_wire::peer;
 
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -9,9 +9,9 @@
 use std::sync::Arc;
 
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Holder, Member, Role};
-use corianderfork_platform::store::{Changes, Range};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Holder, Member, Role};
+use corianderfork_provider::store::{Changes, Range};
 use corianderfork_wire::peer;
 
 use crate::convert;
--- a/crates/proxy/src/lease.rs
+++ b/crates/proxy/src/lease.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use corianderfork_coord::lease::{Action, Answer, Key};
-use corianderfork_platform::store::{Error, Expect, LeaseId, Store};
+use corianderfork_provider::store::{Error, Expect, LeaseId, Store};
 use corianderfork_runtime::worker::{Busy, Pool};
 
 /// What a holder keeps under its lease.
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -11,7 +11,7 @@
 
 use corianderfork_coord::member::{Config, Heard, Known, Table};
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::record::{Member, Role};
+use corianderfork_provider::record::{Member, Role};
 use corianderfork_wire::peer;
 
 use crate::convert;
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -6,7 +6,7 @@
 
 use corianderfork_coord::lease::{self, Action, Answer, Event, Holder};
 use corianderfork_model::Time;
-use corianderfork_platform::store::Store;
+use corianderfork_provider::store::Store;
 use corianderfork_runtime::clock;
 use corianderfork_runtime::core::Handle;
 use corianderfork_runtime::port::Port;
--- a/crates/proxy/src/pulse.rs
+++ b/crates/proxy/src/pulse.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderfork_platform::count::{Calls, Counted};
-use corianderfork_platform::http;
+use corianderfork_provider::count::{Calls, Counted};
+use corianderfork_provider::http;
 use corianderfork_runtime::timer::{Service, Tick};
 use stakker::{Actor, CX, call, fwd_to};
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use corianderfork_coord::member;
-use corianderfork_platform::count::Counted;
-use corianderfork_platform::record::{Member, Role};
-use corianderfork_platform::{http, key};
+use corianderfork_provider::count::Counted;
+use corianderfork_provider::record::{Member, Role};
+use corianderfork_provider::{http, key};
 use corianderfork_routing::router;
 use corianderfork_runtime::clock::{self, Monotonic};
 use corianderfork_runtime::core::{self, Handle};
--- a/crates/proxy/src/run/tree.rs
+++ b/crates/proxy/src/run/tree.rs
@@ -1,8 +1,8 @@
 //! The supervisor tree: the root, and under it one actor a task, the shards of
 //! claims under a supervisor of their own.
 
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Holder, Role};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Holder, Role};
 use corianderfork_runtime::clock::Monotonic;
 use corianderfork_runtime::supervisor::{Config as Restarts, Start, Supervisor};
 use stakker::{ActorOwnAnon, Cx, Ret, Stakker, StopCause, actor, call, ret_shutdown};
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -7,7 +7,7 @@
 
 use corianderfork_model::service::Class;
 use corianderfork_model::{Name, Time};
-use corianderfork_platform::record::Holder;
+use corianderfork_provider::record::Holder;
 use corianderfork_runtime::clock::Monotonic;
 
 use crate::exchange::Client;
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use corianderfork_coord::backoff::spread;
-use corianderfork_platform::record::{Member, Role};
+use corianderfork_provider::record::{Member, Role};
 
 /// How long the first in order lets the shard be: at the start of a fleet the
 /// others need a moment to be listed, and the first process would take all.
@@ -22,7 +22,7 @@
 ///
 /// ```
 /// use corianderfork_proxy::turn::turn;
-/// # use corianderfork_platform::record::{Member, Role};
+/// # use corianderfork_provider::record::{Member, Role};
 /// # use corianderfork_model::Name;
 /// # let proxy = |name: &str| Member {
 /// #     name: Name::new(name).expect("a name"), role: Role::Proxy, incarnation: 1,
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -11,9 +11,9 @@
 use corianderfork_config::Parsed;
 use corianderfork_coord::register::{Offer, Register};
 use corianderfork_model::{Fleet, Name};
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Config, Holder, Member, Vm};
-use corianderfork_platform::store::{Changes, Entry, Range};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Config, Holder, Member, Vm};
+use corianderfork_provider::store::{Changes, Entry, Range};
 use corianderfork_routing::view;
 
 use crate::shared::Directory;
@@ -63,9 +63,24 @@
     vms: BTreeMap<Name, Register<Option<Row>>>,
     members: BTreeMap<String, (u64, Member, String)>,
     owners: HashMap<u32, Holder>,
+    wishes: BTreeMap<Name, Wish>,
     synced: u64,
 }
 
+/// An operator's wish that a VM be drained, as last heard of.
+///
+/// Without it a drain that was accepted just before the store went down (or the
+/// controller died) would reach no proxy: the VM's record still says that it
+/// serves, and the VM gets requests for the whole outage. The wish itself is
+/// heeded, so that only this process has to have heard of it.
+#[derive(Clone, Debug, Default)]
+struct Wish {
+    /// The revision of the wish or of its end.
+    revision: u64,
+    /// The record, while the wish holds.
+    value: Option<String>,
+}
+
 impl View {
     /// Applies a read of all shared records.
     pub fn on_range(&mut self, range: &Range) -> Vec<Effect> {
@@ -100,6 +115,7 @@
         for vm in vms {
             self.vm_gone(vm, range.revision.0, effects);
         }
+        self.drop_wishes(range.revision.0, has, effects);
         let before = (self.members.len(), self.owners.len());
         self.members.retain(|key, _| has(key));
         self.owners.retain(|shard, _| has(&key::claim_owner(*shard)));
@@ -108,6 +124,20 @@
         }
     }
 
+    fn drop_wishes(
+        &mut self,
+        revision: u64,
+        has: impl Fn(&str) -> bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let held = self.wishes.iter().filter(|(_, wish)| wish.value.is_some());
+        let over: Vec<Name> =
+            held.filter(|(vm, _)| !has(&key::drain(vm))).map(|(vm, _)| vm.clone()).collect();
+        for vm in over {
+            self.offer_wish(vm, None, revision, effects);
+        }
+    }
+
     fn put(&mut self, entry: &Entry, effects: &mut Vec<Effect>) {
         self.record(&entry.key, &entry.value, entry.revision.0, effects);
     }
@@ -119,6 +149,9 @@
         } else if let Some(vm) = key.strip_prefix(key::VMS) {
             serde_json::from_str(value)
                 .map(|record| self.offer_vm(vm, record, value, revision, effects))
+        } else if let Some(vm) = key.strip_prefix(key::DRAINS).and_then(|vm| Name::new(vm).ok()) {
+            self.offer_wish(vm, Some(value.to_owned()), revision, effects);
+            Ok(())
         } else if key.starts_with(key::MEMBERS) {
             serde_json::from_str(value).map(|member| {
                 self.offer_member(key, member, value, revision, effects);
@@ -170,12 +203,29 @@
         let Ok(name) = Name::new(vm) else { return };
         let register = self.vms.entry(name.clone()).or_default();
         let row = Row { value: value.to_owned(), vm: record };
-        let routed = routed(&name, &row.vm, revision);
+        let routed = routed(&name, &row.vm, revision, self.wishes.get(&name));
         if register.offer(revision, Some(row)) == Offer::Applied {
             effects.push(Effect::Vm(routed));
         }
     }
 
+    fn offer_wish(
+        &mut self,
+        vm: Name,
+        value: Option<String>,
+        revision: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let wish = self.wishes.entry(vm.clone()).or_default();
+        if revision <= wish.revision {
+            return;
+        }
+        *wish = Wish { revision, value };
+        let Some(register) = self.vms.get(&vm) else { return };
+        let Some(Some(row)) = register.get() else { return };
+        effects.push(Effect::Vm(routed(&vm, &row.vm, register.revision(), Some(wish))));
+    }
+
     fn vm_gone(&mut self, name: Name, revision: u64, effects: &mut Vec<Effect>) {
         let Some(register) = self.vms.get_mut(&name) else { return };
         let known = matches!(register.get(), Some(Some(_)));
@@ -202,6 +252,8 @@
     fn delete(&mut self, key: &str, revision: u64, effects: &mut Vec<Effect>) {
         if let Some(vm) = key.strip_prefix(key::VMS).and_then(|vm| Name::new(vm).ok()) {
             self.vm_gone(vm, revision, effects);
+        } else if let Some(vm) = key.strip_prefix(key::DRAINS).and_then(|vm| Name::new(vm).ok()) {
+            self.offer_wish(vm, None, revision, effects);
         } else if self.members.get(key).is_some_and(|(known, ..)| *known < revision) {
             self.members.remove(key);
             effects.push(Effect::Directory);
@@ -277,10 +329,15 @@
 }
 
 /// A record as the router takes it.
-fn routed(name: &Name, record: &Vm, revision: u64) -> view::Vm {
-    let vm = view::Vm::new(name.clone(), revision)
+///
+/// The newer of record and wish gives the revision: the router takes a VM's
+/// state only from news that is newer than what it has.
+fn routed(name: &Name, record: &Vm, revision: u64, wish: Option<&Wish>) -> view::Vm {
+    let wished = wish.map_or(0, |wish| wish.revision);
+    let is_wished_away = wish.is_some_and(|wish| wish.value.is_some());
+    let vm = view::Vm::new(name.clone(), revision.max(wished))
         .epoch(record.epoch)
-        .serving(record.phase.takes_work());
+        .serving(record.phase.takes_work() && !is_wished_away);
     record.runners.iter().fold(vm, |vm, runner| {
         // The record lists only runners that are able to serve.
         vm.runner(view::Runner::new(runner.service.clone(), runner.address, true))
--- a/crates/proxy/src/view/snapshot.rs
+++ b/crates/proxy/src/view/snapshot.rs
@@ -1,7 +1,7 @@
 //! The records as peers send them to each other.
 
 use corianderfork_model::Name;
-use corianderfork_platform::key;
+use corianderfork_provider::key;
 use corianderfork_wire::peer;
 
 use super::{Effect, View};
@@ -21,6 +21,8 @@
         for name in known.into_iter().filter(|name| !sent(name)) {
             self.vm_gone(name, snapshot.store_revision, &mut effects);
         }
+        let listed = |key: &str| snapshot.members.iter().any(|record| record.key == key);
+        self.drop_wishes(snapshot.store_revision, listed, &mut effects);
         for record in snapshot.vms.iter().chain(&snapshot.members) {
             self.record(&record.key, &record.value, record.revision, &mut effects);
         }
@@ -58,6 +60,11 @@
                     revision: *revision,
                 })
                 .collect();
+            // A peer that is cut off from the store learns of drains only here.
+            reply.members.extend(self.wishes.iter().filter_map(|(vm, wish)| {
+                let value = wish.value.clone()?;
+                Some(peer::Record { key: key::drain(vm), value, revision: wish.revision })
+            }));
         }
         reply
     }
--- a/crates/proxy/tests/members.rs
+++ b/crates/proxy/tests/members.rs
@@ -5,7 +5,7 @@
 
 use corianderfork_coord::member::Config;
 use corianderfork_model::Time;
-use corianderfork_platform::record::{Member, Role};
+use corianderfork_provider::record::{Member, Role};
 use corianderfork_proxy::convert;
 use corianderfork_proxy::members::Members;
 use corianderfork_wire::peer;
--- a/crates/proxy/tests/process.rs
+++ b/crates/proxy/tests/process.rs
@@ -7,7 +7,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 
-use corianderfork_platform::record::Phase;
+use corianderfork_provider::record::Phase;
 use support::fleet::{Fleet, new_key, until};
 use support::{GENEROUS, raw};
 
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use corianderfork_platform::record::{self, Member, Phase, Role, Vm};
-use corianderfork_platform::store::{Expect, Store};
-use corianderfork_platform::{http, key};
+use corianderfork_provider::record::{self, Member, Phase, Role, Vm};
+use corianderfork_provider::store::{Expect, Store};
+use corianderfork_provider::{http, key};
 use corianderfork_standins::backend::Host;
 use corianderfork_standins::http::Server;
 use corianderfork_standins::spawn::Process;
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use corianderfork_platform::key;
-use corianderfork_platform::record::{Config, Holder, Phase, Runner, Vm};
-use corianderfork_platform::store::{Change, Changes, Entry, Range, Revision};
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Config, Holder, Phase, Runner, Vm};
+use corianderfork_provider::store::{Change, Changes, Entry, Range, Revision};
 use corianderfork_proxy::view::{Effect, View};
 use corianderfork_wire::peer;
 use support::fleet::CONFIG;
@@ -126,3 +126,57 @@
     let effects = new.on_range(&range(vec![config(CONFIG, 1)], 8));
     assert!(matches!(effects[..], [Effect::VmGone(_, 8)]), "{effects:?}");
 }
+
+fn wish(revision: u64) -> Entry {
+    entry("shared/drain/v01", r#"{"by":"asha","reason":"fan"}"#.to_owned(), revision)
+}
+
+fn last_vm(effects: &[Effect]) -> Option<corianderfork_routing::view::Vm> {
+    effects.iter().rev().find_map(|effect| match effect {
+        Effect::Vm(vm) => Some(vm.clone()),
+        _ => None,
+    })
+}
+
+fn routed(revision: u64, serving: bool) -> corianderfork_routing::view::Vm {
+    corianderfork_routing::view::Vm::new("v01".parse().unwrap(), revision)
+        .epoch(0)
+        .serving(serving)
+        .runner(corianderfork_routing::view::Runner::new(
+            "transfer".parse().unwrap(),
+            "127.0.0.1:9".parse().unwrap(),
+            true,
+        ))
+}
+
+#[test]
+fn drain_wished_while_no_controller_answers() {
+    // Symptom: a VM whose drain was accepted gets requests for the whole
+    // outage of the store.
+    // Sequence: the wish is written; the store goes down before a controller
+    // has changed the VM's record; the wish ends later.
+    // Cause: proxies follow VM records alone.
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    let effects = view.on_changes(&changes(vec![wish(7)], 7));
+    assert_eq!(last_vm(&effects), Some(routed(7, false)));
+    let end = Change { key: "shared/drain/v01".to_owned(), revision: Revision(9), entry: None };
+    let effects = view.on_changes(&Changes { revision: Revision(9), changes: vec![end] });
+    assert_eq!(last_vm(&effects), Some(routed(9, true)));
+}
+
+#[test]
+fn drain_wished_reaches_a_proxy_that_is_cut_off_by_its_peers() {
+    // Symptom: one proxy alone still sends to a drained VM.
+    // Sequence: it is cut off from the store; the drain is accepted; a peer
+    // sends what it knows.
+    // Cause: peers pass on VM records, and the controller has not written yet.
+    let (mut cut_off, mut peer) = (View::default(), View::default());
+    let start = range(vec![vm(Phase::Serving, 0, 4)], 4);
+    cut_off.on_range(&start);
+    peer.on_range(&start);
+    peer.on_changes(&changes(vec![wish(7)], 7));
+    let asked = peer::SnapshotRequest { store_revision: 4, ..Default::default() };
+    let effects = cut_off.on_snapshot(&peer.snapshot(&asked));
+    assert_eq!(last_vm(&effects), Some(routed(7, false)));
+}
--- a/crates/routing/src/outlier.rs
+++ b/crates/routing/src/outlier.rs
@@ -156,10 +156,18 @@
         self.runners.get(&runner).is_some_and(Runner::is_out)
     }
 
-    /// Whether the runner is out on this proxy's own results: what peers are
+    /// Whether the runner fails on this proxy's own results: what peers are
     /// told. Were hearsay told, two proxies could keep it alive between them.
-    pub fn is_out_first_hand(&self, runner: RunnerKey) -> bool {
-        self.runners.get(&runner).is_some_and(|runner| runner.is_out() && runner.first_hand)
+    ///
+    /// A runner that fails everything counts though it still gets work because
+    /// as many of its service are out as may be. Were only ejected runners told,
+    /// a second bad VM of a small service would stay hidden, and a wave that
+    /// breaks VM after VM would run to its end instead of halting.
+    pub fn is_failing_first_hand(&self, runner: RunnerKey) -> bool {
+        self.runners.get(&runner).is_some_and(|runner| {
+            let is_kept_though_failing = runner.failures_in_row >= self.config.consecutive;
+            (runner.is_out() && runner.first_hand) || is_kept_though_failing
+        })
     }
 
     /// The share of recent tries that succeeded, 0 to 1. A runner without tries
--- a/crates/routing/src/router/gossip.rs
+++ b/crates/routing/src/router/gossip.rs
@@ -63,7 +63,7 @@
     fn learned(&self, now: Time, key: RunnerKey) -> Option<Runner> {
         let runner = &self.runners[key];
         let leaving = now < runner.leaving_until;
-        let ejected = self.detector.is_out_first_hand(key);
+        let ejected = self.detector.is_failing_first_hand(key);
         let service = self.services[runner.service].name.clone();
         let told = Runner { vm: runner.vm.clone(), service, leaving, ejected };
         (leaving || ejected).then_some(told)
--- a/crates/routing/tests/outlier.rs
+++ b/crates/routing/tests/outlier.rs
@@ -140,7 +140,7 @@
     assert!(!detector.is_out(keys[0]), "one peer may be the one at fault");
     detector.hint(at(11), &name("proxy-2"), keys[0]);
     assert!(detector.is_out(keys[0]), "two agree");
-    assert!(!detector.is_out_first_hand(keys[0]), "hearsay is not passed on");
+    assert!(!detector.is_failing_first_hand(keys[0]), "hearsay is not passed on");
     detector.hint(at(10), &name("proxy-1"), keys[1]);
     detector.record(at(20), keys[1], false);
     detector.hint(at(30), &name("proxy-1"), keys[1]);
@@ -231,3 +231,19 @@
     router.done(at(2510), probe, Attempt::Answered);
     assert!(router.pick(at(2511), &name("transfer"), &[good]).is_ok());
 }
+
+#[test]
+fn is_failing_first_hand_though_no_more_may_be_ejected() {
+    // Symptom: a wave with a bad update goes on after its second bad VM.
+    // Sequence: of four runners as many as may be are ejected; another one
+    // fails everything and stays in for want of a better one.
+    // Cause: peers are told of ejected runners only.
+    let share = Share::from_per_mille(300).unwrap();
+    let (mut detector, keys) = detector(Config::default().max_share(share), 4);
+    fail(&mut detector, 0, keys[0]);
+    fail(&mut detector, 0, keys[1]);
+    assert!(detector.is_out(keys[0]) && !detector.is_out(keys[1]));
+    assert!(detector.is_failing_first_hand(keys[1]));
+    detector.record(at(1), keys[1], true);
+    assert!(!detector.is_failing_first_hand(keys[1]), "it answers again");
+}
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -4,7 +4,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use corianderfork_platform::count::Calls;
+use corianderfork_provider::count::Calls;
 
 /// The prefix of all names.
 const NAMESPACE: &str = "corianderfork";
--- a/crates/runtime/src/sync.rs
+++ b/crates/runtime/src/sync.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_coord::backoff::{self, Backoff};
-use corianderfork_platform::key;
-use corianderfork_platform::store::{Changes, Error, Range, Revision, Store};
+use corianderfork_provider::key;
+use corianderfork_provider::store::{Changes, Error, Range, Revision, Store};
 
 use crate::core::Full;
 use crate::port::Port;
