Count tasks on silent workers as away before a lasting task is stopped

Ruled out: a stop without a budget (the budget was counted, with the dark task as at work). Change: a task on a worker whose last look was not answered counts as away. Shown by evacuate_counts_tasks_on_silent_workers_as_away, red before.

--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -69,7 +69,7 @@
         let Some(entry) = self.entry(name.job) else { return };
         let (Some(step), Some(place)) = (entry.step(name), entry.place(name)) else { return };
         let is_running = matches!(place.phase, Phase::Running { .. });
-        if place.worker != key || !is_running || !step.lasts || !may_stop(entry, name, step) {
+        if place.worker != key || !is_running || !step.lasts || !self.may_stop(entry, name, step) {
             return;
         }
         if self.choose(now, name, step, None).is_none() {
@@ -78,21 +78,28 @@
         self.ask_stop(now, name);
         self.note("task evacuated", Some(name), Some(key), "its worker is to leave".to_owned());
     }
-}
 
-/// Whether a stop leaves enough of the step at work.
-fn may_stop(entry: &Entry, name: task::Name, step: &Step) -> bool {
-    let Some(may_miss) = step.may_miss else { return true };
-    let is_at_work =
-        |place: &Place| matches!(place.phase, Phase::Running { .. }) && place.percent == AT_WORK;
-    let Some(occurrence) = entry.occurrences.get(&name.occurrence) else { return true };
-    let Some(state) = occurrence.steps.get(name.step as usize) else { return true };
-    let others = state.tasks.iter().enumerate().filter(|(i, _)| *i != name.index as usize);
-    let away = others.filter(|(_, task)| match &task.at {
-        At::On(place) => !is_at_work(place),
-        _ => true,
-    });
-    away.count() < may_miss as usize
+    /// Whether a stop leaves enough of the step at work.
+    ///
+    /// A task counts as away from the first look on that its worker doesn't
+    /// answer. What was last heard of it would have it at work for as long as
+    /// the worker's lease, and one task more than may be would be stopped.
+    fn may_stop(&self, entry: &Entry, name: task::Name, step: &Step) -> bool {
+        let Some(may_miss) = step.may_miss else { return true };
+        let is_at_work = |place: &Place| {
+            matches!(place.phase, Phase::Running { .. })
+                && place.percent == AT_WORK
+                && self.workers.get(place.worker).is_some_and(worker::Worker::answers)
+        };
+        let Some(occurrence) = entry.occurrences.get(&name.occurrence) else { return true };
+        let Some(state) = occurrence.steps.get(name.step as usize) else { return true };
+        let others = state.tasks.iter().enumerate().filter(|(i, _)| *i != name.index as usize);
+        let away = others.filter(|(_, task)| match &task.at {
+            At::On(place) => !is_at_work(place),
+            _ => true,
+        });
+        away.count() < may_miss as usize
+    }
 }
 
 fn is_stalled(now: Time, step: &Step, place: &Place) -> bool {
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -141,6 +141,11 @@
         (!is_known || is_bloated).then(|| seats.into_iter().collect())
     }
 
+    /// The seats that the store knows of.
+    pub fn roster_seats(&self) -> Vec<Seat> {
+        self.roster_written.iter().cloned().collect()
+    }
+
     /// Takes in that a roster was written.
     pub fn roster_written(&mut self, seats: Vec<Seat>) {
         self.roster_written = seats.into_iter().collect();
--- /dev/null
+++ b/crates/jobs/tests/pool.rs
@@ -0,0 +1,308 @@
+//! What may run, where, and for how long it is remembered.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FENCE, World, at, first, owner, step};
+use corianderfork_jobs::pool::What;
+use corianderfork_jobs::record::{Record, State};
+use corianderfork_jobs::task::{How, Name};
+use corianderfork_jobs::{Job, JobId, Step};
+
+#[test]
+fn plan_steps_in_order() {
+    let mut world = World::new(2);
+    let job = world.submit(1, vec![step(3, 1_000), step(2, 1_000).after(0)]);
+    let orders = world.plan();
+    assert_eq!(orders.len(), 3, "the first step alone");
+    assert!(orders.iter().all(|order| order.task.step == 0));
+    world.run(600);
+    assert_eq!(world.running(), 2, "the second step");
+    world.run(800);
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+}
+
+#[test]
+fn plan_never_over_a_workers_room() {
+    // Symptom: a worker is told to run more than it has room for.
+    // Sequence: far more tasks than fit are accepted at once; some are being
+    //   stopped while others wait.
+    // Cause: what is being stopped, or ordered and not answered, isn't counted.
+    let mut world = World::new(2);
+    let jobs: Vec<JobId> = (1..=10).map(|id| world.submit(id, vec![step(5, 3_000)])).collect();
+    world.plan();
+    assert_eq!(world.running(), 4, "two on each of two workers of 8 cores");
+    world.pool.cancel(at(world.now), jobs[0]);
+    world.run(20_000);
+    assert!(world.most_cpu <= 8_000, "{} thousandths on a worker of 8 cores", world.most_cpu);
+    let is_over = |job: &JobId| world.pool.state(*job).is_some_and(State::is_final);
+    assert!(jobs.iter().all(is_over));
+}
+
+#[test]
+fn state_completed_only_once_written() {
+    // Symptom: a job that was shown as completed runs again.
+    // Sequence: its last task ends; callers are told; every process dies before
+    //   the end is written.
+    // Cause: the end is told before it is written.
+    let mut world = World::new(1);
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    world.now += 600;
+    world.look();
+    assert_eq!(world.pool.state(job), Some(State::Running));
+    let batch = world.write();
+    assert_eq!(batch.rows.len(), 1);
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+}
+
+#[test]
+fn next_look_lets_forget_only_what_is_written() {
+    // Symptom: a task that was done runs again after a takeover.
+    // Sequence: the worker is told that its end was taken note of; the owner
+    //   dies before it wrote the end.
+    // Cause: the worker may forget what nobody has written.
+    let mut world = World::new(1);
+    world.submit(1, vec![step(2, 1_000), step(1, 1_000).after(0)]);
+    world.plan();
+    world.now += 600;
+    world.look();
+    let key = world.key("w0");
+    let look = world.pool.next_look(at(world.now), key).expect("a look");
+    assert_eq!(look.seen, 0, "two ends are not written");
+    world.now += 1_100;
+    world.write();
+    let look = world.pool.next_look(at(world.now), key).expect("a look");
+    assert_eq!(look.seen, 2);
+}
+
+#[test]
+fn plan_repeats_a_start_without_answer_on_the_same_worker() {
+    // Symptom: a task runs twice.
+    // Sequence: the answer to a start is lost; the task is started elsewhere;
+    //   the first worker carried the order out.
+    // Cause: no answer is taken for not done.
+    let mut world = World::new(3);
+    world.submit(1, vec![step(1, 1_000)]);
+    let orders = world.pool.plan(at(world.now), 0);
+    let lost = orders[0].clone();
+    world.pool.ordered(at(world.now), &lost, &corianderfork_jobs::pool::Answer::Lost);
+    world.now += 500;
+    let again = world.pool.plan(at(world.now), 0);
+    assert_eq!(again.len(), 1);
+    assert_eq!((&again[0].id, again[0].run), (&lost.id, lost.run));
+}
+
+#[test]
+fn plan_waits_for_the_lease_of_a_silent_worker() {
+    // Symptom: a task runs twice.
+    // Sequence: a worker is cut off and runs on; its tasks are started
+    //   elsewhere before its lease ends.
+    // Cause: silence is taken for death.
+    let mut world = World::new(2);
+    world.takes = 60_000;
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    let holder = world.where_runs(first(job))[0].to_owned();
+    world.workers.get_mut(&holder).expect("a worker").silent = true;
+    let mut waited = 0;
+    while world.where_runs(first(job)).iter().all(|id| *id == holder) {
+        world.run(100);
+        waited += 100;
+        assert!(waited < 10_000, "it was never started elsewhere");
+    }
+    assert_eq!(world.where_runs(first(job)).len(), 1, "the lease had ended there");
+    assert!(waited >= 4_000, "after {waited} ms");
+}
+
+#[test]
+fn looked_deposed_by_a_higher_fence() {
+    // Symptom: two owners start tasks of one pool.
+    // Sequence: an owner is paused; a successor takes the workers; the first
+    //   wakes and goes on.
+    // Cause: nothing tells the first that it was replaced.
+    let mut world = World::new(1);
+    world.submit(1, vec![step(1, 1_000)]);
+    world.workers.get_mut("w0").expect("a worker").fence = FENCE + 1;
+    world.plan();
+    assert!(world.pool.is_deposed());
+    assert_eq!(world.running(), 0);
+}
+
+#[test]
+fn accept_by_a_successor_adopts_what_runs() {
+    // Symptom: a task runs twice after a takeover.
+    // Sequence: an owner dies; its successor reads the accepted jobs and starts
+    //   their tasks.
+    // Cause: the successor doesn't ask the workers first.
+    let mut world = World::new(2);
+    world.takes = 3_000;
+    let job = world.submit(1, vec![step(2, 1_000)]);
+    world.plan();
+    let seats = world.pool.roster_seats();
+    world.pool = owner(FENCE + 50, world.now);
+    world.pool.set_roster(seats);
+    world.pool.set_workers(at(world.now), &world.entries);
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        job: Job::new("run".to_owned(), vec![step(2, 1_000)]).expect("a job"),
+    };
+    world.pool.accept(at(world.now), Duration::ZERO, job, &record, None, FENCE + 1);
+    assert!(world.plan().is_empty(), "no worker was asked yet");
+    world.look();
+    assert!(world.plan().is_empty(), "both tasks run");
+    world.run(4_000);
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+    assert_eq!(world.orders.len(), 2, "each task was started once");
+}
+
+#[test]
+fn plan_by_a_successor_waits_where_it_cannot_look() {
+    // Symptom: a task runs twice after a takeover.
+    // Sequence: a worker that runs a task is cut off as its owner dies; the
+    //   successor doesn't find the task anywhere and starts it.
+    // Cause: a worker that doesn't answer is taken for empty.
+    let mut world = World::new(2);
+    world.takes = 60_000;
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    let holder = world.where_runs(first(job))[0].to_owned();
+    world.workers.get_mut(&holder).expect("a worker").silent = true;
+    let seats = world.pool.roster_seats();
+    world.pool = owner(FENCE + 50, world.now);
+    world.pool.set_roster(seats);
+    world.entries.retain(|entry| entry.id != holder);
+    world.settle();
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+    };
+    world.pool.accept(at(world.now), Duration::ZERO, job, &record, None, FENCE + 1);
+    world.run(3_000);
+    assert_eq!(world.where_runs(first(job)), [holder.as_str()], "it runs there alone");
+    world.run(8_000);
+    let now = world.where_runs(first(job));
+    assert_eq!(now.len(), 1, "its lease ended and it was started elsewhere");
+    assert_ne!(now, [holder.as_str()]);
+}
+
+#[test]
+fn cancel_stops_what_runs_and_starts_nothing() {
+    let mut world = World::new(2);
+    world.takes = 60_000;
+    let job = world.submit(1, vec![step(3, 1_000), step(1, 1_000).after(0)]);
+    world.plan();
+    assert!(world.pool.cancel(at(world.now), job));
+    world.run(1_000);
+    assert_eq!(world.running(), 0);
+    assert_eq!(world.pool.state(job), Some(State::Cancelled));
+    assert_eq!(world.orders.iter().filter(|o| matches!(o.what, What::Start { .. })).count(), 3);
+}
+
+#[test]
+fn task_failed_as_often_as_allowed_fails_the_job() {
+    let mut world = World::new(2);
+    world.workers.values_mut().for_each(|worker| worker.fails = true);
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.run(3_000);
+    assert_eq!(world.pool.state(job), Some(State::Failed));
+    let starts = world.orders.iter().filter(|order| matches!(order.what, What::Start { .. }));
+    assert_eq!(starts.count(), 2, "two attempts");
+}
+
+fn lasting(count: u32, may_miss: u32) -> Step {
+    Step { lasts: true, may_miss: Some(may_miss), most_together: 1, ..step(count, 1_000) }
+}
+
+fn at_work(world: &mut World) {
+    for worker in world.workers.values_mut() {
+        worker.running.values_mut().for_each(|run| run.percent = Some(100));
+    }
+}
+
+#[test]
+fn evacuate_counts_tasks_on_silent_workers_as_away() {
+    // Symptom: more tasks of a lasting step are away than may be.
+    // Sequence: the worker of one crashes and falls silent; another one's worker
+    //   is to be maintained, and its task is stopped.
+    // Cause: what was last heard of the silent worker's task is taken for true
+    //   until its lease ends.
+    let mut world = World::new(6);
+    world.takes = 600_000;
+    let job = world.submit(1, vec![lasting(4, 1)]);
+    world.plan();
+    at_work(&mut world);
+    world.run(1_000);
+    let name = |index: u32| Name { index, ..first(job) };
+    let crashed = world.where_runs(name(0))[0].to_owned();
+    let maintained = world.where_runs(name(1))[0].to_owned();
+    world.workers.get_mut(&crashed).expect("a worker").silent = true;
+    world.run(200);
+    world.pool.vacate(at(world.now), &maintained, Duration::from_secs(60));
+    world.run(2_000);
+    assert_eq!(world.where_runs(name(1)), [maintained.as_str()], "it must not be stopped");
+}
+
+#[test]
+fn evacuate_moves_lasting_tasks_one_by_one() {
+    let mut world = World::new(6);
+    world.takes = 600_000;
+    let job = world.submit(1, vec![lasting(4, 1)]);
+    world.plan();
+    at_work(&mut world);
+    world.run(1_000);
+    let name = |index: u32| Name { index, ..first(job) };
+    let both: Vec<String> = [0, 1].iter().map(|i| world.where_runs(name(*i))[0].to_owned()).collect();
+    for id in &both {
+        world.pool.vacate(at(world.now), id, Duration::from_secs(60));
+    }
+    world.run(1_000);
+    let moved = |world: &World, index: u32| !both.contains(&world.where_runs(name(index))[0].to_owned());
+    assert!(moved(&world, 0) && !moved(&world, 1), "the second waits for the first");
+    at_work(&mut world);
+    world.run(1_000);
+    assert!(moved(&world, 1));
+}
+
+#[test]
+fn stop_stalled_restarts_elsewhere() {
+    // Symptom: a job waits for ever though its worker answers.
+    // Sequence: the tasks on a worker stand still; it answers every look.
+    // Cause: a worker is judged by its answers and not by the progress of what
+    //   it runs.
+    let mut world = World::new(2);
+    world.takes = 60_000;
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    let first_at = world.where_runs(first(job))[0].to_owned();
+    world.workers.get_mut(&first_at).expect("a worker").stuck = true;
+    world.run(4_000);
+    let now = world.where_runs(first(job));
+    assert_eq!(now.len(), 1);
+    assert_ne!(now[0], first_at);
+}
+
+#[test]
+fn take_end_of_a_job_not_known_yet() {
+    // Symptom: a task that was done runs again after a takeover.
+    // Sequence: a predecessor starts a task of a job that the successor hears of
+    //   only after it has looked at the workers; the task ends meanwhile.
+    // Cause: an end of an unknown job is dropped and the worker may forget it.
+    let mut world = World::new(1);
+    let job = JobId(9);
+    let room = step(1, 1_000).room();
+    let worker = world.workers.get_mut("w0").expect("a worker");
+    let run = common::Run { run: 3, room, ends: u64::MAX, began: 0, percent: Some(0), gauge: 0 };
+    worker.running.insert(first(job), run);
+    worker.end(first(job), How::Done);
+    world.run(200);
+    let look = world.pool.next_look(at(world.now), world.key("w0")).expect("a look");
+    assert_eq!(look.seen, 0);
+    world.submit(9, vec![step(1, 1_000)]);
+    world.run(300);
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+    assert!(world.orders.is_empty(), "it had been done");
+}
