Move VMs to the pools where work waits, and idle ones to the spares

Ruled out: order of work (the hot pool was full throughout), latency of orders (193 ms to half of the first starts, from waiting for room). Change: owners tell their load; a pure Size says how many workers a pool wants; the planner moves VMs. Tasks are packed so that others run empty. Looks that bring nothing new pause, workers' entries are read in batches.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -16,6 +16,10 @@
 /// connection went silent is noticed after this and the time for an answer, well
 /// inside the two seconds in which a configuration has to be in force.
 const WAIT: Duration = Duration::from_millis(900);
+/// How long changes of workers' entries are gathered. Each heartbeat of each
+/// worker is one, some 30 a second on a site of 49: read one by one they were
+/// nine in ten of all calls to the store.
+const BEATS: Duration = Duration::from_millis(200);
 /// The pause after the store didn't answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -27,10 +31,12 @@
     Change(Event),
 }
 
-/// Follows the keys with `prefix` for as long as `is_wanted`.
+/// Follows the keys with `prefix` for as long as `is_wanted`. After changes it
+/// waits for `together`, so that what comes meanwhile is read in one call.
 pub async fn follow(
     node: Rc<Node>,
     prefix: String,
+    together: Duration,
     is_wanted: impl Fn() -> bool,
     mut learn: impl FnMut(News),
 ) {
@@ -43,10 +49,14 @@
         while is_wanted() {
             match node.store.watch(&prefix, after, WAIT).await {
                 Ok(Watched::Events(events, revision)) => {
+                    let is_news = !events.is_empty();
                     for event in events {
                         learn(News::Change(event));
                     }
                     after = after.max(revision);
+                    if is_news {
+                        tokio::time::sleep(together).await;
+                    }
                 }
                 Ok(Watched::Compacted) => {
                     node.trace.line("history lost", json!({ "prefix": prefix, "after": after }));
@@ -73,7 +83,7 @@
             }
         }
     };
-    follow(node, config::PREFIX.to_owned(), || true, learn).await;
+    follow(node, config::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
 }
 
 fn operators_key(node: &Rc<Node>, key: &str, value: &[u8]) {
@@ -124,7 +134,7 @@
         }
         learner.changed.notify_waiters();
     };
-    follow(node, duty::PREFIX.to_owned(), || true, learn).await;
+    follow(node, duty::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
 }
 
 fn put(table: &mut duty::Table, key: &str, value: Option<&[u8]>, revision: u64) {
@@ -166,7 +176,7 @@
                 owner.wake.notify_one();
             }
         };
-        follow(node.clone(), worker::PREFIX.to_owned(), is_wanted, learn).await;
+        follow(node.clone(), worker::PREFIX.to_owned(), BEATS, is_wanted, learn).await;
     }
 }
 
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -47,8 +47,13 @@
 const TOGETHER: Duration = Duration::from_millis(3);
 /// The pause after a look that brought ends: the next ends come together.
 const AFTER_ENDS: Duration = Duration::from_millis(10);
+/// The pause after a look that brought only ends that are being written.
+const NOTHING_NEW: Duration = Duration::from_millis(40);
 /// The pause after a look without an answer.
 const AFTER_SILENCE: Duration = Duration::from_millis(200);
+/// How long changes of accepted jobs are gathered: the entry VM that took a job
+/// tells the owner itself, and the watch is there for what got lost.
+const JOBS_TOGETHER: Duration = Duration::from_millis(250);
 /// How long the holder before may take over its farewell.
 const FAREWELL: Duration = Duration::from_millis(250);
 /// How long a cancelling caller waits for the write.
@@ -298,7 +303,8 @@
             }
         };
         let prefix = format!("{JOBS}{}/", self.name);
-        follow(self.node.clone(), prefix, move || !wanted.retired.get(), learn).await;
+        follow(self.node.clone(), prefix, JOBS_TOGETHER, move || !wanted.retired.get(), learn)
+            .await;
     }
 
     async fn plan_loop(self: Rc<Self>) {
@@ -353,6 +359,7 @@
     }
 
     async fn look_loop(self: Rc<Self>, key: worker::Key) {
+        let mut newest = None;
         while !self.retired.get() {
             if !self.node.may_order() {
                 tokio::time::sleep(AFTER_SILENCE).await;
@@ -374,7 +381,12 @@
                         tokio::time::sleep(AFTER_ENDS).await;
                     }
                 }
-                Answer::Done(_) => tokio::time::sleep(AFTER_ENDS).await,
+                Answer::Done(report) => {
+                    let last = report.ended.iter().map(|ended| ended.number).max();
+                    let is_new = last > newest;
+                    newest = newest.max(last);
+                    tokio::time::sleep(if is_new { AFTER_ENDS } else { NOTHING_NEW }).await;
+                }
                 _ => tokio::time::sleep(AFTER_SILENCE).await,
             }
         }
@@ -565,10 +577,11 @@
                 self.wake.notify_one();
                 Reply::Vacated { empty }
             }
-            Ask::Load { .. } => {
-                let load = self.pool.borrow().load(clock::now());
-                let (workers, cpu) = (load.workers, load.cpu);
-                Reply::Load { workers, cpu, used: load.used, waiting: load.waiting }
+            Ask::Load { .. } => Reply::Load { load: self.pool.borrow().load(clock::now()) },
+            Ask::Shrink { keep, .. } => {
+                let workers = self.pool.borrow_mut().shrink(clock::now(), keep, VACATE);
+                self.wake.notify_one();
+                Reply::Spare { workers }
             }
             Ask::Retire { .. } | Ask::Store { .. } => Reply::NotOwner,
         }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -10,6 +10,7 @@
 
 use corianderfork_adapter::Call;
 use corianderfork_jobs::Record;
+use corianderfork_jobs::pool::Load;
 use corianderfork_jobs::record::State;
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +67,13 @@
         /// The pool.
         pool: String,
     },
+    /// Keep so many workers and empty the others; to the owner of the pool.
+    Shrink {
+        /// The pool.
+        pool: String,
+        /// How many.
+        keep: u32,
+    },
     /// Somebody else holds the duty now; to the one that held it before.
     Retire {
         /// The duty.
@@ -95,6 +103,7 @@
             | Self::Cancel { pool, .. }
             | Self::Queued { pool, .. }
             | Self::Vacate { pool, .. }
+            | Self::Shrink { pool, .. }
             | Self::Load { pool } => pool,
             Self::Retire { .. } | Self::Store { .. } => "",
         }
@@ -130,14 +139,13 @@
     },
     /// How busy the pool is.
     Load {
-        /// VMs that take work.
-        workers: u32,
-        /// Thousandths of a core that they have.
-        cpu: u64,
-        /// Thousandths of a core in use.
-        used: u64,
-        /// Thousandths of a core that are waited for.
-        waiting: u64,
+        /// The load.
+        load: Load,
+    },
+    /// Workers that are empty and may leave the pool.
+    Spare {
+        /// Their lives.
+        workers: Vec<String>,
     },
     /// How long what was granted to workers holds, in milliseconds.
     Retired {
--- /dev/null
+++ b/crates/entry/src/planner/size.rs
@@ -0,0 +1,187 @@
+//! Sizes of pools: VMs follow the work, and leave for the spares when there is
+//! none.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use corianderfork_adapter::fleet::{self, Answer, State, Vm};
+use corianderfork_jobs::job::Room;
+use corianderfork_jobs::pool::Load;
+use corianderfork_jobs::size::Size;
+use corianderfork_model::Time;
+use serde_json::json;
+
+use super::Planner;
+use crate::clock;
+use crate::peer::{self, Ask, Reply};
+
+/// How long a VM counts as coming after the list has it in its new pool: until
+/// its worker has registered and was looked at.
+const ARRIVAL: Duration = Duration::from_millis(500);
+/// How long an order for a move counts as under way though the list, which lags,
+/// has the VM where it was.
+const LAG: Duration = Duration::from_millis(1_500);
+/// Moves ordered in one look at the fleet.
+const MOVES: usize = 16;
+/// Keeps all workers of a pool.
+const ALL: u32 = u32::MAX;
+
+/// A VM that was ordered to a pool.
+pub(super) struct Coming {
+    pool: String,
+    ordered: Time,
+    arrived: Option<Time>,
+}
+
+/// What is known of a pool's size.
+#[derive(Default)]
+pub(super) struct Pool {
+    size: Size,
+    /// Whether it was last asked to shrink.
+    is_shrunk: bool,
+}
+
+struct Need {
+    pool: String,
+    missing: usize,
+}
+
+impl Planner {
+    /// Sends VMs where work waits, and those that idle to the spares.
+    pub(super) async fn tick_sizes(&mut self, listed_at: Time, vms: &BTreeMap<String, Vm>) {
+        self.settle_coming(listed_at, vms);
+        let (pools, spares) = self.pools();
+        let Some(each) = usual_room(vms) else { return };
+        let mut needs = Vec::new();
+        let mut free = self.spare_vms(vms, &spares);
+        let mut idle = Vec::new();
+        for pool in &pools {
+            let ask = Ask::Load { pool: pool.clone() };
+            let reply = self.node.ask_owner(pool, ask, peer::ANSWER).await;
+            let Ok(Reply::Load { load }) = reply else { continue };
+            let coming = self.coming.values().filter(|coming| coming.pool == *pool).count();
+            let want =
+                self.sizes.entry(pool.clone()).or_default().size.want(clock::now(), &load, &each);
+            let (want, have) = (want as usize, load.workers as usize + coming);
+            if have < want {
+                needs.push(Need { pool: pool.clone(), missing: want - have });
+            }
+            idle.extend(self.shrink(pool, &load, want.saturating_sub(coming), vms).await);
+        }
+        needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
+        free.extend(idle.iter().cloned());
+        let moves = moves(&needs, &free, &idle, spares.first());
+        for (vm, pool) in moves.into_iter().take(MOVES) {
+            if self.is_holder() && self.node.may_order() {
+                self.transfer(&vm, &pool).await;
+            }
+        }
+    }
+
+    fn pools(&self) -> (Vec<String>, Vec<String>) {
+        let config = self.node.config.borrow();
+        let pools = config.iter().flat_map(|config| &config.pools);
+        let (spares, pools): (Vec<_>, Vec<_>) = pools.partition(|pool| pool.spare);
+        let names = |pools: Vec<&corianderfork_adapter::config::Pool>| {
+            pools.into_iter().map(|pool| pool.name.clone()).collect()
+        };
+        (names(pools), names(spares))
+    }
+
+    fn settle_coming(&mut self, listed_at: Time, vms: &BTreeMap<String, Vm>) {
+        self.coming.retain(|name, coming| {
+            let Some(vm) = vms.get(name) else { return false };
+            let is_there = vm.pool == coming.pool && vm.state == State::Up && !vm.worker.is_empty();
+            if is_there {
+                let arrived = *coming.arrived.get_or_insert(listed_at);
+                return listed_at - arrived < ARRIVAL;
+            }
+            let is_under_way = vm.state == State::Moving || listed_at - coming.ordered < LAG;
+            is_under_way && vm.state != State::Down
+        });
+    }
+
+    /// VMs of the spares that may be moved.
+    fn spare_vms(&self, vms: &BTreeMap<String, Vm>, spares: &[String]) -> Vec<String> {
+        let is_free = |vm: &&Vm| {
+            spares.contains(&vm.pool) && vm.state == State::Up && !self.is_ordered(&vm.name)
+        };
+        vms.values().filter(is_free).map(|vm| vm.name.clone()).collect()
+    }
+
+    fn is_ordered(&self, vm: &str) -> bool {
+        self.coming.contains_key(vm) || self.away.contains_key(vm)
+    }
+
+    /// Has the owner empty what is too much; VMs that may leave now.
+    async fn shrink(
+        &mut self,
+        pool: &str,
+        load: &Load,
+        keep: usize,
+        vms: &BTreeMap<String, Vm>,
+    ) -> Vec<String> {
+        let Some(known) = self.sizes.get_mut(pool) else { return Vec::new() };
+        let is_more = keep < load.workers as usize;
+        if !is_more && !known.is_shrunk {
+            return Vec::new();
+        }
+        known.is_shrunk = is_more;
+        let keep = if is_more { u32::try_from(keep).unwrap_or(ALL) } else { ALL };
+        let ask = Ask::Shrink { pool: pool.to_owned(), keep };
+        let reply = self.node.ask_owner(pool, ask, peer::ANSWER).await;
+        let Ok(Reply::Spare { workers }) = reply else { return Vec::new() };
+        let empty: HashSet<String> = workers.into_iter().collect();
+        let is_idle = |vm: &&Vm| {
+            vm.state == State::Up && empty.contains(&vm.worker) && !self.is_ordered(&vm.name)
+        };
+        vms.values().filter(is_idle).map(|vm| vm.name.clone()).collect()
+    }
+
+    async fn transfer(&mut self, vm: &str, pool: &str) {
+        let call = fleet::transfer(vm, pool, &self.holder);
+        let coming = Coming { pool: pool.to_owned(), ordered: clock::now(), arrived: None };
+        self.coming.insert(vm.to_owned(), coming);
+        let answer = self.call(&call).await.map(|(status, body)| fleet::ordered(status, &body));
+        self.node.trace.line(
+            "move ordered",
+            json!({ "vm": vm, "pool": pool, "fence": self.holder.fence, "answer": format!("{answer:?}") }),
+        );
+        match answer {
+            Some(Answer::Fenced) => self.node.planner.set(None),
+            Some(Answer::Done) | None => {}
+            Some(Answer::Busy | Answer::Refused | Answer::Unavailable) => {
+                self.coming.remove(vm);
+            }
+        }
+    }
+}
+
+/// The room that most VMs have: what one more brings.
+fn usual_room(vms: &BTreeMap<String, Vm>) -> Option<Room> {
+    let mut rooms: Vec<Room> = vms.values().map(|vm| vm.room).filter(|room| room.cpu > 0).collect();
+    rooms.sort_by_key(|room| (room.cpu, room.memory_mb));
+    rooms.get(rooms.len() / 2).copied()
+}
+
+/// Which VM goes where: the free ones to where most is missing, and what idles
+/// beyond that to the spares.
+fn moves(
+    needs: &[Need],
+    free: &[String],
+    idle: &[String],
+    spare: Option<&String>,
+) -> Vec<(String, String)> {
+    let mut free = free.iter();
+    let mut moves = Vec::new();
+    for need in needs {
+        for vm in free.by_ref().take(need.missing) {
+            moves.push((vm.clone(), need.pool.clone()));
+        }
+    }
+    if let Some(spare) = spare {
+        let left = free.filter(|vm| idle.contains(vm));
+        moves.extend(left.map(|vm| (vm.clone(), spare.clone())));
+    }
+    moves
+}
--- /dev/null
+++ b/crates/entry/src/planner/wave.rs
@@ -0,0 +1,123 @@
+//! Waves: each VM of them is emptied and maintained in its time.
+
+use std::collections::BTreeMap;
+
+use corianderfork_adapter::config::{self, Wave};
+use corianderfork_adapter::fleet::{self, Answer, State, Vm};
+use corianderfork_adapter::store::{Outcome, Txn};
+use serde_json::json;
+
+use super::{AHEAD, Planner, Progress, WAVES};
+use crate::clock;
+use crate::duty::{DUTIES, FLEET};
+use crate::peer::{self, Ask, Reply};
+
+impl Planner {
+    pub(super) async fn tick_wave(&mut self, wave: &Wave, vms: &BTreeMap<String, Vm>) {
+        if self.told.insert(wave.number) {
+            let done = self.waves.get(&wave.number).cloned().unwrap_or_default();
+            self.write(wave.number, done).await;
+        }
+        let done = self.waves.get(&wave.number).map(|p| p.done.clone()).unwrap_or_default();
+        let is_left = |name: &&String| !done.contains(*name) && vms.contains_key(*name);
+        let left: Vec<&Vm> =
+            wave.vms.iter().filter(is_left).filter_map(|name| vms.get(name)).collect();
+        if left.is_empty() {
+            let progress = Progress { done, completed: true };
+            self.write(wave.number, progress).await;
+            return;
+        }
+        let is_away = |name: &String| {
+            self.away.contains_key(name)
+                || vms.get(name).is_some_and(|v| v.state == State::Maintained)
+        };
+        let away = wave.vms.iter().filter(|name| is_away(name)).count();
+        let may_go = wave.most.saturating_sub(away);
+        let mut ready: Vec<&Vm> = left.into_iter().filter(|vm| vm.state == State::Up).collect();
+        // VMs without a worker have nothing to be emptied of.
+        ready.sort_by_key(|vm| (!vm.worker.is_empty(), vm.name.clone()));
+        ready.truncate(may_go + AHEAD);
+        let mut gone = 0;
+        let mut changed = false;
+        for vm in ready {
+            let is_empty = self.is_empty(vm).await;
+            if is_empty && gone < may_go && self.is_holder() && self.node.may_order() {
+                gone += 1;
+                changed |= self.maintain(wave, vm).await;
+            }
+        }
+        if changed {
+            let progress = self.waves.get(&wave.number).cloned().unwrap_or_default();
+            self.write(wave.number, progress).await;
+        }
+    }
+
+    /// Whether nothing runs on a VM, after asking the owner of its pool to empty
+    /// it.
+    async fn is_empty(&self, vm: &Vm) -> bool {
+        if vm.worker.is_empty() {
+            return true;
+        }
+        let ask = Ask::Vacate { pool: vm.pool.clone(), worker: vm.worker.clone() };
+        let reply = self.node.ask_owner(&vm.pool, ask, peer::ANSWER).await;
+        matches!(reply, Ok(Reply::Vacated { empty: Some(true) }))
+    }
+
+    async fn maintain(&mut self, wave: &Wave, vm: &Vm) -> bool {
+        let call = fleet::maintain(&vm.name, wave.number, &self.holder);
+        // Counted before it is sent: without an answer it may be carried out.
+        self.away.insert(vm.name.clone(), clock::now());
+        let answer = self.call(&call).await.map(|(status, body)| fleet::ordered(status, &body));
+        self.node.trace.line(
+            "maintenance ordered",
+            json!({ "vm": vm.name, "pool": vm.pool, "worker": vm.worker, "wave": wave.number,
+                "fence": self.holder.fence, "answer": format!("{answer:?}") }),
+        );
+        match answer {
+            Some(Answer::Done) => {
+                let progress = self.waves.entry(wave.number).or_default();
+                return progress.done.insert(vm.name.clone());
+            }
+            Some(Answer::Fenced) => self.node.planner.set(None),
+            Some(Answer::Busy | Answer::Unavailable) => drop(self.away.remove(&vm.name)),
+            Some(Answer::Refused) => {
+                // It is not of this wave any more: nothing is left to do.
+                self.away.remove(&vm.name);
+                let progress = self.waves.entry(wave.number).or_default();
+                return progress.done.insert(vm.name.clone());
+            }
+            None => {}
+        }
+        false
+    }
+
+    /// Writes how far a wave is, for a successor and for operators.
+    async fn write(&mut self, number: u64, progress: Progress) {
+        let value = serde_json::to_vec(&progress).unwrap_or_default();
+        let status = config::wave_status(progress.completed);
+        let txn = Txn {
+            expect: vec![(format!("{DUTIES}{FLEET}"), self.holder.fence)],
+            set: vec![
+                (format!("{WAVES}{number}"), value, 0),
+                (config::wave_status_key(number), status, 0),
+            ],
+            remove: Vec::new(),
+        };
+        match self.node.store.txn(&txn).await {
+            Ok(Outcome::Written(_)) => {
+                if progress.completed {
+                    self.node.trace.line("wave completed", json!({ "wave": number }));
+                }
+                self.waves.insert(number, progress);
+            }
+            Ok(_) => self.node.planner.set(None),
+            Err(error) => {
+                // Told again with the next change, or by the next look.
+                self.told.remove(&number);
+                self.node
+                    .trace
+                    .line("wave not written", json!({ "wave": number, "why": error.to_string() }));
+            }
+        }
+    }
+}
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -214,6 +214,22 @@
             && used.gpu + needed.gpu <= self.gpu
     }
 
+    /// So many times this.
+    #[must_use]
+    pub fn times(&self, count: u32) -> Self {
+        let count = u64::from(count);
+        Self { cpu: self.cpu * count, memory_mb: self.memory_mb * count, gpu: self.gpu * count }
+    }
+
+    /// How many times `each` has to be there to hold this, by what is scarcest.
+    pub fn in_units_of(&self, each: &Self) -> f64 {
+        let share =
+            |part: u64, whole: u64| if part == 0 { 0.0 } else { part as f64 / whole.max(1) as f64 };
+        share(self.cpu, each.cpu)
+            .max(share(self.memory_mb, each.memory_mb))
+            .max(share(self.gpu, each.gpu))
+    }
+
     /// Takes `other` besides.
     pub fn add(&mut self, other: &Self) {
         self.cpu += other.cpu;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pool;
 pub mod queue;
 pub mod record;
+pub mod size;
 pub mod task;
 pub mod worker;
 
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 pub use journal::{Batch, Row};
@@ -20,6 +21,7 @@
 pub use order::{Answer, Order, What};
 
 use crate::id::JobId;
+use crate::job::Room;
 use crate::queue::Queue;
 use crate::record::State;
 use crate::task;
@@ -77,18 +79,20 @@
 }
 
 /// How busy a pool is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Workers that take work.
     pub workers: u32,
-    /// Thousandths of a core that they have.
-    pub cpu: u64,
-    /// Thousandths of a core in use by what is counted.
-    pub used: u64,
-    /// Thousandths of a core that tasks wait for whose turn has come.
-    pub waiting: u64,
-    /// Jobs without a started task.
-    pub queued: u32,
+    /// Of them, those that carry lasting tasks.
+    pub rooted: u32,
+    /// What they have, all together.
+    pub room: Room,
+    /// What runs takes.
+    pub used: Room,
+    /// What tasks wait for whose turn has come.
+    pub waiting: Room,
+    /// What tasks will want whose turn comes later, by their widest step.
+    pub later: Room,
 }
 
 /// What an owner knows of its pool, and what it decides.
@@ -172,18 +176,29 @@
     /// How busy the pool is.
     pub fn load(&self, now: Time) -> Load {
         let mut load = Load::default();
-        for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
-            load.workers += 1;
-            load.cpu += worker.room.cpu;
-            load.used += worker.used.cpu;
+        for worker in self.workers.values() {
+            load.used.add(&worker.used);
+            if worker.is_able() && !worker.is_vacating(now) {
+                load.workers += 1;
+                load.rooted += u32::from(self.is_rooted(worker));
+                load.room.add(&worker.room);
+            }
         }
-        for entry in self.jobs.values() {
-            load.waiting += entry.waiting_cpu();
-            load.queued += u32::from(entry.state == State::Queued);
+        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
+            entry.add_demand(&mut load.waiting, &mut load.later);
         }
         load
     }
 
+    /// Whether lasting tasks run there.
+    pub(crate) fn is_rooted(&self, worker: &Worker) -> bool {
+        let is_lasting = |name: &task::Name| {
+            let step = self.entry(name.job).and_then(|entry| entry.step(*name));
+            step.is_some_and(|step| step.lasts)
+        };
+        worker.hosted.keys().any(is_lasting)
+    }
+
     /// What happened since the last call, for the log.
     pub fn notes(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.notes)
--- a/crates/jobs/src/pool/journal.rs
+++ b/crates/jobs/src/pool/journal.rs
@@ -9,9 +9,11 @@
 use crate::record::Progress;
 use crate::worker;
 
-/// How long an end that nobody waits for may stay unwritten. Most jobs end
-/// within a second or two of their first end, and are then written once.
-pub(super) const LINGER: Duration = Duration::from_millis(1_000);
+/// How long an end that nobody waits for may stay unwritten. A worker lists it
+/// until then, and a look that waits for ends returns at once as long as one is
+/// listed: a longer pause costs looks (a hundredfold on busy workers, counted in
+/// the worker histogram), a shorter one writes.
+pub(super) const LINGER: Duration = Duration::from_millis(120);
 
 /// A job's row of a batch.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -18,6 +18,9 @@
 /// thousandths of a core left free: two failures outweigh any difference in
 /// load between workers of one size.
 const FAILURE_COST: i64 = 1_000_000;
+/// What lasting tasks on a worker count for in its favour, in the same unit:
+/// more than any worker has.
+const ROOTED_GAIN: i64 = 300_000;
 /// What a serving task beside it counts for where a filling one is placed.
 const NEIGHBOUR_COST: i64 = 500_000;
 /// The pause before a stray is asked to stop, and between two such orders: the
@@ -243,19 +246,28 @@
                 && (step.most_together == 0 || worker.together(name) < step.most_together)
         };
         let fit = self.workers.iter().filter(|(_, worker)| is_fit(worker));
-        fit.max_by_key(|(key, worker)| (self.score(worker, step), Reverse(*key)))
+        fit.max_by_key(|(key, worker)| (self.score(worker, name, step), Reverse(*key)))
             .map(|(key, _)| key)
     }
 
-    fn score(&self, worker: &Worker, step: &Step) -> (bool, i64) {
+    /// How well a worker suits a task, best first.
+    ///
+    /// Tasks are packed: they go where least is left, so that other workers run
+    /// empty and can leave the pool. Lasting tasks of one step go to two workers
+    /// at least where there are two: the loss of one must not take them all.
+    fn score(&self, worker: &Worker, name: task::Name, step: &Step) -> (bool, bool, i64) {
         let is_near = step.near.as_ref().is_some_and(|rack| worker.is_in_rack(rack));
+        let is_spread = !step.lasts || worker.together(name) < step.count.div_ceil(2);
         let free = worker.room.cpu.saturating_sub(worker.used.cpu);
-        let mut score = i64::try_from(free).unwrap_or(i64::MAX);
+        let mut score = -i64::try_from(free).unwrap_or(i64::MAX);
         score -= i64::from(worker.failures) * FAILURE_COST;
         if step.fills {
             score -= i64::from(self.serving_on(worker)) * NEIGHBOUR_COST;
+        } else if self.is_rooted(worker) {
+            // It stays in the pool whatever comes.
+            score += ROOTED_GAIN;
         }
-        (is_near, score)
+        (is_near, is_spread, score)
     }
 
     fn serving_on(&self, worker: &Worker) -> u32 {
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -8,7 +8,7 @@
 
 use super::{JobKey, Pool};
 use crate::id::JobId;
-use crate::job::{Job, Step};
+use crate::job::{Job, Room, Step};
 use crate::queue::Queue;
 use crate::record::{Progress, Record, State};
 use crate::task;
@@ -160,17 +160,21 @@
         task.at = at;
     }
 
-    /// Processors that tasks wait for whose turn has come.
-    pub fn waiting_cpu(&self) -> u64 {
-        let mut cpu = 0;
+    /// Adds what its tasks wait for now, and what the widest step to come will
+    /// want.
+    pub fn add_demand(&self, waiting: &mut Room, later: &mut Room) {
         for occurrence in self.occurrences.values() {
+            let mut widest = Room::default();
             for (step, state) in self.steps.iter().zip(&occurrence.steps) {
-                if state.waiting > 0 && occurrence.is_ready(step) {
-                    cpu += u64::from(state.waiting) * step.room().cpu;
+                let wanted = step.room().times(state.waiting);
+                if occurrence.is_ready(step) {
+                    waiting.add(&wanted);
+                } else if wanted.cpu > widest.cpu {
+                    widest = wanted;
                 }
             }
+            later.add(&widest);
         }
-        cpu
     }
 
     /// Names of the tasks that are on a worker.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -102,6 +102,8 @@
     pub(crate) hosted: HashMap<task::Name, Hosted>,
     pub(crate) strays: HashMap<task::Name, Stray>,
     pub(crate) vacate_until: Time,
+    /// Whether it is vacated for want of work, and not for maintenance.
+    pub(crate) is_surplus: bool,
     pub(crate) avoid_until: Time,
     /// Failed ends in a row, of different jobs.
     pub(crate) failures: u32,
@@ -135,6 +137,7 @@
             hosted: HashMap::new(),
             strays: HashMap::new(),
             vacate_until: Time::ZERO,
+            is_surplus: false,
             avoid_until: Time::ZERO,
             failures: 0,
             failed_job: None,
@@ -206,15 +209,18 @@
         now < self.vacate_until
     }
 
-    /// Whether new work may go there.
-    pub(crate) fn is_usable(&self, now: Time) -> bool {
+    /// Whether it is one that takes work, as far as it is up to it.
+    pub(crate) fn is_able(&self) -> bool {
         self.fenced
             && self.rostered
             && self.answers()
             && !self.draining
             && self.missing_since.is_none()
-            && !self.is_vacating(now)
-            && now >= self.avoid_until
+    }
+
+    /// Whether new work may go there.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.is_able() && !self.is_vacating(now) && now >= self.avoid_until
     }
 }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -53,7 +53,13 @@
         if let Some(run) = self.running.remove(&name) {
             self.count += 1;
             self.highest.insert(name, run.run);
-            self.ended.push(Ended { number: self.count, task: name, run: run.run, how, saved: String::new() });
+            self.ended.push(Ended {
+                number: self.count,
+                task: name,
+                run: run.run,
+                how,
+                saved: String::new(),
+            });
         }
     }
 
@@ -94,7 +100,14 @@
                     return Answer::Late;
                 }
                 self.deadline = self.deadline.max(*deadline_ms);
-                let run = Run { run: order.run, room, ends: now + takes, began: now, percent: None, gauge: 0 };
+                let run = Run {
+                    run: order.run,
+                    room,
+                    ends: now + takes,
+                    began: now,
+                    percent: None,
+                    gauge: 0,
+                };
                 self.running.insert(order.task, run);
             }
             What::Stop => {
@@ -109,7 +122,13 @@
         Answer::Done(now)
     }
 
-    pub fn report(&mut self, now: u64, fence: u64, seen: u64, deadline: Option<u64>) -> Answer<Report> {
+    pub fn report(
+        &mut self,
+        now: u64,
+        fence: u64,
+        seen: u64,
+        deadline: Option<u64>,
+    ) -> Answer<Report> {
         self.pass(now);
         if fence < self.fence {
             return Answer::Fenced;
@@ -167,8 +186,9 @@
 impl World {
     /// `count` workers, in racks of two, and an owner that has looked at them.
     pub fn new(count: u16) -> Self {
-        let entries: Vec<Entry> =
-            (0..count).map(|i| entry(&format!("w{i}"), 9_000 + i, &format!("r{}", i / 2))).collect();
+        let entries: Vec<Entry> = (0..count)
+            .map(|i| entry(&format!("w{i}"), 9_000 + i, &format!("r{}", i / 2)))
+            .collect();
         let workers = entries.iter().map(|e| (e.id.clone(), Worker::default())).collect();
         let mut world = Self {
             now: 1_000,
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -255,12 +255,14 @@
     at_work(&mut world);
     world.run(1_000);
     let name = |index: u32| Name { index, ..first(job) };
-    let both: Vec<String> = [0, 1].iter().map(|i| world.where_runs(name(*i))[0].to_owned()).collect();
+    let both: Vec<String> =
+        [0, 1].iter().map(|i| world.where_runs(name(*i))[0].to_owned()).collect();
     for id in &both {
         world.pool.vacate(at(world.now), id, Duration::from_secs(60));
     }
     world.run(1_000);
-    let moved = |world: &World, index: u32| !both.contains(&world.where_runs(name(index))[0].to_owned());
+    let moved =
+        |world: &World, index: u32| !both.contains(&world.where_runs(name(index))[0].to_owned());
     assert!(moved(&world, 0) && !moved(&world, 1), "the second waits for the first");
     at_work(&mut world);
     world.run(1_000);
