Share VMs by what waits now, hand duties over quickly, count a failed run once

Change: share() gives by current need where there is too little; the roster drops lives that are over, and the planner tells owners of them; orders of late are written with their ages, so that only those VMs are left alone; failed runs are kept by number; young members take duties while others are restarted.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -28,6 +28,12 @@
 /// How much later the next in line tries, when those before it don't.
 const NEXT: Duration = Duration::from_millis(700);
 
+/// How long after a restart others are expected to be restarted too.
+const ROLLING: Duration = Duration::from_secs(10);
+/// Duties for a whole core, in millionths, above which a young member is passed
+/// over: three for a quarter of a core.
+const CROWDED: u64 = 13_000;
+
 /// A process that lives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -39,6 +45,12 @@
     pub data_centre: String,
     /// Its share of a core, in thousandths.
     pub cpu_share: u64,
+    /// The revision of its record.
+    #[serde(skip)]
+    pub revision: u64,
+    /// When this start of it was first seen here.
+    #[serde(skip)]
+    pub seen: Time,
 }
 
 /// Who holds a duty; nobody if `name` is empty.
@@ -83,12 +95,16 @@
     /// Vacant duties go to members with few duties for their processors, drawn
     /// by a hash so that all see the same order without talking. The first in
     /// line takes at once, the next ones later and only if it didn't.
+    ///
+    /// While members are restarted one after the other, the youngest comes
+    /// first: it has been restarted already, and a duty that goes to one that is
+    /// still to be restarted is handed over twice.
     pub fn to_take(&mut self, now: Time, me: &str, duties: &[String]) -> Vec<String> {
         let mut held = self.held();
         let mut mine = Vec::new();
         for duty in duties {
             let Some(since) = self.vacant_since(now, duty) else { continue };
-            let line = self.line(duty, &held);
+            let line = self.line(now, duty, &held);
             if let Some(first) = line.first() {
                 *held.entry(first.clone()).or_default() += 1;
             }
@@ -126,13 +142,19 @@
     }
 
     /// Members in the order in which they are to take `duty`.
-    fn line(&self, duty: &str, held: &HashMap<String, u64>) -> Vec<String> {
+    fn line(&self, now: Time, duty: &str, held: &HashMap<String, u64>) -> Vec<String> {
+        let is_young = |member: &Member| now - member.seen < ROLLING;
+        let is_rolling =
+            self.members.values().any(is_young) && !self.members.values().all(is_young);
         let mut line: Vec<(u64, u64, &String)> = self
             .members
             .iter()
             .map(|(name, member)| {
                 let duties = held.get(name).copied().unwrap_or(0) + 1;
                 let load = duties * 1_000_000 / member.cpu_share.max(1);
+                if is_rolling {
+                    return (load / CROWDED, u64::MAX - member.revision, name);
+                }
                 (load, hash(duty, name), name)
             })
             .collect();
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -117,8 +117,9 @@
         match news {
             News::All(items) => {
                 let mut table = learner.table.borrow_mut();
-                table.members.clear();
-                table.duties.clear();
+                let there = |key: String| items.iter().any(|item| item.key == key);
+                table.members.retain(|name, _| there(format!("{MEMBERS}{name}")));
+                table.duties.retain(|name, _| there(format!("{DUTIES}{name}")));
                 for item in items {
                     put(&mut table, &item.key, Some(&item.value), item.revision);
                 }
@@ -139,8 +140,14 @@
 
 fn put(table: &mut duty::Table, key: &str, value: Option<&[u8]>, revision: u64) {
     if let Some(name) = key.strip_prefix(MEMBERS) {
-        match value.and_then(|value| serde_json::from_slice(value).ok()) {
-            Some(member) => drop(table.members.insert(name.to_owned(), member)),
+        let member = value.and_then(|value| serde_json::from_slice::<duty::Member>(value).ok());
+        match member {
+            Some(mut member) => {
+                let known = table.members.get(name).filter(|known| known.boot == member.boot);
+                member.seen = known.map_or_else(clock::now, |known| known.seen);
+                member.revision = revision;
+                table.members.insert(name.to_owned(), member);
+            }
             None => drop(table.members.remove(name)),
         }
     } else if let Some(name) = key.strip_prefix(DUTIES) {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -51,7 +51,7 @@
 
 async fn renew(node: &Rc<Node>, lease: u64) -> Result<Option<u64>, Error> {
     if !node.store.keep(lease).await? {
-        node.trace.line("lease lost", json!({ "lease": lease }));
+        node.trace.key("lease lost", json!({ "lease": lease }));
         return Ok(None);
     }
     // The lease may live while its key was taken away.
@@ -65,7 +65,7 @@
 
 async fn register(node: &Rc<Node>) -> Result<Option<u64>, Error> {
     let (lease, _) = node.store.lease(TTL).await?;
-    node.trace.line("lease taken", json!({ "lease": lease }));
+    node.trace.key("lease taken", json!({ "lease": lease }));
     Ok(put_record(node, lease).await?.then_some(lease))
 }
 
@@ -75,6 +75,8 @@
         peers: node.settings.peers,
         data_centre: node.settings.data_centre.as_str().to_owned(),
         cpu_share: node.settings.cpu_share,
+        revision: 0,
+        seen: Time::ZERO,
     };
     let value = serde_json::to_vec(&member).unwrap_or_default();
     let key = format!("{MEMBERS}{}", node.settings.name);
@@ -90,7 +92,7 @@
         if now - last > FROZEN {
             // Frozen or suspended: others may have taken over meanwhile. No
             // order goes out until the lease was renewed once more.
-            node.trace.line("was away", json!({ "for_ms": crate::owner::ms(now - last) }));
+            node.trace.key("was away", json!({ "for_ms": crate::owner::ms(now - last) }));
             node.renewed.set(Time::ZERO);
         }
         last = now;
@@ -181,7 +183,7 @@
         remove: Vec::new(),
     };
     let outcome = node.store.txn(&txn).await;
-    node.trace.line(
+    node.trace.key(
         "duty taken",
         json!({ "duty": duty, "from": record.holder.name, "revision": record.revision,
             "outcome": format!("{outcome:?}") }),
@@ -213,25 +215,32 @@
 pub async fn hand_over(node: &Rc<Node>) {
     let owners: Vec<(String, Rc<Owner>)> =
         node.owners.borrow().iter().map(|(name, owner)| (name.clone(), owner.clone())).collect();
-    for (_, owner) in &owners {
-        owner.flush().await;
-        owner.retire("planned stop");
+    // The planner leaves its duty by itself once it sees that this process stops.
+    node.changed.notify_waiters();
+    let mut left = Vec::new();
+    for (name, owner) in owners {
+        let node = node.clone();
+        left.push(spawn_local(async move {
+            owner.flush().await;
+            owner.retire("planned stop");
+            vacate(node, (name, owner.fence())).await;
+        }));
     }
-    let mut left: Vec<(String, u64)> =
-        owners.iter().map(|(name, owner)| (name.clone(), owner.fence())).collect();
-    left.extend(node.planner.take().map(|fence| (FLEET.to_owned(), fence)));
-    for (duty, fence) in left {
-        let key = format!("{DUTIES}{duty}");
-        // The address stays, for the successor to ask what was granted.
-        let holder = Holder { name: String::new(), ..node.holder() };
-        let value = serde_json::to_vec(&holder).unwrap_or_default();
-        let txn = Txn {
-            expect: vec![(key.clone(), fence)],
-            set: vec![(key, value, 0)],
-            remove: Vec::new(),
-        };
-        let outcome = node.store.txn(&txn).await;
-        node.trace
-            .line("duty handed over", json!({ "duty": duty, "outcome": format!("{outcome:?}") }));
+    for left in left {
+        // One that fails is taken over when this process is gone.
+        let _ = left.await;
     }
 }
+
+/// Writes that nobody holds a duty any more.
+pub async fn vacate(node: Rc<Node>, (duty, fence): (String, u64)) {
+    let key = format!("{DUTIES}{duty}");
+    // The address stays, for the successor to ask what was granted.
+    let holder = Holder { name: String::new(), ..node.holder() };
+    let value = serde_json::to_vec(&holder).unwrap_or_default();
+    let txn =
+        Txn { expect: vec![(key.clone(), fence)], set: vec![(key, value, 0)], remove: Vec::new() };
+    let outcome = node.store.txn(&txn).await;
+    let outcome = format!("{outcome:?}");
+    node.trace.key("duty handed over", json!({ "duty": duty, "outcome": outcome }));
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -95,6 +95,13 @@
         holder.boot == self.boot && holder.name == self.settings.name.as_str()
     }
 
+    /// Whether a holder's process is known to have ended: another start of it
+    /// has registered.
+    pub fn has_restarted(&self, holder: &Holder) -> bool {
+        let table = self.table.borrow();
+        table.members.get(&holder.name).is_some_and(|member| member.boot != holder.boot)
+    }
+
     /// The owner of a pool, if it is this daemon.
     pub fn own(&self, pool: &str) -> Option<Rc<Owner>> {
         self.owners.borrow().get(pool).filter(|owner| owner.is_loaded()).cloned()
@@ -129,7 +136,7 @@
         if config.version <= known {
             return;
         }
-        self.trace.line(
+        self.trace.key(
             "configuration in force",
             json!({ "version": config.version, "before": known, "routes": config.routes.len() }),
         );
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -40,6 +40,9 @@
 const LEASE: Duration = Duration::from_millis(4_500);
 /// How long a worker may take over an answer, beside what it was asked to wait.
 const ANSWER: Duration = Duration::from_millis(700);
+/// How long a worker may take over an answer that is not known to answer: a
+/// takeover waits for the first look at each.
+const FIRST_ANSWER: Duration = Duration::from_millis(300);
 /// How often the pool is planned though nothing happened.
 const TICK: Duration = Duration::from_millis(60);
 /// The least time between two plannings: what happens together is planned for
@@ -80,6 +83,8 @@
     /// Whether the list of workers changed.
     pub list_changed: Cell<bool>,
     journal: Notify,
+    /// Whether nothing is ordered or asked any more, only written.
+    halted: Cell<bool>,
     /// Whether all is to be written, however fresh.
     flushing: Cell<bool>,
     loaded: Cell<bool>,
@@ -89,7 +94,8 @@
     /// The revision of the last write's number.
     write_revision: Cell<u64>,
     writes: Cell<u64>,
-    accepted: RefCell<BTreeMap<String, u64>>,
+    /// Jobs taken in.
+    taken: Cell<usize>,
 }
 
 /// The key of an accepted job.
@@ -107,7 +113,11 @@
     pub fn start(node: &Rc<Node>, name: &str, fence: u64, before: Holder) -> Rc<Self> {
         let lease = LEASE.min(node.settings.max_lease);
         let remember = node.settings.remember + Duration::from_secs(5);
-        let bound = (HOLD_ON + lease).mul_f64(1.03) + TTL;
+        // A holder that has started anew grants nothing more; one that is only
+        // silent may go on for as long as it may hold on.
+        let is_dead = node.has_restarted(&before);
+        let may_grant = if is_dead { Duration::ZERO } else { HOLD_ON + TTL };
+        let bound = may_grant + lease.mul_f64(1.03);
         let config = Config::new(fence, clock::now() + bound).lease(lease).remember(remember);
         let owner = Rc::new(Self {
             node: node.clone(),
@@ -116,6 +126,7 @@
             wake: Notify::new(),
             list_changed: Cell::new(true),
             journal: Notify::new(),
+            halted: Cell::new(false),
             flushing: Cell::new(false),
             loaded: Cell::new(false),
             retired: Cell::new(false),
@@ -123,7 +134,7 @@
             waiting: RefCell::default(),
             write_revision: Cell::new(0),
             writes: Cell::new(0),
-            accepted: RefCell::default(),
+            taken: Cell::new(0),
         });
         spawn_local(owner.clone().run(before));
         owner
@@ -162,9 +173,9 @@
             return;
         }
         self.loaded.set(true);
-        self.node.trace.line(
+        self.node.trace.key(
             "duty begun",
-            json!({ "duty": self.name, "fence": self.fence(), "jobs": self.accepted.borrow().len(),
+            json!({ "duty": self.name, "fence": self.fence(), "jobs": self.taken.get(),
                 "took_ms": ms(clock::now() - begun) }),
         );
         spawn_local(self.clone().write_loop());
@@ -278,12 +289,15 @@
         if pool.state(id).is_none() {
             pool.accept(now, age, id, record, progress, revision);
             drop(pool);
-            self.accepted.borrow_mut().insert(id.to_string(), revision);
-            self.node.trace.line(
-                "job taken in",
-                json!({ "job": id.to_string(), "queue": record.queue, "revision": revision,
-                    "age_ms": ms(age), "fence": self.fence() }),
-            );
+            self.taken.set(self.taken.get() + 1);
+            // What a takeover reads is told as one line.
+            if self.loaded.get() {
+                self.node.trace.line(
+                    "job taken in",
+                    json!({ "job": id.to_string(), "queue": record.queue, "revision": revision,
+                        "age_ms": ms(age), "fence": self.fence() }),
+                );
+            }
             self.wake.notify_one();
         }
     }
@@ -308,7 +322,7 @@
     }
 
     async fn plan_loop(self: Rc<Self>) {
-        while !self.retired.get() {
+        while !self.retired.get() && !self.halted.get() {
             self.plan();
             tokio::time::sleep(TOGETHER).await;
             // A tick without news is as good as news.
@@ -360,7 +374,7 @@
 
     async fn look_loop(self: Rc<Self>, key: worker::Key) {
         let mut newest = None;
-        while !self.retired.get() {
+        while !self.retired.get() && !self.halted.get() {
             if !self.node.may_order() {
                 tokio::time::sleep(AFTER_SILENCE).await;
                 continue;
@@ -368,7 +382,7 @@
             let sent = clock::now();
             let Some(look) = self.pool.borrow_mut().next_look(sent, key) else { break };
             let answer = self.look(&look).await;
-            if self.retired.get() {
+            if self.retired.get() || self.halted.get() {
                 break;
             }
             self.pool.borrow_mut().looked(clock::now(), sent, key, &answer);
@@ -396,7 +410,8 @@
     async fn look(&self, look: &Look) -> Answer<corianderfork_jobs::pool::Report> {
         let call = wire::look(look);
         let begun = clock::now();
-        let answer = self.node.client.call(look.address, &call, look.wait + ANSWER).await;
+        let within = if look.deadline_ms.is_some() { ANSWER } else { FIRST_ANSWER };
+        let answer = self.node.client.call(look.address, &call, look.wait + within).await;
         self.count("look", begun, answer.is_ok());
         match answer {
             Ok((status, body)) => wire::looked(status, &body).unwrap_or(Answer::Lost),
@@ -547,6 +562,7 @@
 
     /// Writes what is left, for a planned stop.
     pub async fn flush(&self) {
+        self.halted.set(true);
         self.flushing.set(true);
         for _ in 0..FLUSH_LOOKS {
             if self.pool.borrow().is_all_written() || self.retired.get() {
@@ -583,6 +599,11 @@
                 self.wake.notify_one();
                 Reply::Spare { workers }
             }
+            Ask::Gone { worker, .. } => {
+                self.pool.borrow_mut().gone(clock::now(), &worker);
+                self.wake.notify_one();
+                Reply::Done
+            }
             Ask::Retire { .. } | Ask::Store { .. } => Reply::NotOwner,
         }
     }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -62,6 +62,13 @@
         /// The worker's life.
         worker: String,
     },
+    /// A worker's VM was moved or maintained; to the owner of its pool.
+    Gone {
+        /// The pool.
+        pool: String,
+        /// The worker's life.
+        worker: String,
+    },
     /// How busy is the pool? To its owner.
     Load {
         /// The pool.
@@ -104,6 +111,7 @@
             | Self::Queued { pool, .. }
             | Self::Vacate { pool, .. }
             | Self::Shrink { pool, .. }
+            | Self::Gone { pool, .. }
             | Self::Load { pool } => pool,
             Self::Retire { .. } | Self::Store { .. } => "",
         }
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -11,16 +11,22 @@
 use corianderfork_adapter::Call;
 use corianderfork_adapter::config::Wave;
 use corianderfork_adapter::fleet::{self, Holder, State, Vm};
+use corianderfork_adapter::store::{Outcome, Txn};
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::time::timeout;
 
 use crate::clock;
-use crate::duty::FLEET;
+use crate::duty::{DUTIES, FLEET};
+use crate::member;
 use crate::node::Node;
+use crate::peer::{self, Ask};
 
 /// The prefix of how far waves are; the number follows.
 const WAVES: &str = "fleet/wave/";
+/// The key of the VMs that were ordered of late.
+const ORDERS: &str = "fleet/orders";
 /// How often the fleet is looked at.
 const TICK: Duration = Duration::from_millis(250);
 /// How long the fleet's service may take over an answer.
@@ -52,29 +58,43 @@
     coming: HashMap<String, size::Coming>,
     /// What is known of each pool's size.
     sizes: HashMap<String, size::Pool>,
+    /// VMs that the holder before ordered of late. An order of it may be on its
+    /// way still, and two holders' orders for one VM must not mix.
+    /// Until when they are left alone.
+    barred: BTreeMap<String, Time>,
+    /// VMs that this holder ordered of late.
+    ordered: BTreeMap<String, Time>,
+}
+
+/// Calls the fleet's service.
+async fn call(node: &Node, call: &Call) -> Option<(u16, hyper::body::Bytes)> {
+    let address = node.settings.fleet?;
+    node.client.call(address, call, ANSWER).await.ok()
 }
 
 /// Plans until another holds the duty.
 pub async fn plan(node: Rc<Node>, fence: u64) {
-    let begun = clock::now();
     let name = node.settings.name.as_str().to_owned();
     let holder = Holder { name, fence };
     let (waves, away, told) = (BTreeMap::new(), HashMap::new(), BTreeSet::new());
     let (coming, sizes) = (HashMap::new(), HashMap::new());
-    let mut planner = Planner { node: node.clone(), holder, waves, away, told, coming, sizes };
+    let (barred, ordered) = (BTreeMap::new(), BTreeMap::new());
+    let mut planner =
+        Planner { node: node.clone(), holder, waves, away, told, coming, sizes, barred, ordered };
     planner.load().await;
-    // An order of the holder before may be on its way still; two holders' orders
-    // for one VM must not mix.
-    let gap = node.settings.order_gap;
-    let begin = begun + gap + Duration::from_millis(300);
-    node.trace.line("duty begun", json!({ "duty": FLEET, "fence": fence }));
+    node.trace.key("duty begun", json!({ "duty": FLEET, "fence": fence }));
     while planner.is_holder() {
-        if clock::now() >= begin && node.may_order() {
+        if node.may_order() {
             planner.tick().await;
         }
-        tokio::time::sleep(TICK).await;
+        // A stop of this process is told at once, and much else that may be late.
+        let _ = timeout(TICK, node.changed.notified()).await;
+    }
+    node.trace.key("duty left", json!({ "duty": FLEET, "fence": fence }));
+    if node.stopping.get() && node.planner.get() == Some(fence) {
+        planner.write_ages().await;
+        member::vacate(node, (FLEET.to_owned(), fence)).await;
     }
-    node.trace.line("duty left", json!({ "duty": FLEET, "fence": fence }));
 }
 
 impl Planner {
@@ -84,6 +104,12 @@
 
     async fn load(&mut self) {
         while self.is_holder() {
+            let Ok(orders) = self.node.store.get(ORDERS).await else {
+                tokio::time::sleep(TICK).await;
+                continue;
+            };
+            let ages = orders.and_then(|item| serde_json::from_slice(&item.value).ok());
+            self.bar(ages.unwrap_or_default());
             if let Ok((items, _)) = self.node.store.range(WAVES).await {
                 for item in items {
                     let number = item.key.strip_prefix(WAVES).and_then(|n| n.parse().ok());
@@ -98,6 +124,75 @@
         }
     }
 
+    /// Whether a VM may be ordered by this holder.
+    fn may_order_vm(&self, vm: &str) -> bool {
+        self.barred.get(vm).is_none_or(|until| clock::now() >= *until)
+    }
+
+    /// Leaves alone for a while what the holder before ordered, by the ages of
+    /// its orders when it last wrote. How long ago that was isn't known.
+    fn bar(&mut self, ages: BTreeMap<String, u64>) {
+        let now = clock::now();
+        let gap = self.gap();
+        let until = |age: u64| now + gap.saturating_sub(Duration::from_millis(age));
+        self.barred = ages.into_iter().map(|(vm, age)| (vm, until(age))).collect();
+    }
+
+    /// How far two holders' orders for a VM are kept apart: the platform's bound
+    /// and the time that an order may be on its way.
+    fn gap(&self) -> Duration {
+        self.node.settings.order_gap + Duration::from_millis(300)
+    }
+
+    /// The ages of orders of late, this holder's and those before.
+    fn ages(&self) -> BTreeMap<String, u64> {
+        let now = clock::now();
+        let gap = self.gap();
+        let left = |until: Time| crate::owner::ms(gap.saturating_sub(until - now));
+        let barred = self.barred.iter().filter(|(_, until)| now < **until);
+        let mut ages: BTreeMap<String, u64> =
+            barred.map(|(vm, until)| (vm.clone(), left(*until))).collect();
+        let own = self.ordered.iter().filter(|(_, at)| now - **at < gap);
+        ages.extend(own.map(|(vm, at)| (vm.clone(), crate::owner::ms(now - *at))));
+        ages
+    }
+
+    /// Writes which VMs are about to be ordered, so that a successor leaves them
+    /// alone for a while. Nothing may be ordered if this fails.
+    async fn announce(&mut self, vms: &[String]) -> bool {
+        let now = clock::now();
+        let gap = self.gap();
+        self.ordered.retain(|_, at| now - *at < gap);
+        self.ordered.extend(vms.iter().map(|vm| (vm.clone(), now)));
+        self.write_ages().await
+    }
+
+    async fn write_ages(&mut self) -> bool {
+        let txn = Txn {
+            expect: vec![(format!("{DUTIES}{FLEET}"), self.holder.fence)],
+            set: vec![(ORDERS.to_owned(), serde_json::to_vec(&self.ages()).unwrap_or_default(), 0)],
+            remove: Vec::new(),
+        };
+        match self.node.store.txn(&txn).await {
+            Ok(Outcome::Written(_)) => self.is_holder() && self.node.may_order(),
+            Ok(_) => {
+                self.node.planner.set(None);
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Tells the owner of a pool that a worker's life is over.
+    async fn tell_gone(&self, vm: &Vm) {
+        if vm.worker.is_empty() {
+            return;
+        }
+        let ask = Ask::Gone { pool: vm.pool.clone(), worker: vm.worker.clone() };
+        // Without it the owner notices by itself, once the lease is over.
+        let _ = self.node.ask_owner(&vm.pool, ask, peer::ANSWER).await;
+    }
+
     async fn tick(&mut self) {
         let waves: Vec<Wave> = {
             let all = self.node.waves.borrow();
@@ -113,16 +208,11 @@
         self.tick_sizes(listed_at, &vms).await;
     }
 
-    async fn call(&self, call: &Call) -> Option<(u16, hyper::body::Bytes)> {
-        let address = self.node.settings.fleet?;
-        self.node.client.call(address, call, ANSWER).await.ok()
-    }
-
     async fn list(&self) -> Option<BTreeMap<String, Vm>> {
         let mut vms = BTreeMap::new();
         let mut page = None;
         loop {
-            let (status, body) = self.call(&fleet::list(page.as_deref())).await?;
+            let (status, body) = call(&self.node, &fleet::list(page.as_deref())).await?;
             let (rows, next) = fleet::listed(status, &body).ok()?;
             vms.extend(rows.into_iter().map(|vm| (vm.name.clone(), vm)));
             page = next;
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -7,9 +7,10 @@
 use corianderfork_adapter::fleet::{self, Answer, State, Vm};
 use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::Load;
-use corianderfork_jobs::size::Size;
+use corianderfork_jobs::size::{Size, Want, share};
 use corianderfork_model::Time;
 use serde_json::json;
+use tokio::task::{JoinHandle, spawn_local};
 
 use super::Planner;
 use crate::clock;
@@ -39,6 +40,22 @@
     size: Size,
     /// Whether it was last asked to shrink.
     is_shrunk: bool,
+    /// What was decided last.
+    target: usize,
+}
+
+/// What a pool's owner told, and what follows.
+struct Asked {
+    pool: String,
+    load: Load,
+    coming: usize,
+    want: Want,
+}
+
+impl Asked {
+    fn have(&self) -> usize {
+        self.load.workers as usize + self.coming
+    }
 }
 
 struct Need {
@@ -52,32 +69,70 @@
         self.settle_coming(listed_at, vms);
         let (pools, spares) = self.pools();
         let Some(each) = usual_room(vms) else { return };
-        let mut needs = Vec::new();
         let mut free = self.spare_vms(vms, &spares);
+        let asked = self.ask_loads(&pools, &each).await;
+        let have: usize = asked.iter().map(Asked::have).sum();
+        let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
+        let total = u32::try_from(have + free.len()).unwrap_or(u32::MAX);
+        let mut needs = Vec::new();
         let mut idle = Vec::new();
-        for pool in &pools {
-            let ask = Ask::Load { pool: pool.clone() };
-            let reply = self.node.ask_owner(pool, ask, peer::ANSWER).await;
-            let Ok(Reply::Load { load }) = reply else { continue };
-            let coming = self.coming.values().filter(|coming| coming.pool == *pool).count();
-            let want =
-                self.sizes.entry(pool.clone()).or_default().size.want(clock::now(), &load, &each);
-            let (want, have) = (want as usize, load.workers as usize + coming);
-            if have < want {
-                needs.push(Need { pool: pool.clone(), missing: want - have });
+        for (asked, target) in asked.iter().zip(share(&wants, total)) {
+            let target = target as usize;
+            self.log_size(asked, target);
+            if asked.have() < target {
+                needs.push(Need { pool: asked.pool.clone(), missing: target - asked.have() });
             }
-            idle.extend(self.shrink(pool, &load, want.saturating_sub(coming), vms).await);
+            let keep = target.saturating_sub(asked.coming);
+            idle.extend(self.shrink(&asked.pool, &asked.load, keep, vms).await);
         }
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
         free.extend(idle.iter().cloned());
         let moves = moves(&needs, &free, &idle, spares.first());
-        for (vm, pool) in moves.into_iter().take(MOVES) {
-            if self.is_holder() && self.node.may_order() {
-                self.transfer(&vm, &pool).await;
+        let moves: Vec<(String, String)> = moves.into_iter().take(MOVES).collect();
+        let names: Vec<String> = moves.iter().map(|(vm, _)| vm.clone()).collect();
+        if names.is_empty() || !self.announce(&names).await {
+            return;
+        }
+        let mut sent = Vec::new();
+        for (name, pool) in moves {
+            if let Some(vm) = vms.get(&name) {
+                sent.push(self.transfer(vm, pool));
+            }
+        }
+        for answer in sent {
+            if let Ok((vm, answer)) = answer.await {
+                self.transferred(&vm, answer).await;
             }
         }
     }
 
+    async fn ask_loads(&mut self, pools: &[String], each: &Room) -> Vec<Asked> {
+        let mut asked = Vec::new();
+        for pool in pools {
+            let ask = Ask::Load { pool: pool.clone() };
+            let reply = self.node.ask_owner(pool, ask, peer::ANSWER).await;
+            let Ok(Reply::Load { load }) = reply else { continue };
+            let coming = self.coming.values().filter(|coming| coming.pool == *pool).count();
+            let known = self.sizes.entry(pool.clone()).or_default();
+            let want = known.size.want(clock::now(), &load, each);
+            asked.push(Asked { pool: pool.clone(), load, coming, want });
+        }
+        asked
+    }
+
+    fn log_size(&mut self, asked: &Asked, target: usize) {
+        let Some(known) = self.sizes.get_mut(&asked.pool) else { return };
+        if std::mem::replace(&mut known.target, target) != target {
+            let (load, want) = (asked.load, asked.want);
+            self.node.trace.line(
+                "pool sized",
+                json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
+                    "workers": load.workers, "coming": asked.coming, "rooted": load.rooted,
+                    "used": load.used, "waiting": load.waiting, "later": load.later }),
+            );
+        }
+    }
+
     fn pools(&self) -> (Vec<String>, Vec<String>) {
         let config = self.node.config.borrow();
         let pools = config.iter().flat_map(|config| &config.pools);
@@ -110,7 +165,7 @@
     }
 
     fn is_ordered(&self, vm: &str) -> bool {
-        self.coming.contains_key(vm) || self.away.contains_key(vm)
+        self.coming.contains_key(vm) || self.away.contains_key(vm) || !self.may_order_vm(vm)
     }
 
     /// Has the owner empty what is too much; VMs that may leave now.
@@ -138,20 +193,32 @@
         vms.values().filter(is_idle).map(|vm| vm.name.clone()).collect()
     }
 
-    async fn transfer(&mut self, vm: &str, pool: &str) {
-        let call = fleet::transfer(vm, pool, &self.holder);
-        let coming = Coming { pool: pool.to_owned(), ordered: clock::now(), arrived: None };
-        self.coming.insert(vm.to_owned(), coming);
-        let answer = self.call(&call).await.map(|(status, body)| fleet::ordered(status, &body));
+    /// Sends an order for a move. Several are under way at once: one after the
+    /// other, the last of a pool's turn would come a third of a second late.
+    fn transfer(&mut self, vm: &Vm, pool: String) -> JoinHandle<(Vm, Option<Answer>)> {
+        let call = fleet::transfer(&vm.name, &pool, &self.holder);
+        let coming = Coming { pool, ordered: clock::now(), arrived: None };
+        self.coming.insert(vm.name.clone(), coming);
+        let (node, vm) = (self.node.clone(), vm.clone());
+        spawn_local(async move {
+            let answer = super::call(&node, &call).await;
+            (vm, answer.map(|(status, body)| fleet::ordered(status, &body)))
+        })
+    }
+
+    async fn transferred(&mut self, vm: &Vm, answer: Option<Answer>) {
+        let pool = self.coming.get(&vm.name).map(|coming| coming.pool.clone());
         self.node.trace.line(
             "move ordered",
-            json!({ "vm": vm, "pool": pool, "fence": self.holder.fence, "answer": format!("{answer:?}") }),
+            json!({ "vm": vm.name, "from": vm.pool, "pool": pool, "worker": vm.worker,
+                "fence": self.holder.fence, "answer": format!("{answer:?}") }),
         );
         match answer {
             Some(Answer::Fenced) => self.node.planner.set(None),
-            Some(Answer::Done) | None => {}
+            Some(Answer::Done) => self.tell_gone(vm).await,
+            None => {}
             Some(Answer::Busy | Answer::Refused | Answer::Unavailable) => {
-                self.coming.remove(vm);
+                self.coming.remove(&vm.name);
             }
         }
     }
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -33,19 +33,29 @@
         };
         let away = wave.vms.iter().filter(|name| is_away(name)).count();
         let may_go = wave.most.saturating_sub(away);
-        let mut ready: Vec<&Vm> = left.into_iter().filter(|vm| vm.state == State::Up).collect();
+        let is_ready = |vm: &&Vm| {
+            vm.state == State::Up
+                && self.may_order_vm(&vm.name)
+                && !self.coming.contains_key(&vm.name)
+        };
+        let mut ready: Vec<&Vm> = left.into_iter().filter(is_ready).collect();
         // VMs without a worker have nothing to be emptied of.
         ready.sort_by_key(|vm| (!vm.worker.is_empty(), vm.name.clone()));
         ready.truncate(may_go + AHEAD);
-        let mut gone = 0;
-        let mut changed = false;
+        let mut empty = Vec::new();
         for vm in ready {
-            let is_empty = self.is_empty(vm).await;
-            if is_empty && gone < may_go && self.is_holder() && self.node.may_order() {
-                gone += 1;
-                changed |= self.maintain(wave, vm).await;
+            if self.is_empty(vm).await && empty.len() < may_go {
+                empty.push(vm);
             }
         }
+        let names: Vec<String> = empty.iter().map(|vm| vm.name.clone()).collect();
+        if names.is_empty() || !self.announce(&names).await {
+            return;
+        }
+        let mut changed = false;
+        for vm in empty {
+            changed |= self.is_holder() && self.maintain(wave, vm).await;
+        }
         if changed {
             let progress = self.waves.get(&wave.number).cloned().unwrap_or_default();
             self.write(wave.number, progress).await;
@@ -67,7 +77,9 @@
         let call = fleet::maintain(&vm.name, wave.number, &self.holder);
         // Counted before it is sent: without an answer it may be carried out.
         self.away.insert(vm.name.clone(), clock::now());
-        let answer = self.call(&call).await.map(|(status, body)| fleet::ordered(status, &body));
+        let answer = super::call(&self.node, &call)
+            .await
+            .map(|(status, body)| fleet::ordered(status, &body));
         self.node.trace.line(
             "maintenance ordered",
             json!({ "vm": vm.name, "pool": vm.pool, "worker": vm.worker, "wave": wave.number,
@@ -75,6 +87,7 @@
         );
         match answer {
             Some(Answer::Done) => {
+                self.tell_gone(vm).await;
                 let progress = self.waves.entry(wave.number).or_default();
                 return progress.done.insert(vm.name.clone());
             }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -89,7 +89,7 @@
         eprintln!("an address can't be had ({error}); see [listen] of the settings");
         return ExitCode::FAILURE;
     }
-    node.trace.line("started", json!({ "boot": node.boot, "callers": node.settings.callers }));
+    node.trace.key("started", json!({ "boot": node.boot, "callers": node.settings.callers }));
     node.store.set_relay(relay(&node));
     spawn_local(follow::operators(node.clone()));
     spawn_local(follow::entries(node.clone()));
@@ -275,12 +275,12 @@
         tokio::time::sleep(SETTINGS).await;
         match Settings::read(&path) {
             Ok(settings) if settings != last => {
-                node.trace.line("settings changed", json!({ "applied": "at the next start" }));
+                node.trace.key("settings changed", json!({ "applied": "at the next start" }));
                 last = settings;
             }
             Ok(_) => {}
             Err(error) => {
-                node.trace.line("settings unreadable", json!({ "why": error.to_string() }))
+                node.trace.key("settings unreadable", json!({ "why": error.to_string() }))
             }
         }
     }
@@ -290,7 +290,7 @@
 /// request on an open connection answered until the end.
 async fn stop(node: &Rc<Node>, gauge: &Gauge, kept: tokio::task::JoinHandle<()>) {
     let begun = clock::now();
-    node.trace.line(
+    node.trace.key(
         "stopping",
         json!({ "requests": gauge.requests.get(), "duties": node.owners.borrow().len() }),
     );
@@ -308,7 +308,7 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    node.trace.line(
+    node.trace.key(
         "stopped",
         json!({ "requests": gauge.requests.get(), "connections": gauge.connections.get() }),
     );
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -113,7 +113,7 @@
         }
         if self.is_direct.replace(is_answered) != is_answered {
             let event = if is_answered { "store regained" } else { "store lost" };
-            self.trace.line(event, serde_json::json!({ "call": kind, "outcome": outcome }));
+            self.trace.key(event, serde_json::json!({ "call": kind, "outcome": outcome }));
         }
         answer
     }
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -40,6 +40,11 @@
         Self { sender, dropped: Arc::default(), budget, node: node.into() }
     }
 
+    /// Writes a line that is seldom: starts, stops, duties, dependencies.
+    pub fn key(&self, event: &'static str, fields: Value) {
+        self.send(event, &fields);
+    }
+
     /// Writes a line, unless there have been too many lately.
     pub fn line(&self, event: &'static str, fields: Value) {
         if !self.take_budget() {
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -9,7 +9,7 @@
 mod table;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -110,6 +110,8 @@
     deposed: bool,
     roster_written: BTreeSet<worker::Seat>,
     notes: Vec<Note>,
+    /// Lives of workers that are over, oldest first.
+    over: VecDeque<String>,
 }
 
 /// Something worth a line in the log.
@@ -140,6 +142,7 @@
             deposed: false,
             roster_written: BTreeSet::new(),
             notes: Vec::new(),
+            over: VecDeque::new(),
         }
     }
 
--- a/crates/jobs/src/pool/look.rs
+++ b/crates/jobs/src/pool/look.rs
@@ -254,19 +254,17 @@
         self.set_pending(key, ended.number, Pending::Written { job: name.job, version });
     }
 
-    /// Counts a failed run; a gang's run once, whoever of it failed. The count
-    /// of a gang is kept at its first member.
+    /// Counts a failed run once, however often its end is listed; a gang's run
+    /// once, whoever of it failed. The runs of a gang are kept at its first
+    /// member.
     fn count_failure(&mut self, name: task::Name, run: u64) -> Option<u32> {
         let entry = self.entry_mut(name.job)?;
-        let is_gang = entry.step(name)?.gang;
-        let state =
-            entry.occurrences.get_mut(&name.occurrence)?.steps.get_mut(name.step as usize)?;
-        let index = if is_gang { 0 } else { name.index as usize };
-        let is_counted = is_gang && state.failed_run == run;
-        state.failed_run = run;
-        let task = state.tasks.get_mut(index)?;
-        task.failed += u32::from(!is_counted);
-        Some(task.failed)
+        let index = if entry.step(name)?.gang { 0 } else { name.index };
+        let task = entry.task_mut(task::Name { index, ..name })?;
+        if !task.failed.contains(&run) {
+            task.failed.push(run);
+        }
+        u32::try_from(task.failed.len()).ok()
     }
 
     /// Counts failures of different jobs in a row against the worker: one
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -57,14 +57,13 @@
     pub left: u32,
     /// Tasks that wait to be started.
     pub waiting: u32,
-    /// The last run of a gang that was counted as failed.
-    pub failed_run: u64,
 }
 
 #[derive(Clone, Debug)]
 pub(super) struct Task {
     pub at: At,
-    pub failed: u32,
+    /// Runs that failed; those of a gang at its first member.
+    pub failed: Vec<u64>,
     pub saved: Rc<str>,
     /// Not to be started before.
     pub not_before: Time,
@@ -106,13 +105,16 @@
 
 impl Occurrence {
     fn new(steps: &[Step]) -> Self {
-        let fresh =
-            Task { at: At::Waiting, failed: 0, saved: Rc::from(""), not_before: Time::ZERO };
+        let fresh = Task {
+            at: At::Waiting,
+            failed: Vec::new(),
+            saved: Rc::from(""),
+            not_before: Time::ZERO,
+        };
         let state = |step: &Step| StepState {
             tasks: vec![fresh.clone(); step.count as usize],
             left: step.count,
             waiting: step.count,
-            failed_run: 0,
         };
         Self { steps: steps.iter().map(state).collect() }
     }
@@ -247,7 +249,7 @@
             if let Some(name) = parse_task(self.id, key)
                 && let Some(task) = self.task_mut(name)
             {
-                task.failed = *failed;
+                task.failed.clone_from(failed);
             }
         }
     }
@@ -282,8 +284,9 @@
                 if matches!(task.at, At::Done) {
                     bits[index / WORD as usize] |= 1 << (index % WORD as usize);
                 }
-                if task.failed > 0 {
-                    progress.failed.insert(format!("{occurrence}.{step}.{index}"), task.failed);
+                if !task.failed.is_empty() {
+                    let key = format!("{occurrence}.{step}.{index}");
+                    progress.failed.insert(key, task.failed.clone());
                 }
             }
             if bits.iter().any(|word| *word != 0) {
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -9,6 +9,10 @@
 use crate::task;
 use crate::worker::{self, Entry, Seat, Worker};
 
+/// Lives that are over and remembered, so that a list that lags doesn't bring
+/// them back.
+const OVER: usize = 512;
+
 impl Pool {
     pub(super) fn add_worker(&mut self, seat: Seat, inherited_until: Time) -> worker::Key {
         let id = seat.id.clone();
@@ -39,6 +43,9 @@
 
     fn set_worker(&mut self, now: Time, entry: &Entry) {
         let seat = Seat { id: entry.id.clone(), address: entry.address };
+        if self.over.contains(&entry.id) {
+            return;
+        }
         let known = self.by_id.get(&entry.id).copied();
         let key = known.unwrap_or_else(|| self.add_worker(seat.clone(), now));
         let is_rostered = self.roster_written.contains(&seat);
@@ -86,11 +93,23 @@
         self.workers.values().map(|worker| (worker.id.clone(), left(worker))).collect()
     }
 
+    /// Hears that a worker's life is over: its VM was moved or maintained.
+    pub fn gone(&mut self, now: Time, id: &str) {
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.remove_worker(now, key, "its VM was moved or maintained");
+        }
+    }
+
     /// A worker's life is over: nothing of it runs any more.
     pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
         self.note("worker gone", None, Some(key), why.to_owned());
         let Some(worker) = self.workers.remove(key) else { return };
         self.by_id.remove(&worker.id);
+        // The list lags: it may name this life for a while yet.
+        self.over.push_back(worker.id.clone());
+        if self.over.len() > OVER {
+            self.over.pop_front();
+        }
         self.free_tasks(now, key, worker.hosted.keys().copied().collect());
     }
 
@@ -134,11 +153,12 @@
     /// starts a task of before. One that is cut off and has lost its entry would
     /// be missed, and its tasks would run twice; so a worker gets its first
     /// order only after its seat is in the store.
+    ///
+    /// Seats whose lives are over are taken out too: a successor would ask them,
+    /// hear nothing, and wait for as long as they could have been granted.
     pub fn roster(&self) -> Option<Vec<Seat>> {
         let seats: BTreeSet<Seat> = self.workers.values().map(Worker::seat).collect();
-        let is_known = seats.is_subset(&self.roster_written);
-        let is_bloated = self.roster_written.len() > 2 * seats.len() + 8;
-        (!is_known || is_bloated).then(|| seats.into_iter().collect())
+        (seats != self.roster_written).then(|| seats.into_iter().collect())
     }
 
     /// The seats that the store knows of.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -30,9 +30,11 @@
     /// Tasks done: a bit a task, by occurrence and step.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub done: BTreeMap<String, Vec<u64>>,
-    /// Failed runs of a task, by occurrence, step and index.
+    /// The numbers of a task's failed runs, by occurrence, step and index. The
+    /// numbers and not their count: a worker may list an end again that was
+    /// written before, and a run that fails once must not count twice.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub failed: BTreeMap<String, u32>,
+    pub failed: BTreeMap<String, Vec<u64>>,
 }
 
 /// Where a job stands.
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -33,7 +33,7 @@
 /// let each = Room { cpu: 1_000, memory_mb: 1_000, gpu: 0 };
 /// let waiting = Room { cpu: 5_000, memory_mb: 0, gpu: 0 };
 /// let load = Load { waiting, ..Load::default() };
-/// assert_eq!(Size::default().want(Time::ZERO, &load, &each), 6);
+/// assert_eq!(Size::default().want(Time::ZERO, &load, &each).held, 6);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Size {
@@ -41,10 +41,54 @@
     wants: VecDeque<(Time, u32)>,
 }
 
+/// What a pool asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Want {
+    /// What it can't do without.
+    pub least: u32,
+    /// What would do for all that runs or waits now.
+    pub now: u32,
+    /// What it asks for: as much as it asked for at any time of late.
+    pub held: u32,
+}
+
+/// Shares `total` workers among pools.
+///
+/// Where there is enough, each pool gets all that it asks for. Where there is
+/// not, each gets the least that it needs, and the rest by what runs or waits
+/// now: a pool whose turn is ending gives way at once to the one whose turn
+/// begins, instead of keeping what it had.
+///
+/// ```
+/// use corianderfork_jobs::size::{Want, share};
+///
+/// let ending = Want { least: 2, now: 10, held: 40 };
+/// let beginning = Want { least: 2, now: 40, held: 40 };
+/// assert_eq!(share(&[ending, beginning], 44), [9, 35]);
+/// assert_eq!(share(&[ending, beginning], 90), [40, 40]);
+/// ```
+pub fn share(wants: &[Want], total: u32) -> Vec<u32> {
+    let held: u32 = wants.iter().map(|want| want.held).sum();
+    if held <= total {
+        return wants.iter().map(|want| want.held).collect();
+    }
+    let least: u32 = wants.iter().map(|want| want.least).sum();
+    let more = |want: &Want| want.now.saturating_sub(want.least);
+    let asked: u32 = wants.iter().map(more).sum();
+    let rest = f64::from(total.saturating_sub(least));
+    let part = |want: &Want| {
+        let share = f64::from(more(want)) / f64::from(asked.max(1));
+        // Rounded to the nearest; one too many is one that isn't found.
+        want.least + (share * rest).round().min(f64::from(want.held)) as u32
+    };
+    wants.iter().map(part).collect()
+}
+
 impl Size {
     /// How many workers of room `each` the pool is to have.
-    pub fn want(&mut self, now: Time, load: &Load, each: &Room) -> u32 {
-        let want = want_now(load, each).max(load.rooted).max(LEAST);
+    pub fn want(&mut self, now: Time, load: &Load, each: &Room) -> Want {
+        let least = load.rooted.max(LEAST);
+        let want = want_now(load, each).max(least);
         while self.wants.back().is_some_and(|(_, known)| *known <= want) {
             self.wants.pop_back();
         }
@@ -52,12 +96,18 @@
         while self.wants.front().is_some_and(|(at, _)| now - *at > HOLD) {
             self.wants.pop_front();
         }
-        self.wants.front().map_or(want, |(_, want)| *want)
+        let held = self.wants.front().map_or(want, |(_, want)| *want);
+        let running = load.used.in_units_of(each) + load.waiting.in_units_of(each);
+        Want { least, now: whole(running * HEADROOM).max(least), held }
     }
 }
 
 fn want_now(load: &Load, each: &Room) -> u32 {
     let now = load.used.in_units_of(each) + load.waiting.in_units_of(each);
     let all = now + load.later.in_units_of(each) * LATER;
-    (all * HEADROOM).ceil().clamp(0.0, 1e6) as u32
+    whole(all * HEADROOM)
+}
+
+fn whole(number: f64) -> u32 {
+    number.ceil().clamp(0.0, 1e6) as u32
 }
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -308,3 +308,33 @@
     assert_eq!(world.pool.state(job), Some(State::Completed));
     assert!(world.orders.is_empty(), "it had been done");
 }
+
+#[test]
+fn count_failure_once_though_the_end_is_listed_again() {
+    // Symptom: a job is shown as failed though no task failed so often.
+    // Sequence: a run fails; the owner writes that, and dies before the worker
+    //   may forget the end; the successor reads the count and the end.
+    // Cause: the count alone doesn't tell which runs are in it.
+    let mut world = World::new(1);
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    world.workers.get_mut("w0").expect("a worker").end(first(job), How::Failed);
+    world.now += 200;
+    world.look();
+    world.now += 200;
+    let batch = world.pool.batch(at(world.now), 5_000, 28);
+    let progress = batch.rows[0].progress.clone();
+    let seats = world.pool.roster_seats();
+    world.pool = owner(FENCE + 50, world.now);
+    world.pool.set_roster(seats);
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+    };
+    world.pool.accept(at(world.now), Duration::ZERO, job, &record, Some(&progress), FENCE + 1);
+    world.settle();
+    assert_eq!(world.pool.state(job), Some(State::Running), "one failure of two");
+    world.run(1_000);
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+}
