Order moves by the service's rate, many at once

Cause: at 350 VMs the planner ordered 16 moves a look, some 45 a second, while a pool's turn asks for 200 within two seconds. Ruled out: the service's limit (215 a second, no order was turned away), the owners (20 ms from listed to in use). Change: an allowance by the settings' rate, 24 orders under way at once, owners told of gone workers together.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -24,8 +24,9 @@
 /// How long a connection is kept unused. Less than the usual time-outs of the
 /// far sides, so that a call seldom meets a connection that was just closed.
 const IDLE: Duration = Duration::from_secs(20);
-/// Unused connections kept for one address.
-const KEPT: usize = 6;
+/// Unused connections kept for one address: as many as are used at once where
+/// most are, at the fleet's service.
+const KEPT: usize = 24;
 /// How long opening a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
 
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -599,8 +599,10 @@
                 self.wake.notify_one();
                 Reply::Spare { workers }
             }
-            Ask::Gone { worker, .. } => {
-                self.pool.borrow_mut().gone(clock::now(), &worker);
+            Ask::Gone { workers, .. } => {
+                for worker in &workers {
+                    self.pool.borrow_mut().gone(clock::now(), worker);
+                }
                 self.wake.notify_one();
                 Reply::Done
             }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -62,12 +62,12 @@
         /// The worker's life.
         worker: String,
     },
-    /// A worker's VM was moved or maintained; to the owner of its pool.
+    /// Workers' VMs were moved or maintained; to the owner of their pool.
     Gone {
         /// The pool.
         pool: String,
-        /// The worker's life.
-        worker: String,
+        /// The workers' lives.
+        workers: Vec<String>,
     },
     /// How busy is the pool? To its owner.
     Load {
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -34,6 +34,9 @@
 /// How long a VM whose maintenance was ordered counts as away though the list,
 /// which lags, shows it up.
 const SETTLE: Duration = Duration::from_millis(1_200);
+/// The share of the service's rate that is used: a holder before may have used
+/// some of this second's.
+const SHARE: f64 = 0.8;
 /// VMs that are emptied ahead of those that may go now.
 const AHEAD: usize = 1;
 
@@ -64,6 +67,9 @@
     barred: BTreeMap<String, Time>,
     /// VMs that this holder ordered of late.
     ordered: BTreeMap<String, Time>,
+    /// Orders that may go out, as of `allowed_at`.
+    allowed: f64,
+    allowed_at: Time,
 }
 
 /// Calls the fleet's service.
@@ -79,8 +85,19 @@
     let (waves, away, told) = (BTreeMap::new(), HashMap::new(), BTreeSet::new());
     let (coming, sizes) = (HashMap::new(), HashMap::new());
     let (barred, ordered) = (BTreeMap::new(), BTreeMap::new());
-    let mut planner =
-        Planner { node: node.clone(), holder, waves, away, told, coming, sizes, barred, ordered };
+    let mut planner = Planner {
+        node: node.clone(),
+        holder,
+        waves,
+        away,
+        told,
+        coming,
+        sizes,
+        barred,
+        ordered,
+        allowed: 0.0,
+        allowed_at: Time::ZERO,
+    };
     planner.load().await;
     node.trace.key("duty begun", json!({ "duty": FLEET, "fence": fence }));
     while planner.is_holder() {
@@ -164,6 +181,7 @@
         let gap = self.gap();
         self.ordered.retain(|_, at| now - *at < gap);
         self.ordered.extend(vms.iter().map(|vm| (vm.clone(), now)));
+        self.allowed -= vms.len() as f64;
         self.write_ages().await
     }
 
@@ -183,14 +201,28 @@
         }
     }
 
-    /// Tells the owner of a pool that a worker's life is over.
-    async fn tell_gone(&self, vm: &Vm) {
-        if vm.worker.is_empty() {
-            return;
+    /// Tells the owners of pools that workers' lives are over.
+    async fn tell_gone(&self, vms: &[Vm]) {
+        let mut gone: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+        for vm in vms.iter().filter(|vm| !vm.worker.is_empty()) {
+            gone.entry(&vm.pool).or_default().push(vm.worker.clone());
         }
-        let ask = Ask::Gone { pool: vm.pool.clone(), worker: vm.worker.clone() };
-        // Without it the owner notices by itself, once the lease is over.
-        let _ = self.node.ask_owner(&vm.pool, ask, peer::ANSWER).await;
+        for (pool, workers) in gone {
+            let ask = Ask::Gone { pool: pool.to_owned(), workers };
+            // Without it the owner notices by itself, once the lease is over.
+            let _ = self.node.ask_owner(pool, ask, peer::ANSWER).await;
+        }
+    }
+
+    /// How many orders may go out now: the service counts them by the second,
+    /// from all together, and turns away what is more.
+    fn allowance(&mut self) -> usize {
+        let now = clock::now();
+        let rate = self.node.settings.fleet_orders * SHARE;
+        let since = (now - self.allowed_at).as_secs_f64();
+        self.allowed = (self.allowed + since * rate).min(rate);
+        self.allowed_at = now;
+        self.allowed as usize
     }
 
     async fn tick(&mut self) {
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -22,8 +22,8 @@
 /// How long an order for a move counts as under way though the list, which lags,
 /// has the VM where it was.
 const LAG: Duration = Duration::from_millis(1_500);
-/// Moves ordered in one look at the fleet.
-const MOVES: usize = 16;
+/// Orders under way at once.
+const AT_ONCE: usize = 24;
 /// Keeps all workers of a pool.
 const ALL: u32 = u32::MAX;
 
@@ -88,22 +88,38 @@
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
         free.extend(idle.iter().cloned());
         let moves = moves(&needs, &free, &idle, spares.first());
-        let moves: Vec<(String, String)> = moves.into_iter().take(MOVES).collect();
+        let most = self.allowance();
+        let moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
         let names: Vec<String> = moves.iter().map(|(vm, _)| vm.clone()).collect();
         if names.is_empty() || !self.announce(&names).await {
             return;
         }
+        for some in moves.chunks(AT_ONCE) {
+            self.transfer_some(some, vms).await;
+        }
+    }
+
+    /// Sends orders for moves, all at once: one after the other, the last of a
+    /// pool's turn would come seconds late.
+    async fn transfer_some(&mut self, moves: &[(String, String)], vms: &BTreeMap<String, Vm>) {
         let mut sent = Vec::new();
         for (name, pool) in moves {
-            if let Some(vm) = vms.get(&name) {
-                sent.push(self.transfer(vm, pool));
+            if let Some(vm) = vms.get(name)
+                && self.is_holder()
+            {
+                sent.push(self.transfer(vm, pool.clone()));
             }
         }
+        let mut gone = Vec::new();
         for answer in sent {
             if let Ok((vm, answer)) = answer.await {
-                self.transferred(&vm, answer).await;
+                self.transferred(&vm, answer);
+                if answer == Some(Answer::Done) {
+                    gone.push(vm);
+                }
             }
         }
+        self.tell_gone(&gone).await;
     }
 
     async fn ask_loads(&mut self, pools: &[String], each: &Room) -> Vec<Asked> {
@@ -193,8 +209,6 @@
         vms.values().filter(is_idle).map(|vm| vm.name.clone()).collect()
     }
 
-    /// Sends an order for a move. Several are under way at once: one after the
-    /// other, the last of a pool's turn would come a third of a second late.
     fn transfer(&mut self, vm: &Vm, pool: String) -> JoinHandle<(Vm, Option<Answer>)> {
         let call = fleet::transfer(&vm.name, &pool, &self.holder);
         let coming = Coming { pool, ordered: clock::now(), arrived: None };
@@ -206,7 +220,7 @@
         })
     }
 
-    async fn transferred(&mut self, vm: &Vm, answer: Option<Answer>) {
+    fn transferred(&mut self, vm: &Vm, answer: Option<Answer>) {
         let pool = self.coming.get(&vm.name).map(|coming| coming.pool.clone());
         self.node.trace.line(
             "move ordered",
@@ -215,8 +229,7 @@
         );
         match answer {
             Some(Answer::Fenced) => self.node.planner.set(None),
-            Some(Answer::Done) => self.tell_gone(vm).await,
-            None => {}
+            Some(Answer::Done) | None => {}
             Some(Answer::Busy | Answer::Refused | Answer::Unavailable) => {
                 self.coming.remove(&vm.name);
             }
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -42,9 +42,10 @@
         // VMs without a worker have nothing to be emptied of.
         ready.sort_by_key(|vm| (!vm.worker.is_empty(), vm.name.clone()));
         ready.truncate(may_go + AHEAD);
+        let allowance = self.allowance();
         let mut empty = Vec::new();
         for vm in ready {
-            if self.is_empty(vm).await && empty.len() < may_go {
+            if self.is_empty(vm).await && empty.len() < may_go.min(allowance) {
                 empty.push(vm);
             }
         }
@@ -87,7 +88,7 @@
         );
         match answer {
             Some(Answer::Done) => {
-                self.tell_gone(vm).await;
+                self.tell_gone(std::slice::from_ref(vm)).await;
                 let progress = self.waves.entry(wave.number).or_default();
                 return progress.done.insert(vm.name.clone());
             }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub store: SocketAddr,
     /// The service that moves and maintains VMs, if there is one.
     pub fleet: Option<SocketAddr>,
+    /// How many orders that service takes a second, from all together.
+    pub fleet_orders: f64,
     /// The share of a core that it has, in thousandths.
     pub cpu_share: u64,
     /// Descriptors that it may have open.
@@ -74,6 +76,7 @@
             metrics: port(file.number("listen", "metrics_port", 9_464, 0..=65_535)),
             store: file.address("store", "address"),
             fleet: fleet.parse().ok(),
+            fleet_orders: file.or("fleet", "orders_per_s", 10.0_f64).clamp(0.1, 1e6),
             cpu_share: (share.clamp(0.001, 64.0) * 1_000.0) as u64,
             max_fds: usize::try_from(file.number("limits", "max_fds", 1_024, 64..=1_000_000))
                 .unwrap_or(1_024),
