Ask for one more VM where a lasting task fits on none

Ruled out: order of starts (it was first), a VM avoided (none was). Change: lasting tasks that have waited for 0.5 s each ask for one worker more.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -93,6 +93,9 @@
     pub waiting: Room,
     /// What tasks will want whose turn comes later, by their widest step.
     pub later: Room,
+    /// Lasting tasks that have waited for a worker for a while: there is none
+    /// that has what one needs, however much all have together.
+    pub unfit: u32,
 }
 
 /// What an owner knows of its pool, and what it decides.
@@ -192,6 +195,7 @@
         }
         for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
             entry.add_demand(&mut load.waiting, &mut load.later);
+            load.unfit += entry.unfit(now);
         }
         load
     }
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -14,6 +14,9 @@
 use crate::task;
 use crate::worker::{self, Pending};
 
+/// How long a task waits before its pool asks for one more worker for it. A task
+/// that fits somewhere is placed within milliseconds.
+const UNFIT: Duration = Duration::from_millis(500);
 /// Bits of one word of the tasks done.
 const WORD: u32 = 64;
 
@@ -32,6 +35,8 @@
     pub revision: u64,
     /// When it is no longer in time.
     pub due: Time,
+    /// When this owner heard of it.
+    pub begun_at: Time,
     pub ended: Option<Time>,
     pub ended_ms: u64,
     /// Occurrences that have begun and aren't all done.
@@ -181,6 +186,19 @@
         }
     }
 
+    /// Lasting tasks that have waited for longer than it takes to place one.
+    pub fn unfit(&self, now: Time) -> u32 {
+        if !self.lasts {
+            return 0;
+        }
+        let is_unfit = |task: &&Task| {
+            matches!(task.at, At::Waiting) && now - task.not_before.max(self.begun_at) > UNFIT
+        };
+        let steps = self.occurrences.values().flat_map(|row| &row.steps);
+        let unfit = steps.flat_map(|state| &state.tasks).filter(is_unfit).count();
+        u32::try_from(unfit).unwrap_or(u32::MAX)
+    }
+
     /// Names of the tasks that are on a worker.
     pub fn placed(&self) -> Vec<task::Name> {
         let mut names = Vec::new();
@@ -334,6 +352,7 @@
         let queue = self.queue(&record.queue);
         let mut entry = new_entry(id, &record.job, &record.queue, revision);
         entry.due = due(now, age, &queue, &record.job);
+        entry.begun_at = now;
         if entry.schedule.is_none() {
             entry.begin_due(0);
         }
@@ -478,6 +497,7 @@
         state: State::Queued,
         revision,
         due: Time::ZERO,
+        begun_at: Time::ZERO,
         ended: None,
         ended_ms: 0,
         occurrences: BTreeMap::new(),
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -87,7 +87,9 @@
 impl Size {
     /// How many workers of room `each` the pool is to have.
     pub fn want(&mut self, now: Time, load: &Load, each: &Room) -> Want {
-        let least = load.rooted.max(LEAST);
+        // One more for each lasting task that fits on none of those there are.
+        let fitting = if load.unfit > 0 { load.workers + load.unfit } else { 0 };
+        let least = load.rooted.max(LEAST).max(fitting);
         let want = want_now(load, each).max(least);
         while self.wants.back().is_some_and(|(_, known)| *known <= want) {
             self.wants.pop_back();
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -449,3 +449,24 @@
     world.run(2_000);
     assert_ne!(world.where_runs(name(1)), [other.as_str()], "then it goes on");
 }
+
+#[test]
+fn load_asks_for_a_worker_where_a_lasting_task_fits_on_none() {
+    // Symptom: a lasting task doesn't run for seconds though the fleet idles.
+    // Sequence: it is moved off a worker that leaves; the pool has processors to
+    //   spare, and no one worker has what the task needs.
+    // Cause: the pool's size follows the sum of what is asked for.
+    let mut world = World::new(2);
+    world.takes = 600_000;
+    world.submit(1, vec![lasting(3, 1)]);
+    world.run(200);
+    let each = corianderfork_jobs::job::Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 };
+    let mut size = corianderfork_jobs::size::Size::default();
+    let load = world.pool.load(at(world.now));
+    assert_eq!(size.want(at(world.now), &load, &each).held, 2, "it has just come");
+    world.run(1_000);
+    let load = world.pool.load(at(world.now));
+    assert_eq!(load.unfit, 1);
+    let want = size.want(at(world.now), &load, &each);
+    assert!(want.held >= 3 && want.least >= 3, "{want:?}");
+}
