Put the VMs of a wave that carry work off while pools ask for more than there are

Ruled out: spares held back (none were). Change: while pools ask for more than there are, only VMs without a worker are maintained, as long as the rest of the wave still fits in before its deadline.

--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -74,6 +74,7 @@
         let have: usize = asked.iter().map(Asked::have).sum();
         let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
         let total = u32::try_from(have + free.len()).unwrap_or(u32::MAX);
+        self.is_scarce = wants.iter().map(|want| want.now).sum::<u32>() > total;
         let mut needs = Vec::new();
         let mut idle = Vec::new();
         for (asked, target) in asked.iter().zip(share(&wants, total)) {
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -7,11 +7,20 @@
 use corianderfork_adapter::store::{Outcome, Txn};
 use serde_json::json;
 
+use std::time::Duration;
+
 use super::{AHEAD, Planner, Progress, WAVES};
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
 use crate::peer::{self, Ask, Reply};
 
+/// How long one round of a wave takes: a VM is emptied, which takes as long as
+/// its longest task, and maintained for two seconds.
+const ROUND: Duration = Duration::from_millis(4_500);
+/// What is kept in reserve until a wave's deadline: lasting tasks leave a VM one
+/// after the other.
+const RESERVE: Duration = Duration::from_millis(6_000);
+
 impl Planner {
     pub(super) async fn tick_wave(&mut self, wave: &Wave, vms: &BTreeMap<String, Vm>) {
         if self.told.insert(wave.number) {
@@ -27,6 +36,7 @@
             self.write(wave.number, progress).await;
             return;
         }
+        let may_wait = self.is_scarce && self.may_wait(wave, left.len());
         let is_away = |name: &String| {
             self.away.contains_key(name)
                 || vms.get(name).is_some_and(|v| v.state == State::Maintained)
@@ -41,6 +51,8 @@
         let mut ready: Vec<&Vm> = left.into_iter().filter(is_ready).collect();
         // VMs without a worker have nothing to be emptied of.
         ready.sort_by_key(|vm| (!vm.worker.is_empty(), vm.name.clone()));
+        // Those whose work would have to go elsewhere wait for a calmer moment.
+        ready.retain(|vm| vm.worker.is_empty() || !may_wait);
         ready.truncate(may_go + AHEAD);
         let allowance = self.allowance();
         let mut empty = Vec::new();
@@ -63,6 +75,15 @@
         }
     }
 
+    /// Whether there is time enough to maintain the VMs that are left later.
+    fn may_wait(&self, wave: &Wave, left: usize) -> bool {
+        let waves = self.node.waves.borrow();
+        let Some((_, since)) = waves.get(&wave.number) else { return false };
+        let rounds = u32::try_from(left.div_ceil(wave.most)).unwrap_or(u32::MAX);
+        let needed = ROUND.saturating_mul(rounds).saturating_add(RESERVE);
+        clock::now() - *since + needed < wave.within
+    }
+
     /// Whether nothing runs on a VM, after asking the owner of its pool to empty
     /// it.
     async fn is_empty(&self, vm: &Vm) -> bool {
