--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -17,7 +17,7 @@
 /// How long the largest want of late is kept to. A move takes about this long,
 /// and one there and back costs more than the time that it saves; so a dip that
 /// is shorter is ridden out.
-const HOLD: Duration = Duration::from_millis(1_500);
+const HOLD: Duration = Duration::from_millis(700);
 /// Over how long the growth of the demand is measured.
 const SLOPE: Duration = Duration::from_millis(1_000);
 /// How far ahead of the demand workers are ordered: as long as a move takes.
