--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -99,7 +99,7 @@
     /// While members are restarted one after the other, the youngest comes
     /// first: it has been restarted already, and a duty that goes to one that is
     /// still to be restarted is handed over twice.
-    pub fn to_take(&mut self, now: Time, me: &str, duties: &[String]) -> Vec<String> {
+    pub fn due_for(&mut self, now: Time, me: &str, duties: &[String]) -> Vec<String> {
         let mut held = self.held();
         let mut mine = Vec::new();
         for duty in duties {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows keys of the store: a read of all, then what changes.
 
+use std::collections::btree_map::Entry;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -99,10 +100,10 @@
             Ok(wave) => {
                 let mut waves = node.waves.borrow_mut();
                 let number = wave.number;
-                if !waves.contains_key(&number) {
-                    node.trace
-                        .line("wave asked for", json!({ "wave": number, "vms": wave.vms.len() }));
-                    waves.insert(number, (wave, clock::now()));
+                if let Entry::Vacant(entry) = waves.entry(number) {
+                    let count = wave.vms.len();
+                    node.trace.key("wave asked for", json!({ "wave": number, "vms": count }));
+                    entry.insert((wave, clock::now()));
                 }
             }
             Err(error) => node.trace.line("wave unreadable", json!({ "why": error.to_string() })),
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,26 @@
+//! The daemon of an entry VM: takes jobs from callers, owns the work of some
+//! pools, and perhaps plans for the fleet. One process, all alike, that keeps
+//! nothing; see `docs/DEPLOYMENT.md`.
+//!
+//! What it decides is pure and lies in `corianderfork_jobs` and in [`duty`]; the
+//! rest brings that and the world together, as tasks of one thread.
+
+pub mod duty;
+pub mod settings;
+
+mod clock;
+mod follow;
+mod gateway;
+mod http;
+mod member;
+mod metrics;
+mod node;
+mod owner;
+mod peer;
+mod planner;
+mod run;
+mod server;
+mod store;
+mod trace;
+
+pub use run::run;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,26 +1,10 @@
-//! The daemon of an entry VM: one process, all alike, that keeps nothing.
-
-mod clock;
-mod duty;
-mod follow;
-mod gateway;
-mod http;
-mod member;
-mod metrics;
-mod node;
-mod owner;
-mod peer;
-mod planner;
-mod run;
-mod server;
-mod settings;
-mod store;
-mod trace;
+//! The daemon of an entry VM; see the library of the same name.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
+use corianderfork_entry::settings::Settings;
 
 fn main() -> ExitCode {
     let path = Arg::new("settings")
@@ -35,8 +19,8 @@
         .arg(path);
     let matches = command.get_matches();
     let Some(path) = matches.get_one::<PathBuf>("settings") else { return ExitCode::FAILURE };
-    match settings::Settings::read(path) {
-        Ok(settings) => run::run(settings, path),
+    match Settings::read(path) {
+        Ok(settings) => corianderfork_entry::run(settings, path),
         Err(error) => {
             eprintln!("{}: {error}", path.display());
             ExitCode::FAILURE
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -126,7 +126,7 @@
     let duties = duties(node);
     resume(node, &duties);
     let name = node.settings.name.as_str();
-    let take = node.table.borrow_mut().to_take(now, name, &duties);
+    let take = node.table.borrow_mut().due_for(now, name, &duties);
     for duty in take {
         if node.taking.borrow_mut().insert(duty.clone()) {
             spawn_local(take_duty(node.clone(), duty));
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -29,6 +29,8 @@
 const OWN_FDS: usize = 300;
 /// The largest body of a peer: an answer of the store on its way.
 const PEER_BODY: usize = 8 << 20;
+/// The path of the metrics.
+const METRICS: &str = "/metrics";
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS: Duration = Duration::from_secs(2);
 /// How long after SIGTERM new connections still come: the balancer notices
@@ -119,16 +121,28 @@
 
 fn ready_handler(node: &Rc<Node>) -> Handler {
     let node = node.clone();
-    Rc::new(move |_| {
+    Rc::new(move |asked| {
+        if asked.path != caller::READY {
+            return Box::pin(async { nothing_here() });
+        }
         let is_ready = node.config.borrow().is_some() && !node.stopping.get();
         let status = if is_ready { 200 } else { 503 };
         Box::pin(async move { Told::new(status, b"{}".to_vec()) })
     })
 }
 
+/// What other paths get. A caller that reaches these addresses by mistake must
+/// not take an answer of theirs for one to its request.
+fn nothing_here() -> Told {
+    Told::new(404, caller::error("nothing is served at this path; see [listen] of the settings"))
+}
+
 fn metrics_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
     let (node, gauge) = (node.clone(), gauge.clone());
-    Rc::new(move |_| {
+    Rc::new(move |asked| {
+        if asked.path != METRICS {
+            return Box::pin(async { nothing_here() });
+        }
         node.metrics.set("connections", gauge.connections.get());
         node.metrics.set("requests", gauge.requests.get());
         node.metrics.set("duties", node.owners.borrow().len());
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -83,11 +83,6 @@
         self.answered.get()
     }
 
-    /// Whether calls reach the store without a peer.
-    pub fn is_direct(&self) -> bool {
-        self.is_direct.get()
-    }
-
     /// Makes a call for a peer: once, and without a detour.
     pub async fn relayed(&self, call: &Call, within: Duration) -> Result<(u16, Bytes), Failed> {
         self.direct(call, "relayed", within).await
--- a/crates/jobs/src/pool/look.rs
+++ b/crates/jobs/src/pool/look.rs
@@ -212,7 +212,7 @@
         let members = if is_gang { entry.step(name).map_or(1, |step| step.count) } else { 1 };
         for member in 0..members {
             let index = if is_gang { member } else { name.index };
-            self.set_done(task::Name { index, ..name });
+            self.set_done(now, task::Name { index, ..name }, is_gang);
         }
         let Some(entry) = self.entry_mut(name.job) else { return };
         let is_all = entry.finish(name.occurrence);
@@ -225,21 +225,18 @@
         self.set_pending(key, ended.number, Pending::Written { job: name.job, version });
     }
 
-    fn set_done(&mut self, name: task::Name) {
+    /// Notes a task as done. A run of it elsewhere goes on until it is stopped,
+    /// and takes room until then: it is a stray from now on.
+    fn set_done(&mut self, now: Time, name: task::Name, is_member: bool) {
         let Some(entry) = self.entry_mut(name.job) else { return };
-        let Some(task) = entry.task(name) else { return };
-        let place = match &task.at {
-            At::On(place) => Some((place.worker, place.run)),
-            _ => None,
-        };
+        let place = entry.place(name).map(|place| (place.worker, place.run));
         entry.put(name, At::Done);
-        // Another run of the task that still takes room is a stray now and is
-        // stopped when the worker lists it.
-        if let Some((key, run)) = place
-            && let Some(worker) = self.workers.get_mut(key)
-        {
-            worker.release(name, run);
-        }
+        // Members of a gang end by themselves, together.
+        let Some((key, run)) = place.filter(|_| !is_member) else { return };
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let stray = Stray { run, since: now, asked: None, is_sized: true, is_over: true };
+        worker.strays.insert(name, stray);
+        self.note("task done elsewhere", Some(name), Some(key), format!("run {run} is stopped"));
     }
 
     fn task_failed(&mut self, now: Time, key: worker::Key, ended: &Ended, was_current: bool) {
--- a/crates/jobs/src/pool/pace.rs
+++ b/crates/jobs/src/pool/pace.rs
@@ -46,8 +46,7 @@
             }
             if step.fills {
                 fills.push((*name, place.run, place.pace, place.pace_asked));
-            } else if step.target_ms > 0 {
-                let share = place.gauge * 100 / step.target_ms;
+            } else if let Some(share) = (place.gauge * 100).checked_div(step.target_ms) {
                 worst = worst.max(Some(share));
             }
         }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -358,8 +358,8 @@
 }
 
 fn entry_saved(pool: &Pool, names: &[task::Name]) -> std::rc::Rc<str> {
-    let saved = names.iter().filter_map(|name| Some(&pool.entry(name.job)?.task(*name)?.saved));
-    saved.filter(|saved| !saved.is_empty()).next_back().cloned().unwrap_or_default()
+    let mut saved = names.iter().filter_map(|name| Some(&pool.entry(name.job)?.task(*name)?.saved));
+    saved.rfind(|saved| !saved.is_empty()).cloned().unwrap_or_default()
 }
 
 fn ready_steps(job: JobKey, entry: &Entry, mut found: impl FnMut(Turn)) {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -230,9 +230,14 @@
     /// One look at each worker.
     pub fn look(&mut self) {
         let keys: Vec<Key> = self.pool.workers().collect();
-        for key in keys {
+        keys.into_iter().for_each(|key| self.look_at(key));
+    }
+
+    /// One look at one worker.
+    pub fn look_at(&mut self, key: Key) {
+        {
             let now = at(self.now);
-            let Some(look) = self.pool.next_look(now, key) else { continue };
+            let Some(look) = self.pool.next_look(now, key) else { return };
             let worker = self.workers.get_mut(&look.id).expect("a worker");
             let answer = if worker.silent {
                 Answer::Lost
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -470,3 +470,31 @@
     let want = size.want(at(world.now), &load, &each);
     assert!(want.held >= 3 && want.least >= 3, "{want:?}");
 }
+
+#[test]
+fn task_done_elsewhere_keeps_the_room_of_its_other_run() {
+    // Symptom: a worker is told to run more than it has room for.
+    // Sequence: a worker falls silent past its lease and its task is started
+    //   elsewhere; it answers again, and lists the task as done before the lease
+    //   ended. (Soak, seed 1.)
+    // Cause: the task is done, so the run elsewhere is counted no more, though it
+    //   runs on until it is stopped.
+    let mut world = World::new(2);
+    world.takes = 2_000;
+    let job = world.submit(1, vec![step(1, 5_000)]);
+    world.plan();
+    let holder = world.where_runs(first(job))[0].to_owned();
+    world.workers.get_mut(&holder).expect("a worker").silent = true;
+    world.takes = 60_000;
+    while world.where_runs(first(job)).iter().all(|id| *id == holder) {
+        world.run(100);
+    }
+    world.workers.get_mut(&holder).expect("a worker").silent = false;
+    world.look_at(world.key(&holder));
+    world.submit(2, vec![step(2, 5_000)]);
+    world.plan();
+    world.run(1_000);
+    assert!(world.most_cpu <= 8_000, "{} thousandths on a worker of 8 cores", world.most_cpu);
+    assert!(world.where_runs(first(job)).is_empty(), "it is stopped");
+    assert_eq!(world.pool.state(job), Some(State::Completed));
+}
