--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -180,6 +180,13 @@
         Some(entry.state)
     }
 
+    /// Whether a task is known to be done.
+    pub fn is_done(&self, name: task::Name) -> bool {
+        let Some(entry) = self.entry(name.job) else { return false };
+        let task = entry.task(name);
+        task.map_or(entry.state == State::Completed, |task| matches!(task.at, table::At::Done))
+    }
+
     /// How many jobs of `queue` have no started task.
     pub fn queued(&self, queue: &str) -> usize {
         let is_queued = |entry: &&Entry| entry.queue == queue && entry.state == State::Queued;
