Pass on a queue's count only if it was heard a moment ago

Ruled out by reading: the owner's own count (a job is queued until a worker confirms a start). Not reproduced with logs. Change: a count older than 1.5 s is not told; 503 with when to come back instead.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -307,11 +307,11 @@
         if let Ok(Reply::Queued { jobs }) =
             self.node.ask_owner(&route.pool, ask, peer::ANSWER).await
         {
-            self.node.queued.borrow_mut().insert(route.name.clone(), jobs);
+            self.node.heard.borrow_mut().note(clock::now(), &route.name, jobs);
             return (Told::new(200, caller::waiting(jobs)), "owner");
         }
-        match self.node.queued.borrow().get(&route.name) {
-            Some(jobs) => (Told::new(200, caller::waiting(*jobs)), "last heard"),
+        match self.node.heard.borrow().recent(clock::now(), &route.name) {
+            Some(jobs) => (Told::new(200, caller::waiting(jobs)), "last heard"),
             None => (refuse("the queue's owner doesn't answer; come back"), "no answer"),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! rest brings that and the world together, as tasks of one thread.
 
 pub mod duty;
+pub mod heard;
 pub mod settings;
 
 mod clock;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::duty::{Holder, Table};
+use crate::heard::Heard;
 use crate::http::{Client, Failed};
 use crate::metrics::Metrics;
 use crate::owner::Owner;
@@ -67,8 +68,8 @@
     pub stopping: Cell<bool>,
     /// Told when members, duties or the configuration change.
     pub changed: Notify,
-    /// Jobs that have not begun, by queue, as last heard.
-    pub queued: RefCell<HashMap<String, usize>>,
+    /// Jobs that have not begun, as last heard.
+    pub heard: RefCell<Heard>,
 }
 
 impl Node {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -79,7 +79,7 @@
         renewed: Cell::new(Time::ZERO),
         stopping: Cell::new(false),
         changed: Notify::new(),
-        queued: RefCell::default(),
+        heard: RefCell::default(),
     })
 }
 
