Split the owner's shell and the table of jobs by what they do

Files of 662 and 520 lines, each with three jobs: load, work and write of an owner; states, progress and coming and going of jobs.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -1,11 +1,13 @@
 //! The work of one pool of workers.
 
 mod evacuate;
+mod jobs;
 mod journal;
 mod look;
 mod order;
 mod pace;
 mod place;
+mod progress;
 mod table;
 mod workers;
 
--- /dev/null
+++ b/crates/jobs/src/pool/progress.rs
@@ -0,0 +1,96 @@
+//! How far a job is, as it is written and read back.
+
+use super::table::{At, Entry, Occurrence, name};
+use crate::id::JobId;
+use crate::record::Progress;
+use crate::task;
+
+/// Bits of one word of the tasks done.
+const WORD: u32 = 64;
+
+impl Entry {
+    pub fn progress(&self) -> Progress {
+        let mut progress = Progress {
+            state: self.state,
+            queue: self.queue.clone(),
+            ended_ms: self.ended_ms,
+            ..Progress::default()
+        };
+        if self.state.is_final() {
+            return progress;
+        }
+        for occurrence in 0..self.begun {
+            match self.occurrences.get(&occurrence) {
+                Some(row) => row.tell(occurrence, &mut progress),
+                None => drop(progress.done.insert(format!("{occurrence}"), Vec::new())),
+            }
+        }
+        progress
+    }
+
+    pub fn restore(&mut self, progress: &Progress) {
+        self.state = progress.state;
+        self.ended_ms = progress.ended_ms;
+        for (key, bits) in &progress.done {
+            self.restore_done(key, bits);
+        }
+        for (key, failed) in &progress.failed {
+            if let Some(name) = parse_task(self.id, key)
+                && let Some(task) = self.task_mut(name)
+            {
+                task.failed.clone_from(failed);
+            }
+        }
+    }
+
+    fn restore_done(&mut self, key: &str, bits: &[u64]) {
+        let mut parts = key.split('.').map_while(|part| part.parse::<u32>().ok());
+        let Some(occurrence) = parts.next() else { return };
+        while self.begun <= occurrence && self.begun < self.times {
+            let steps = Occurrence::new(&self.steps);
+            self.occurrences.insert(self.begun, steps);
+            self.begun += 1;
+        }
+        let Some(step) = parts.next() else {
+            self.occurrences.remove(&occurrence);
+            self.finished += 1;
+            return;
+        };
+        for (word, value) in bits.iter().enumerate() {
+            for bit in (0..WORD).filter(|bit| value & (1 << bit) != 0) {
+                let index = word * WORD as usize + bit as usize;
+                self.put(name(self.id, occurrence, step as usize, index), At::Done);
+            }
+        }
+    }
+}
+
+impl Occurrence {
+    fn tell(&self, occurrence: u32, progress: &mut Progress) {
+        for (step, state) in self.steps.iter().enumerate() {
+            let mut bits = vec![0u64; state.tasks.len().div_ceil(WORD as usize)];
+            for (index, task) in state.tasks.iter().enumerate() {
+                if matches!(task.at, At::Done) {
+                    bits[index / WORD as usize] |= 1 << (index % WORD as usize);
+                }
+                if !task.failed.is_empty() {
+                    let key = format!("{occurrence}.{step}.{index}");
+                    progress.failed.insert(key, task.failed.clone());
+                }
+            }
+            if bits.iter().any(|word| *word != 0) {
+                progress.done.insert(format!("{occurrence}.{step}"), bits);
+            }
+        }
+    }
+}
+
+fn parse_task(job: JobId, key: &str) -> Option<task::Name> {
+    let mut parts = key.split('.').map(|part| part.parse().ok());
+    Some(task::Name {
+        job,
+        occurrence: parts.next()??,
+        step: parts.next()??,
+        index: parts.next()??,
+    })
+}
