--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,7 +9,7 @@
 fn main() -> ExitCode {
     let path = Arg::new("settings")
         .long("settings")
-        .env("CORIANDERFORK_BOOT")
+        .env(corianderfork_adapter::SETTINGS)
         .value_parser(value_parser!(PathBuf))
         .required(true)
         .help("The settings file, INI");
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use corianderfork_adapter::caller;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -136,7 +137,7 @@
     let (head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = text("host").or_else(|| head.uri.host()).unwrap_or_default().to_owned();
-    let deadline_ms = text("deadline-ms").and_then(|text| text.trim().parse().ok());
+    let deadline_ms = text(caller::DEADLINE).and_then(|text| text.trim().parse().ok());
     let path = head.uri.path().to_owned();
     let body = Limited::new(body, max_body).collect().await;
     let body = body.ok().map(http_body_util::Collected::to_bytes);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`outlier`] | which copies fail? | ejections, bounded |
 //! | [`rules`] | which rule decides? | the first that matches, and why |
 //! | [`policy`] | how many copies, where, and when to maintain? | steps with reasons |
+//! | [`jobs`] | which task runs where, until when, and what has ended? | orders to workers, rows to write |
 //!
 //! Each module says when to use it, what goes wrong without it, and what it
 //! does not promise. Three programs under `examples/` put parts together:
@@ -71,6 +72,7 @@
 
 pub use corianderfork_config as config;
 pub use corianderfork_coord::{backoff, claim, drain, lease, member, register};
+pub use corianderfork_jobs as jobs;
 pub use corianderfork_model as model;
 pub use corianderfork_policy as policy;
 pub use corianderfork_routing::{limits, outcome, outlier, queue, report, retry, router, view};
