Look a job up in the order that misses none of its moves

Cause: a GET that the owner can't answer was answered from the store by two reads, how far the job is and then its acceptance. An end writes the first and removes the second in one write; where it fell between the reads both found nothing and the caller of a job that had just completed got 410. A record that could not be read was taken for none, too. Ruled out: another owner or another pool (the log names one of each all along). Change: `entry::lookup`, pure, reads the acceptance first; an unreadable record is told as 503, not as 410. `is_known` uses the same. The owner's own load already reads jobs before runs. Seen red: with the reads the other way round `lookup_while_the_job_ends` and `lookup_of_a_record_that_is_damaged` fail ("0, then 2: Absent").

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -16,8 +16,9 @@
 
 use crate::clock;
 use crate::http::Failed;
+use crate::lookup::{Lookup, Next, job_key, run_key};
 use crate::node::Node;
-use crate::owner::{job_key, ms, run_key};
+use crate::owner::ms;
 use crate::peer::{self, Ask, Reply};
 use crate::server::{Asked, Told};
 use crate::store::Error;
@@ -241,11 +242,7 @@
     }
 
     async fn is_known(&self, pool: &str, id: &str) -> Result<bool, Error> {
-        let job = self.node.store.get(&job_key(pool, id)).await?;
-        if job.is_some() {
-            return Ok(true);
-        }
-        Ok(self.node.store.get(&run_key(pool, id)).await?.is_some())
+        Ok(self.look_up(pool, id).await? != Next::Absent)
     }
 
     async fn state(&self, route: &Route, id: &str) -> (Told, &'static str) {
@@ -256,10 +253,12 @@
                 Ok(Reply::State { state }) => {
                     return (Told::new(200, caller::state(state)), "owner");
                 }
-                _ => match self.stored_state(&pool, id).await {
-                    Ok(Some(state)) => return (Told::new(200, caller::state(state)), "store"),
-                    Ok(None) => {}
-                    Err(_) => is_failed = true,
+                _ => match self.look_up(&pool, id).await {
+                    Ok(Next::Found(state)) => {
+                        return (Told::new(200, caller::state(state)), "store");
+                    }
+                    Ok(Next::Absent) => {}
+                    Ok(Next::Read(_) | Next::Unreadable) | Err(_) => is_failed = true,
                 },
             }
         }
@@ -270,20 +269,17 @@
     }
 
     /// Where a job stands by the store: what the owner can't say, or not yet.
-    async fn stored_state(
-        &self,
-        pool: &str,
-        id: &str,
-    ) -> Result<Option<corianderfork_jobs::record::State>, Error> {
-        let run = self.node.store.get(&run_key(pool, id)).await?;
-        if let Some(run) = run
-            && let Ok(progress) =
-                serde_json::from_slice::<corianderfork_jobs::record::Progress>(&run.value)
-        {
-            return Ok(Some(progress.state));
+    async fn look_up(&self, pool: &str, id: &str) -> Result<Next, Error> {
+        let mut lookup = Lookup::new(pool, id);
+        loop {
+            match lookup.next() {
+                Next::Read(key) => {
+                    let item = self.node.store.get(&key).await?;
+                    lookup.learn(item.as_ref().map(|item| item.value.as_slice()));
+                }
+                found => return Ok(found),
+            }
         }
-        let job = self.node.store.get(&job_key(pool, id)).await?;
-        Ok(job.map(|_| corianderfork_jobs::record::State::Queued))
     }
 
     async fn cancel(&self, route: &Route, id: &str) -> (Told, &'static str) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,8 +5,10 @@
 //! What it decides is pure and lies in `corianderfork_jobs` and in [`duty`]; the
 //! rest brings that and the world together, as tasks of one thread.
 
+pub mod absence;
 pub mod duty;
 pub mod heard;
+pub mod lookup;
 pub mod settings;
 
 mod clock;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -21,13 +21,10 @@
 
 use crate::clock;
 use crate::duty::Holder;
+use crate::lookup::job_key;
 use crate::node::{HOLD_ON, Node, TTL};
 use crate::peer::{Ask, Reply};
 
-/// The prefix of accepted jobs; pool and id follow.
-pub const JOBS: &str = "job/";
-/// The prefix of how far jobs are; pool and id follow.
-pub const RUNS: &str = "run/";
 /// The prefix of where a pool's workers are.
 const ROSTERS: &str = "roster/";
 /// The prefix of the number of an owner's last write.
@@ -73,16 +70,6 @@
     taken: Cell<usize>,
 }
 
-/// The key of an accepted job.
-pub fn job_key(pool: &str, id: &str) -> String {
-    format!("{JOBS}{pool}/{id}")
-}
-
-/// The key of how far a job is.
-pub fn run_key(pool: &str, id: &str) -> String {
-    format!("{RUNS}{pool}/{id}")
-}
-
 impl Owner {
     /// Begins to own the work of `pool`, with `fence`.
     pub fn start(node: &Rc<Node>, name: &str, fence: u64, before: Holder) -> Rc<Self> {
@@ -177,6 +164,9 @@
                 state.map_or(Reply::Unknown, |state| Reply::State { state })
             }
             Ask::Cancel { id, .. } => self.cancel(&id).await,
+            // An owner that may have been replaced doesn't hear of new jobs: its
+            // count would say that none wait while its successor has hundreds.
+            Ask::Queued { .. } if !self.node.may_order() => Reply::NotOwner,
             Ask::Queued { queue, .. } => Reply::Queued { jobs: self.pool.borrow().queued(&queue) },
             Ask::Vacate { worker, .. } => {
                 let empty = self.pool.borrow_mut().vacate(clock::now(), &worker, VACATE);
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -10,10 +10,11 @@
 use corianderfork_jobs::worker::Seat;
 use serde_json::json;
 
-use super::{JOBS, Owner, ROSTERS, RUNS, WRITES, ms};
+use super::{Owner, ROSTERS, WRITES, ms};
 use crate::clock;
 use crate::duty::Holder;
 use crate::follow::{News, follow};
+use crate::lookup::{JOBS, RUNS};
 use crate::peer::{self, Ask, Reply};
 use crate::store::Error;
 
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -9,9 +9,10 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use super::{Owner, ROSTERS, WRITES, job_key, run_key};
+use super::{Owner, ROSTERS, WRITES};
 use crate::clock;
 use crate::duty::DUTIES;
+use crate::lookup::{job_key, run_key};
 
 /// Rows of a write besides those of the batch: the duty, the number of the
 /// write twice, the roster.
