--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 use tokio::time::timeout;
 
+use crate::absence::Absence;
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
 use crate::member;
@@ -61,6 +62,8 @@
     coming: HashMap<String, size::Coming>,
     /// What is known of each pool's size.
     sizes: HashMap<String, size::Pool>,
+    /// VMs of waves that lists leave out.
+    absence: Absence,
     /// VMs that the holder before ordered of late. An order of it may be on its
     /// way still, and two holders' orders for one VM must not mix.
     /// Until when they are left alone.
@@ -95,6 +98,7 @@
         told,
         coming,
         sizes,
+        absence: Absence::default(),
         barred,
         ordered,
         allowed: 0.0,
@@ -237,6 +241,8 @@
         let listed_at = clock::now();
         let Some(vms) = self.list().await else { return };
         self.settle(listed_at, &vms);
+        let wanted = waves.iter().flat_map(|wave| &wave.vms).map(String::as_str);
+        self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
         for wave in waves {
             self.tick_wave(&wave, &vms).await;
         }
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -28,14 +28,15 @@
             self.write(wave.number, done).await;
         }
         let done = self.waves.get(&wave.number).map(|p| p.done.clone()).unwrap_or_default();
-        let is_left = |name: &&String| !done.contains(*name) && vms.contains_key(*name);
-        let left: Vec<&Vm> =
-            wave.vms.iter().filter(is_left).filter_map(|name| vms.get(name)).collect();
-        if left.is_empty() {
+        let now = clock::now();
+        let is_left = |name: &&String| !done.contains(*name) && !self.absence.is_gone(now, name);
+        let names: Vec<&String> = wave.vms.iter().filter(is_left).collect();
+        if names.is_empty() {
             let progress = Progress { done, completed: true };
             self.write(wave.number, progress).await;
             return;
         }
+        let left: Vec<&Vm> = names.into_iter().filter_map(|name| vms.get(name)).collect();
         let may_wait = self.is_scarce && self.may_wait(wave, left.len());
         let is_away = |name: &String| {
             self.away.contains_key(name)
