Take an entry that can't be read for no worker, and tell of it

Cause: entries in the store may come from another writer. Room adds and multiplies without wrapping: a caller may declare absurd needs.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,6 +7,7 @@
 use corianderfork_adapter::config;
 use corianderfork_adapter::store::{Event, Item, Watched};
 use corianderfork_adapter::worker;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use crate::clock;
@@ -75,25 +76,23 @@
     let learn = move |news: News| match news {
         News::All(items) => {
             for item in items {
-                operators_key(&learner, &item.key, &item.value);
+                operators_key(&learner, &item.key, &item.value, item.revision);
             }
         }
         News::Change(event) => {
             if let Some(value) = event.value {
-                operators_key(&learner, &event.key, &value);
+                operators_key(&learner, &event.key, &value, event.revision);
             }
         }
     };
     follow(node, config::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
 }
 
-fn operators_key(node: &Rc<Node>, key: &str, value: &[u8]) {
+fn operators_key(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
     if key == config::KEY {
         match config::parse(value) {
             Ok(config) => node.set_config(config),
-            Err(error) => {
-                node.trace.line("configuration unreadable", json!({ "why": error.to_string() }))
-            }
+            Err(error) => unreadable(node, key, revision, &error.to_string()),
         }
     } else if key.starts_with(config::WAVES) {
         match config::wave(value) {
@@ -106,7 +105,7 @@
                     entry.insert((wave, clock::now()));
                 }
             }
-            Err(error) => node.trace.line("wave unreadable", json!({ "why": error.to_string() })),
+            Err(error) => unreadable(node, key, revision, &error.to_string()),
         }
     }
 }
@@ -117,17 +116,18 @@
     let learn = move |news: News| {
         match news {
             News::All(items) => {
-                let mut table = learner.table.borrow_mut();
                 let there = |key: String| items.iter().any(|item| item.key == key);
+                let mut table = learner.table.borrow_mut();
                 table.members.retain(|name, _| there(format!("{MEMBERS}{name}")));
                 table.duties.retain(|name, _| there(format!("{DUTIES}{name}")));
+                drop(table);
                 for item in items {
-                    put(&mut table, &item.key, Some(&item.value), item.revision);
+                    put(&learner, &item.key, Some(&item.value), item.revision);
                 }
             }
             News::Change(event) => {
                 let value = event.value.as_deref();
-                put(&mut learner.table.borrow_mut(), &event.key, value, event.revision);
+                put(&learner, &event.key, value, event.revision);
                 learner.trace.line(
                     "duty or member changed",
                     json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
@@ -139,10 +139,10 @@
     follow(node, duty::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
 }
 
-fn put(table: &mut duty::Table, key: &str, value: Option<&[u8]>, revision: u64) {
+fn put(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
+    let mut table = node.table.borrow_mut();
     if let Some(name) = key.strip_prefix(MEMBERS) {
-        let member = value.and_then(|value| serde_json::from_slice::<duty::Member>(value).ok());
-        match member {
+        match value.and_then(|value| readable::<duty::Member>(node, key, value, revision)) {
             Some(mut member) => {
                 let known = table.members.get(name).filter(|known| known.boot == member.boot);
                 member.seen = known.map_or_else(clock::now, |known| known.seen);
@@ -152,12 +152,33 @@
             None => drop(table.members.remove(name)),
         }
     } else if let Some(name) = key.strip_prefix(DUTIES) {
-        let holder = value.and_then(|value| serde_json::from_slice(value).ok()).unwrap_or_default();
+        // A record that can't be read names no holder: who takes the duty writes
+        // over it.
+        let holder = value.and_then(|value| readable(node, key, value, revision));
         let revision = if value.is_some() { revision } else { 0 };
-        table.duties.insert(name.to_owned(), duty::Record { holder, revision });
+        let record = duty::Record { holder: holder.unwrap_or_default(), revision };
+        table.duties.insert(name.to_owned(), record);
+    }
+}
+
+/// Reads an entry; one that can't be read is told and counts as none.
+fn readable<T: DeserializeOwned>(node: &Node, key: &str, value: &[u8], revision: u64) -> Option<T> {
+    match serde_json::from_slice(value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            unreadable(node, key, revision, &error.to_string());
+            None
+        }
     }
 }
 
+/// Tells of an entry that can't be read. The log bounds how many such lines
+/// there are.
+fn unreadable(node: &Node, key: &str, revision: u64, why: &str) {
+    node.metrics.event("entry unreadable");
+    node.trace.line("entry unreadable", json!({ "key": key, "revision": revision, "why": why }));
+}
+
 /// Follows workers while this daemon owns the work of a pool.
 pub async fn workers(node: Rc<Node>) {
     loop {
@@ -173,11 +194,13 @@
                 News::All(items) => {
                     learner.servers.borrow_mut().clear();
                     for item in items {
-                        put_worker(&learner, &item.key, Some(&item.value));
+                        put_worker(&learner, &item.key, Some(&item.value), item.revision);
                     }
                     learner.servers_known.set(true);
                 }
-                News::Change(event) => put_worker(&learner, &event.key, event.value.as_deref()),
+                News::Change(event) => {
+                    put_worker(&learner, &event.key, event.value.as_deref(), event.revision);
+                }
             }
             for owner in learner.owners.borrow().values() {
                 owner.list_changed.set(true);
@@ -188,18 +211,23 @@
     }
 }
 
-fn put_worker(node: &Rc<Node>, key: &str, value: Option<&[u8]>) {
+/// Takes in a worker's entry, or that there is none. One that can't be read
+/// names no worker: nothing new is sent there, and what runs there is kept by
+/// its lease as for any worker that is no longer listed.
+fn put_worker(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
     let id = key.strip_prefix(worker::PREFIX).unwrap_or(key);
-    let Some(value) = value else {
-        if node.servers.borrow_mut().remove(id).is_some() {
-            node.trace.line("worker unlisted", json!({ "worker": id }));
+    let listed = value.and_then(|value| match worker::listed(key, value) {
+        Ok(listed) => Some(listed),
+        Err(error) => {
+            unreadable(node, key, revision, &error.to_string());
+            None
         }
-        return;
-    };
-    match worker::listed(key, value) {
-        Ok(listed) => drop(node.servers.borrow_mut().insert(listed.entry.id.clone(), listed)),
-        Err(error) => node
-            .trace
-            .line("worker's entry unreadable", json!({ "worker": id, "why": error.to_string() })),
+    });
+    match listed {
+        Some(listed) => drop(node.servers.borrow_mut().insert(id.to_owned(), listed)),
+        None if node.servers.borrow_mut().remove(id).is_some() => {
+            node.trace.line("worker unlisted", json!({ "worker": id, "revision": revision }));
+        }
+        None => {}
     }
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -214,16 +214,21 @@
 impl Room {
     /// Whether `needed` fits into what is left of this with `used` taken.
     pub fn fits(&self, used: &Self, needed: &Self) -> bool {
-        used.cpu + needed.cpu <= self.cpu
-            && used.memory_mb + needed.memory_mb <= self.memory_mb
-            && used.gpu + needed.gpu <= self.gpu
+        // What callers declare may be absurd: a sum that wraps would fit.
+        used.cpu.saturating_add(needed.cpu) <= self.cpu
+            && used.memory_mb.saturating_add(needed.memory_mb) <= self.memory_mb
+            && used.gpu.saturating_add(needed.gpu) <= self.gpu
     }
 
     /// So many times this.
     #[must_use]
     pub fn times(&self, count: u32) -> Self {
         let count = u64::from(count);
-        Self { cpu: self.cpu * count, memory_mb: self.memory_mb * count, gpu: self.gpu * count }
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
     }
 
     /// How many times `each` has to be there to hold this, by what is scarcest.
@@ -237,9 +242,9 @@
 
     /// Takes `other` besides.
     pub fn add(&mut self, other: &Self) {
-        self.cpu += other.cpu;
-        self.memory_mb += other.memory_mb;
-        self.gpu += other.gpu;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpu = self.gpu.saturating_add(other.gpu);
     }
 
     /// Gives `other` back.
