Count a worker once as it comes to a pool

Cause: a VM that had come counted as coming for half a second more while the pool's owner counted its worker already. The pool then had more than its target, was told to give up as many as had just come, and VMs went back to the spares (or were ordered to the pool they were in) in the middle of the ramp. Workers told to run empty did not count at all: at the next decision the rest was no more than the pool keeps, it was told to keep all, and they took work again; so pools gave up VMs late, too. Both together: Change: the owner is asked which of the lives that have come it counts; a VM is among those that come or among those counted, never both.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -176,7 +176,11 @@
                 self.wake.notify_one();
                 Reply::Vacated { empty }
             }
-            Ask::Load { .. } => Reply::Load { load: self.pool.borrow().load(clock::now()) },
+            Ask::Load { arrived, .. } => {
+                let pool = self.pool.borrow();
+                let counted = arrived.into_iter().filter(|id| pool.counts(id)).collect();
+                Reply::Load { load: pool.load(clock::now()), counted }
+            }
             Ask::Shrink { keep, .. } => {
                 let workers = self.pool.borrow_mut().shrink(clock::now(), keep, VACATE);
                 self.wake.notify_one();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -76,6 +76,8 @@
     Load {
         /// The pool.
         pool: String,
+        /// Lives that have come to the pool of late.
+        arrived: Vec<String>,
     },
     /// Keep so many workers and empty the others; to the owner of the pool.
     Shrink {
@@ -129,7 +131,7 @@
             | Self::Vacate { pool, .. }
             | Self::Shrink { pool, .. }
             | Self::Gone { pool, .. }
-            | Self::Load { pool } => pool,
+            | Self::Load { pool, .. } => pool,
             Self::Retire { .. } | Self::Advise { .. } | Self::Store { .. } => "",
         }
     }
@@ -166,6 +168,8 @@
     Load {
         /// The load.
         load: Load,
+        /// Those of the lives asked for that are counted in it.
+        counted: Vec<String>,
     },
     /// Workers that are empty and may leave the pool.
     Spare {
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -16,9 +16,10 @@
 use crate::clock;
 use crate::peer::{Ask, Reply};
 
-/// How long a VM counts as coming after the list has it in its new pool: until
-/// its worker has registered and was looked at.
-const ARRIVAL: Duration = Duration::from_millis(500);
+/// How long a VM counts as coming at most after the list has it in its new pool,
+/// if the pool's owner doesn't count its worker: it registers, is written down and
+/// looked at, which takes some hundreds of milliseconds.
+const ARRIVAL: Duration = Duration::from_millis(2_500);
 /// How long an order for a move counts as under way though the list, which lags,
 /// has the VM where it was.
 const LAG: Duration = Duration::from_millis(1_500);
@@ -32,6 +33,8 @@
     pool: String,
     ordered: Time,
     arrived: Option<Time>,
+    /// The life of its worker, once it is there.
+    worker: String,
 }
 
 /// What is known of a pool's size.
@@ -53,8 +56,19 @@
 }
 
 impl Asked {
+    /// What the pool has or will have without another order.
+    ///
+    /// A worker counts once. *Before that was so* one that had just come counted
+    /// as there and as coming; the pool was told to give up as many as had come,
+    /// and VMs went back in the middle of the ramp that had sent for them. A
+    /// worker that is to run empty counts as well: it takes work again as soon as
+    /// the pool is to keep more.
     fn have(&self) -> usize {
-        self.load.workers as usize + self.coming
+        self.there() + self.coming
+    }
+
+    fn there(&self) -> usize {
+        (self.load.workers + self.load.surplus) as usize
     }
 }
 
@@ -123,11 +137,12 @@
     }
 
     async fn ask_loads(&mut self, pools: &[String], each: &Room) -> Vec<Asked> {
-        let ask = |pool: &String| Ask::Load { pool: pool.clone() };
+        let ask = |pool: &String| Ask::Load { pool: pool.clone(), arrived: self.arrived(pool) };
         let replies = self.ask_all(pools.iter().map(ask).collect()).await;
         let mut asked = Vec::new();
         for (pool, reply) in pools.iter().zip(replies) {
-            let Some(Reply::Load { load }) = reply else { continue };
+            let Some(Reply::Load { load, counted }) = reply else { continue };
+            self.coming.retain(|_, c| c.pool != *pool || !counted.contains(&c.worker));
             let coming = self.coming.values().filter(|coming| coming.pool == *pool).count();
             let known = self.sizes.entry(pool.clone()).or_default();
             let want = known.size.want(clock::now(), &load, each);
@@ -136,6 +151,13 @@
         asked
     }
 
+    /// Lives of workers that have come to a pool and that its owner is not known to
+    /// count.
+    fn arrived(&self, pool: &str) -> Vec<String> {
+        let is_there = |coming: &&Coming| coming.pool == pool && !coming.worker.is_empty();
+        self.coming.values().filter(is_there).map(|coming| coming.worker.clone()).collect()
+    }
+
     fn log_size(&mut self, asked: &Asked, target: usize) {
         let Some(known) = self.sizes.get_mut(&asked.pool) else { return };
         if std::mem::replace(&mut known.target, target) != target {
@@ -143,7 +165,7 @@
             self.node.trace.line(
                 "pool sized",
                 json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
-                    "workers": load.workers, "coming": asked.coming, "rooted": load.rooted,
+                    "workers": load.workers, "surplus": load.surplus, "coming": asked.coming, "rooted": load.rooted,
                     "used": load.used, "waiting": load.waiting, "later": load.later }),
             );
         }
@@ -165,6 +187,7 @@
             let is_there = vm.pool == coming.pool && vm.state == State::Up && !vm.worker.is_empty();
             if is_there {
                 let arrived = *coming.arrived.get_or_insert(listed_at);
+                coming.worker.clone_from(&vm.worker);
                 return listed_at - arrived < ARRIVAL;
             }
             let is_under_way = vm.state == State::Moving || listed_at - coming.ordered < LAG;
@@ -189,7 +212,11 @@
     fn keep(&mut self, asked: &Asked, target: usize) -> Option<Ask> {
         let known = self.sizes.get_mut(&asked.pool)?;
         let keep = target.saturating_sub(asked.coming);
-        let is_more = keep < asked.load.workers as usize;
+        // Those that run empty already count: told to keep all because the others
+        // are no more than it keeps, an owner would have them take work again, and
+        // they would never be empty. One notices it by a pool whose number of
+        // workers falls and rises again with each decision.
+        let is_more = keep < asked.there();
         if !is_more && !known.is_shrunk {
             return None;
         }
@@ -214,7 +241,8 @@
 
     fn transfer(&mut self, vm: &Vm, pool: String) -> JoinHandle<(Vm, Option<Answer>)> {
         let call = fleet::transfer(&vm.name, &pool, &self.holder);
-        let coming = Coming { pool, ordered: clock::now(), arrived: None };
+        let (ordered, worker) = (clock::now(), String::new());
+        let coming = Coming { pool, ordered, arrived: None, worker };
         self.coming.insert(vm.name.clone(), coming);
         let (node, vm) = (self.node.clone(), vm.clone());
         spawn_local(async move {
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -107,7 +107,10 @@
 pub struct Load {
     /// Workers that take work.
     pub workers: u32,
-    /// Of them, those that carry lasting tasks.
+    /// Workers besides that take none since they are too many, and are to run
+    /// empty.
+    pub surplus: u32,
+    /// Workers that take work and carry lasting tasks.
     pub rooted: u32,
     /// What they have, all together.
     pub room: Room,
@@ -230,6 +233,8 @@
                 load.rooted += u32::from(self.is_rooted(worker));
                 load.room.add(&worker.room);
             }
+            load.surplus +=
+                u32::from(worker.is_able() && worker.is_vacating(now) && worker.is_surplus);
         }
         for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
             entry.add_demand(&mut load.waiting, &mut load.later);
@@ -238,6 +243,11 @@
         load
     }
 
+    /// Whether a worker is among those that [`Pool::load`] counts.
+    pub fn counts(&self, id: &str) -> bool {
+        self.worker(id).is_some_and(|(_, worker)| worker.is_able())
+    }
+
     /// Steps of a job that none of the pool's workers may run: all lack a label,
     /// are too small, or are not among those that advice names. Another worker
     /// may; without one the job would wait for ever.
