Size pools by the flow of work, with what waits and a lead

Hypothesis: a size that follows what runs and waits and half of what is to come grows with the backlog, and is too large in between (what is to come of a job needs the room that its first step leaves).

--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -166,7 +166,8 @@
                 "pool sized",
                 json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
                     "workers": load.workers, "surplus": load.surplus, "coming": asked.coming, "rooted": load.rooted,
-                    "used": load.used, "waiting": load.waiting, "later": load.later }),
+                    "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
+                    "needed": load.needed }),
             );
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub mod estimate;
 pub mod feature;
+pub mod flow;
 pub mod id;
 pub mod job;
 pub mod pool;
@@ -37,6 +38,7 @@
 pub mod record;
 pub mod size;
 pub mod task;
+pub mod work;
 pub mod worker;
 
 pub use id::JobId;
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -8,6 +8,7 @@
 mod gang;
 mod jobs;
 mod journal;
+mod load;
 mod look;
 mod order;
 mod pace;
@@ -22,19 +23,19 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 pub use advice::{Advice, Question};
 pub use explain::{Explained, Part};
 pub use journal::{Batch, Row};
+pub use load::Load;
 pub use look::{Look, Report};
 pub use order::{Answer, Order, What};
 
 use crate::estimate::Estimate;
 use crate::feature::Feature;
+use crate::flow::Flow;
 use crate::id::JobId;
-use crate::job::Room;
 use crate::queue::Queue;
 use crate::record::State;
 use crate::task;
@@ -102,30 +103,6 @@
     }
 }
 
-/// How busy a pool is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Workers that take work.
-    pub workers: u32,
-    /// Workers besides that take none since they are too many, and are to run
-    /// empty.
-    pub surplus: u32,
-    /// Workers that take work and carry lasting tasks.
-    pub rooted: u32,
-    /// What they have, all together.
-    pub room: Room,
-    /// What runs takes.
-    pub used: Room,
-    /// What tasks wait for whose turn has come.
-    pub waiting: Room,
-    /// What tasks will want whose turn comes later, by their widest step.
-    pub later: Room,
-    /// Lasting tasks that have waited for a worker for a while, and steps that no
-    /// worker of the pool may run: there is none that has what one needs, however
-    /// much all have together.
-    pub unfit: u32,
-}
-
 /// What an owner knows of its pool, and what it decides.
 #[derive(Debug)]
 pub struct Pool {
@@ -133,6 +110,8 @@
     queues: HashMap<String, Queue>,
     /// How long tasks take, by queue.
     estimates: HashMap<String, Estimate>,
+    /// How much work comes in.
+    flow: Flow,
     workers: SlotMap<worker::Key, Worker>,
     by_id: HashMap<String, worker::Key>,
     jobs: SlotMap<JobKey, Entry>,
@@ -171,6 +150,7 @@
             config,
             queues: HashMap::new(),
             estimates: HashMap::new(),
+            flow: Flow::default(),
             workers: SlotMap::with_key(),
             by_id: HashMap::new(),
             jobs: SlotMap::with_key(),
@@ -223,55 +203,6 @@
         self.jobs.values().filter(is_queued).count()
     }
 
-    /// How busy the pool is.
-    pub fn load(&self, now: Time) -> Load {
-        let mut load = Load::default();
-        for worker in self.workers.values() {
-            load.used.add(&worker.used);
-            if worker.is_able() && !worker.is_vacating(now) {
-                load.workers += 1;
-                load.rooted += u32::from(self.is_rooted(worker));
-                load.room.add(&worker.room);
-            }
-            load.surplus +=
-                u32::from(worker.is_able() && worker.is_vacating(now) && worker.is_surplus);
-        }
-        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
-            entry.add_demand(&mut load.waiting, &mut load.later);
-            load.unfit += entry.unfit(now) + self.barred(now, entry);
-        }
-        load
-    }
-
-    /// Whether a worker is among those that [`Pool::load`] counts.
-    pub fn counts(&self, id: &str) -> bool {
-        self.worker(id).is_some_and(|(_, worker)| worker.is_able())
-    }
-
-    /// Steps of a job that none of the pool's workers may run: all lack a label,
-    /// are too small, or are not among those that advice names. Another worker
-    /// may; without one the job would wait for ever.
-    fn barred(&self, now: Time, entry: &Entry) -> u32 {
-        let steps = entry.occurrences.values().flat_map(|row| entry.steps.iter().zip(&row.steps));
-        let is_barred = |(step, state): &(&crate::job::Step, &table::StepState)| {
-            let is_stuck = state.stuck.is_some_and(|since| now - since > evacuate::BLOCKED);
-            let may = |(key, worker): (worker::Key, &Worker)| {
-                worker.is_able() && advice::could(worker, step) && !state.advice.is_bad(key)
-            };
-            !entry.lasts && state.waiting > 0 && is_stuck && !self.workers.iter().any(may)
-        };
-        u32::try_from(steps.filter(is_barred).count()).unwrap_or(u32::MAX)
-    }
-
-    /// Whether lasting tasks run there.
-    pub(crate) fn is_rooted(&self, worker: &Worker) -> bool {
-        let is_lasting = |name: &task::Name| {
-            let step = self.entry(name.job).and_then(|entry| entry.step(*name));
-            step.is_some_and(|step| step.lasts)
-        };
-        worker.hosted.keys().any(is_lasting)
-    }
-
     /// What happened since the last call, for the log.
     pub fn notes(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.notes)
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -7,9 +7,10 @@
 use super::table::{At, Phase, new_entry};
 use super::{JobKey, Pool};
 use crate::id::JobId;
-use crate::job::{Job, chain_ms};
+use crate::job::{Job, Step, chain_ms};
 use crate::record::{Progress, Record, State};
 use crate::task;
+use crate::work::Work;
 use crate::worker::{self, Pending};
 
 impl Pool {
@@ -44,6 +45,10 @@
             entry.restore(progress);
         }
         let is_final = entry.state.is_final();
+        if !entry.lasts && entry.schedule.is_none() {
+            let work = self.work(&record.queue, &record.job.steps);
+            self.flow.note(entry.accepted, work);
+        }
         if is_final {
             entry.ended = Some(now);
             entry.occurrences.clear();
@@ -56,6 +61,16 @@
         self.adopt_orphans(now, id);
     }
 
+    /// What the tasks of steps take, as far as that can be predicted.
+    fn work(&self, queue: &str, steps: &[Step]) -> Work {
+        let mut work = Work::default();
+        for step in steps {
+            let takes = Duration::from_millis(self.predict(queue, step));
+            work.add(&Work::of(&step.room().times(step.count), takes));
+        }
+        work
+    }
+
     /// Takes in that a job ended under an owner before.
     pub fn accept_ended(&mut self, now: Time, id: JobId, progress: &Progress) {
         if self.by_job.contains_key(&id) {
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -8,7 +8,7 @@
 
 use super::advice::Known;
 use crate::id::JobId;
-use crate::job::{Job, Room, Step};
+use crate::job::{Job, Step};
 use crate::record::State;
 use crate::task;
 use crate::worker;
@@ -188,23 +188,6 @@
         task.at = at;
     }
 
-    /// Adds what its tasks wait for now, and what the widest step to come will
-    /// want.
-    pub fn add_demand(&self, waiting: &mut Room, later: &mut Room) {
-        for occurrence in self.occurrences.values() {
-            let mut widest = Room::default();
-            for (step, state) in self.steps.iter().zip(&occurrence.steps) {
-                let wanted = step.room().times(state.waiting);
-                if occurrence.is_ready(step) {
-                    waiting.add(&wanted);
-                } else if wanted.cpu > widest.cpu {
-                    widest = wanted;
-                }
-            }
-            later.add(&widest);
-        }
-    }
-
     /// When an occurrence is no longer in time.
     pub fn due(&self, occurrence: &Occurrence) -> Time {
         occurrence.begun + self.allowed
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -8,12 +8,9 @@
 use crate::job::Room;
 use crate::pool::Load;
 
-/// What is wanted more than is asked for, so that tasks of uneven sizes find a
+/// What is wanted more than is needed, so that tasks of uneven sizes find a
 /// worker that holds them.
 const HEADROOM: f64 = 1.15;
-/// The share of what comes later that counts now: by the time a worker has come,
-/// about half of it has its turn.
-const LATER: f64 = 0.5;
 /// How long the largest want of late is kept to. A move takes about this long,
 /// and one there and back costs more than the time that it saves; so a dip that
 /// is shorter is ridden out.
@@ -35,8 +32,8 @@
 /// use corianderfork_model::Time;
 ///
 /// let each = Room { cpu: 1_000, memory_mb: 1_000, gpu: 0 };
-/// let waiting = Room { cpu: 5_000, memory_mb: 0, gpu: 0 };
-/// let load = Load { waiting, ..Load::default() };
+/// let needed = Room { cpu: 5_000, memory_mb: 0, gpu: 0 };
+/// let load = Load { needed, ..Load::default() };
 /// assert_eq!(Size::default().want(Time::ZERO, &load, &each).held, 6);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -52,7 +49,7 @@
 pub struct Want {
     /// What it can't do without.
     pub least: u32,
-    /// What would do for all that runs or waits now.
+    /// What would do for all that is known now.
     pub now: u32,
     /// What it asks for: as much as it asked for at any time of late.
     pub held: u32,
@@ -112,7 +109,8 @@
         // One more for each lasting task that fits on none of those there are.
         let fitting = if load.unfit > 0 { load.workers + load.unfit } else { 0 };
         let least = load.rooted.max(LEAST).max(fitting);
-        let want = whole(self.ahead(now, demand(load, each)) * HEADROOM).max(least);
+        let demand = load.lasting.in_units_of(each) + load.needed.in_units_of(each);
+        let want = whole(self.ahead(now, demand) * HEADROOM).max(least);
         while self.wants.back().is_some_and(|(_, known)| *known <= want) {
             self.wants.pop_back();
         }
@@ -121,16 +119,10 @@
             self.wants.pop_front();
         }
         let held = self.wants.front().map_or(want, |(_, want)| *want);
-        let running = load.used.in_units_of(each) + load.waiting.in_units_of(each);
-        Want { least, now: whole(running * HEADROOM).max(least), held }
+        Want { least, now: whole(demand * HEADROOM).max(least), held }
     }
 }
 
-fn demand(load: &Load, each: &Room) -> f64 {
-    let now = load.used.in_units_of(each) + load.waiting.in_units_of(each);
-    now + load.later.in_units_of(each) * LATER
-}
-
 fn whole(number: f64) -> u32 {
     number.ceil().clamp(0.0, 1e6) as u32
 }
