--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -15,6 +15,9 @@
 /// The shortest time within which what waits is to be done: a worker takes longer
 /// than this to come, and what has to begin sooner can't be helped by it.
 const SOONEST: Duration = Duration::from_millis(1_000);
+/// How long a worker takes to come: it is moved, registers, is written down and
+/// looked at.
+const LEAD: Duration = Duration::from_millis(1_800);
 /// Within how long work is to be done that will be late whatever is done.
 const CATCH_UP: Duration = Duration::from_millis(3_000);
 /// A second: work over it is room.
@@ -74,7 +77,7 @@
                 widest = widest.max(&entry.widest_gang(row));
             }
         }
-        let flow = self.flow.rate(now);
+        let flow = self.flow.rate_ahead(now, LEAD);
         load.needed = stock.needed(&flow).max(&widest).to_room();
         load
     }
