--- a/crates/jobs/src/flow.rs
+++ b/crates/jobs/src/flow.rs
@@ -19,7 +19,7 @@
 /// See [`RECENT`].
 const BEFORE: Duration = Duration::from_millis(1_000);
 /// How many times as large the flow is taken to become at most.
-const GROWN: f64 = 1.6;
+const GROWN: f64 = 2.0;
 /// Arrivals kept: a bound on memory, above what comes in the longest window.
 const MOST: usize = 16_384;
 
