Refuse at once what the store is needed for while it is away

Change: `entry::outage`, pure, concludes from calls to the store, by whatever way, that it is away: one unanswered for 0.55 s, or two failed in a row with no answer for 0.25 s. Then a job is refused unwritten, with when to come back, unless its owner knows it (a repeated submission gets its 200). One small call every 0.2 s looks for the store's return. A submission waits for a quarter of its caller's time at most; one whose write may yet be carried out is told 504, also when it asks again at the same entry VM. While this VM alone is turned away one call tries the direct way and the others go on by way of peers. Seen red: `is_away_while_it_takes_calls_and_answers_none` fails without the bound on the oldest call, `is_away_not_after_one_lost_answer` with any unanswered call.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Callers: jobs handed in, asked for and taken back, at any entry VM.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::http::Failed;
@@ -26,6 +27,8 @@
 /// How long the store is asked to take a job before the caller is told that it
 /// did not. Within a quarter of the time that callers wait.
 const ACCEPT: Duration = Duration::from_millis(700);
+/// The part of the time that a caller waits in which its job is to be stored.
+const PATIENCE: u32 = 4;
 /// The pause between two tries.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Rows of a write that one job takes: two conditions and a value.
@@ -33,6 +36,11 @@
 /// Writes of jobs under way at once: a second one goes out while the first
 /// waits for its answer.
 const WRITES: usize = 4;
+/// How long a write without an answer may yet be carried out: the platform names
+/// some seconds, and callers ask again within as many.
+const UNSURE: Duration = Duration::from_secs(15);
+/// Jobs of which that is remembered: a bound on memory.
+const MOST_UNSURE: usize = 4_096;
 /// When a caller that is refused is told to come back, in seconds.
 const RETRY_AFTER: u64 = 1;
 /// How long an owner may take over a cancellation.
@@ -63,12 +71,20 @@
     node: Rc<Node>,
     waiting: RefCell<VecDeque<Waiting>>,
     writing: Cell<usize>,
+    /// Jobs of which it was told that nobody knows whether they were stored, and
+    /// when.
+    unsure: RefCell<HashMap<String, Time>>,
 }
 
 impl Gateway {
     /// The gateway of a daemon.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        Rc::new(Self { node, waiting: RefCell::default(), writing: Cell::new(0) })
+        Rc::new(Self {
+            node,
+            waiting: RefCell::default(),
+            writing: Cell::new(0),
+            unsure: RefCell::default(),
+        })
     }
 
     /// Answers a request.
@@ -129,8 +145,11 @@
             Ok(job) => job,
             Err(why) => return (Told::new(400, caller::error(&why)), "bad job"),
         };
+        if self.node.store.is_away() {
+            return self.submit_while_away(route, id).await;
+        }
         let record = Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job };
-        match self.store(route, id, &record).await {
+        match self.store(route, id, &record, patience(asked)).await {
             Accepted::Stored(revision) => {
                 if let Some(revision) = revision {
                     self.tell_owner(&route.pool, id, record, revision);
@@ -140,18 +159,54 @@
                     if revision.is_some() { "stored" } else { "known" },
                 )
             }
-            Accepted::NotStored => (refuse("the store took no job; come back"), "not stored"),
-            // It may be stored yet: 503 would promise that it never runs.
-            Accepted::Unknown => (
-                Told::new(
-                    504,
-                    caller::error("it is not known whether the job was stored; send it again"),
-                ),
-                "unknown",
-            ),
+            Accepted::NotStored if !self.is_unsure(id) => {
+                (refuse("the store took no job; come back"), "not stored")
+            }
+            Accepted::NotStored | Accepted::Unknown => {
+                self.note_unsure(id);
+                unknown()
+            }
+        }
+    }
+
+    /// What a job gets while the store is away: it can't be accepted, but it may
+    /// have been before.
+    async fn submit_while_away(&self, route: &Route, id: &str) -> (Told, &'static str) {
+        let ask = Ask::State { pool: route.pool.clone(), id: id.to_owned() };
+        match self.node.ask_owner(&route.pool, ask, peer::PROMPT).await {
+            Ok(Reply::State { .. }) => (Told::new(200, b"{}".to_vec()), "known"),
+            _ if self.is_unsure(id) => unknown(),
+            _ => (self.refuse_away("submit"), "store away"),
         }
     }
 
+    /// Notes that a write of a job may yet be carried out.
+    fn note_unsure(&self, id: &str) {
+        let now = clock::now();
+        let mut unsure = self.unsure.borrow_mut();
+        unsure.retain(|_, at| now - *at < UNSURE);
+        if unsure.len() < MOST_UNSURE {
+            unsure.insert(id.to_owned(), now);
+        }
+    }
+
+    /// Whether a write of a job may yet be carried out. To a later try of the same
+    /// job 503 would promise that it never runs.
+    fn is_unsure(&self, id: &str) -> bool {
+        let now = clock::now();
+        self.unsure.borrow().get(id).is_some_and(|at| now - *at < UNSURE)
+    }
+
+    /// Refuses what the store is needed for while it is away: nothing was written.
+    fn refuse_away(&self, what: &'static str) -> Told {
+        let (silent, failures) = self.node.store.evidence();
+        self.node.trace.line(
+            "refused while the store is away",
+            json!({ "what": what, "silent_ms": ms(silent), "failures": failures }),
+        );
+        refuse("the store is away; nothing was done; come back")
+    }
+
     /// Tells the owner at once; its watch would, a moment later.
     fn tell_owner(self: &Rc<Self>, pool: &str, id: &str, record: Record, revision: u64) {
         let (node, pool) = (self.node.clone(), pool.to_owned());
@@ -167,7 +222,13 @@
         });
     }
 
-    async fn store(self: &Rc<Self>, route: &Route, id: &str, record: &Record) -> Accepted {
+    async fn store(
+        self: &Rc<Self>,
+        route: &Route,
+        id: &str,
+        record: &Record,
+        within: Duration,
+    ) -> Accepted {
         let pools = self.node.pools_of(&route.name, &route.pool);
         for earlier in pools.iter().skip(1) {
             match self.is_known(earlier, id).await {
@@ -181,12 +242,24 @@
             pool: route.pool.clone(),
             id: id.to_owned(),
             value: serde_json::to_vec(record).unwrap_or_default(),
-            until: clock::now() + ACCEPT,
+            until: clock::now() + within,
             maybe: false,
             told,
         });
         self.write_some();
-        accepted.await.unwrap_or(Accepted::Unknown)
+        match timeout(within, accepted).await {
+            Ok(accepted) => accepted.unwrap_or(Accepted::Unknown),
+            Err(_) => self.withdraw(id),
+        }
+    }
+
+    /// Gives a job up whose time is over. One that still waits for its write is
+    /// certainly not stored; a write that is under way may yet be carried out.
+    fn withdraw(&self, id: &str) -> Accepted {
+        let mut waiting = self.waiting.borrow_mut();
+        let before = waiting.len();
+        waiting.retain(|job| job.id != id || job.maybe);
+        if waiting.len() < before { Accepted::NotStored } else { Accepted::Unknown }
     }
 
     /// Starts a write of what waits, unless enough are under way: what comes
@@ -236,7 +309,7 @@
                 Err(Error::NotDone(_)) => false,
             };
             jobs.iter_mut().for_each(|job| job.maybe |= failed);
-            jobs = give_up(jobs);
+            jobs = give_up(jobs, self.node.store.is_away());
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -253,6 +326,7 @@
                 Ok(Reply::State { state }) => {
                     return (Told::new(200, caller::state(state)), "owner");
                 }
+                _ if self.node.store.is_away() => is_failed = true,
                 _ => match self.look_up(&pool, id).await {
                     Ok(Next::Found(state)) => {
                         return (Told::new(200, caller::state(state)), "store");
@@ -324,10 +398,12 @@
     txn
 }
 
-/// Answers those whose time is over, and keeps the others.
-fn give_up(jobs: Vec<Waiting>) -> Vec<Waiting> {
+/// Answers those whose time is over, or all if the store is away, and keeps the
+/// others.
+fn give_up(jobs: Vec<Waiting>, is_away: bool) -> Vec<Waiting> {
     let now = clock::now();
-    let (over, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(|job| now >= job.until);
+    let is_over = |job: &Waiting| is_away || now >= job.until;
+    let (over, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(is_over);
     for job in over {
         let accepted = if job.maybe { Accepted::Unknown } else { Accepted::NotStored };
         let _ = job.told.send(accepted);
@@ -335,6 +411,20 @@
     rest
 }
 
+/// How long a caller's job may wait to be stored: a part of the time that the
+/// caller waits. One that is close to its deadline is told before it.
+fn patience(asked: &Asked) -> Duration {
+    let deadline = asked.deadline_ms.map_or(ACCEPT, |ms| Duration::from_millis(ms) / PATIENCE);
+    ACCEPT.min(deadline).max(PAUSE)
+}
+
+/// What a caller gets whose job may be stored yet: 503 would promise that it never
+/// runs.
+fn unknown() -> (Told, &'static str) {
+    let why = "it is not known whether the job was stored; send it again";
+    (Told::new(504, caller::error(why)), "unknown")
+}
+
 fn refuse(why: &str) -> Told {
     Told { status: 503, body: caller::error(why), retry_after: Some(RETRY_AFTER) }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod heard;
 pub mod lookup;
+pub mod outage;
 pub mod settings;
 
 mod clock;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -215,6 +215,10 @@
         self.waiting.borrow_mut().push((id, told));
         self.wake.notify_one();
         self.journal.notify_one();
+        // What runs is stopped all the same; the caller comes back for the word.
+        if self.node.store.is_away() {
+            return Reply::Later;
+        }
         match timeout(CANCEL, written).await {
             Ok(Ok(())) => Reply::Done,
             _ => Reply::Later,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -98,6 +98,8 @@
     }
     node.trace.key("started", json!({ "boot": node.boot, "callers": node.settings.callers }));
     node.store.set_relay(relay(&node));
+    let prober = node.clone();
+    spawn_local(async move { prober.store.probe().await });
     spawn_local(follow::operators(node.clone()));
     spawn_local(follow::entries(node.clone()));
     spawn_local(follow::workers(node.clone()));
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::http::{Client, Failed};
 use crate::metrics::Metrics;
+use crate::outage::Outage;
 use crate::trace::Trace;
 
 /// How long an answer of the store may take. It answers in milliseconds; when it
@@ -20,6 +21,12 @@
 const ANSWER: Duration = Duration::from_millis(800);
 /// How much longer than it was asked to wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
+/// The kind of calls that wait for changes.
+const WATCH: &str = "watch";
+/// The pause between two probes while the store is away.
+const PROBE: Duration = Duration::from_millis(200);
+/// A key that is read to see whether the store answers; it need not be there.
+const PROBE_KEY: &str = "entry/probe";
 /// Pages of one read: a bound on a read that never ends.
 const MAX_PAGES: usize = 2_000;
 
@@ -53,6 +60,7 @@
     is_direct: Cell<bool>,
     /// When a direct call is tried again.
     retry_direct: Cell<Time>,
+    outage: RefCell<Outage>,
 }
 
 /// How long a VM that was turned away uses its peers before it tries again.
@@ -70,6 +78,7 @@
             answered: Cell::new(Time::ZERO),
             is_direct: Cell::new(true),
             retry_direct: Cell::new(Time::ZERO),
+            outage: RefCell::default(),
         }
     }
 
@@ -83,6 +92,33 @@
         self.answered.get()
     }
 
+    /// Whether the store is taken to be away, for this VM and its peers.
+    pub fn is_away(&self) -> bool {
+        self.outage.borrow().is_away(clock::now())
+    }
+
+    /// What [`Store::is_away`] rests on, for the log: how long ago it last
+    /// answered, and how many calls have failed since.
+    pub fn evidence(&self) -> (Duration, u32) {
+        self.outage.borrow().evidence(clock::now())
+    }
+
+    /// Asks the store now and then while it is away, so that its return is noticed
+    /// by one small call and not by those of callers.
+    pub async fn probe(&self) {
+        loop {
+            tokio::time::sleep(PROBE).await;
+            if self.is_away() {
+                let answer = self.direct(&store::get(PROBE_KEY), "probe", ANSWER).await;
+                if matches!(&answer, Ok((status, _)) if *status != 429 && *status != 503) {
+                    self.outage.borrow_mut().heard(clock::now());
+                    // Connections of the time before may be silent for good.
+                    self.retry_direct.set(Time::ZERO);
+                }
+            }
+        }
+    }
+
     /// Makes a call for a peer: once, and without a detour.
     pub async fn relayed(&self, call: &Call, within: Duration) -> Result<(u16, Bytes), Failed> {
         self.direct(call, "relayed", within).await
@@ -122,11 +158,44 @@
         call: &Call,
         kind: &'static str,
         within: Duration,
+    ) -> Result<(u16, Bytes), Failed> {
+        // A watch is answered when something changes, and tells nothing by waiting.
+        if kind == WATCH {
+            let answer = self.call_any_way(call, kind, within).await;
+            if is_answer(&answer) {
+                self.outage.borrow_mut().heard(clock::now());
+            }
+            return answer;
+        }
+        let sent = self.outage.borrow_mut().sent(clock::now());
+        let answer = self.call_any_way(call, kind, within).await;
+        if is_answer(&answer) {
+            self.outage.borrow_mut().answered(clock::now(), sent);
+        } else {
+            self.outage.borrow_mut().failed(sent);
+        }
+        answer
+    }
+
+    async fn call_any_way(
+        &self,
+        call: &Call,
+        kind: &'static str,
+        within: Duration,
     ) -> Result<(u16, Bytes), Failed> {
         let mut is_lost = false;
-        if clock::now() >= self.retry_direct.get() {
+        let now = clock::now();
+        if now >= self.retry_direct.get() {
+            if !self.is_direct.get() {
+                // One call tries; the others go on by way of peers, rather than
+                // wait for a store that still doesn't answer this VM.
+                self.retry_direct.set(now + ANSWER + DETOUR);
+            }
             match self.direct(call, kind, within).await {
-                Ok((status, body)) if status != 429 && status != 503 => return Ok((status, body)),
+                Ok((status, body)) if status != 429 && status != 503 => {
+                    self.retry_direct.set(Time::ZERO);
+                    return Ok((status, body));
+                }
                 Ok(_) => {}
                 Err(failed) => is_lost = failed == Failed::Lost,
             }
@@ -190,7 +259,7 @@
     pub async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched, Error> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(1_000);
         let call = store::watch(prefix, after, wait_ms);
-        let (status, body) = self.call(&call, "watch", wait + WATCH_SLACK).await.map_err(failed)?;
+        let (status, body) = self.call(&call, WATCH, wait + WATCH_SLACK).await.map_err(failed)?;
         store::watched(status, &body).map_err(fault)
     }
 
@@ -233,6 +302,11 @@
     }
 }
 
+/// Whether the store itself answered, rather than turned the call away.
+fn is_answer(answer: &Result<(u16, Bytes), Failed>) -> bool {
+    matches!(answer, Ok((status, _)) if *status != 429 && *status != 503)
+}
+
 fn failed(failed: Failed) -> Error {
     match failed {
         Failed::Unsent => Error::NotDone("the store can't be reached".to_owned()),
