--- /dev/null
+++ b/crates/entry/src/arrivals.rs
@@ -0,0 +1,127 @@
+//! VMs on their way to a pool, and what the pool has with them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use corianderfork_adapter::fleet::{State, Vm};
+use corianderfork_jobs::pool::Load;
+use corianderfork_model::Time;
+
+/// How long a VM counts as coming at most after the list has it in its new pool,
+/// if the pool's owner doesn't count its worker: it registers, is written down and
+/// looked at, which takes some hundreds of milliseconds.
+const ARRIVAL: Duration = Duration::from_millis(2_500);
+/// How long an order for a move counts as under way though the list, which lags,
+/// has the VM where it was.
+const LAG: Duration = Duration::from_millis(1_500);
+
+struct Coming {
+    pool: String,
+    ordered: Time,
+    arrived: Option<Time>,
+    /// The life of its worker, once it is there.
+    worker: String,
+}
+
+/// VMs that were ordered to a pool and that its owner doesn't count yet. Pure.
+///
+/// A VM is either among these or among the workers that the owner counts, never
+/// both. One that counted twice for half a second after it had come had its pool
+/// give up as many workers as had just come: VMs went back in the middle of the
+/// ramp that had sent for them.
+#[derive(Default)]
+pub struct Arrivals {
+    coming: HashMap<String, Coming>,
+}
+
+impl Arrivals {
+    /// A VM was ordered to a pool.
+    pub fn order(&mut self, now: Time, vm: &str, pool: &str) {
+        let (pool, worker) = (pool.to_owned(), String::new());
+        self.coming.insert(vm.to_owned(), Coming { pool, ordered: now, arrived: None, worker });
+    }
+
+    /// The order was not carried out.
+    pub fn cancel(&mut self, vm: &str) {
+        self.coming.remove(vm);
+    }
+
+    /// Takes in a list of all VMs that was asked for at `listed`.
+    pub fn settle(&mut self, listed: Time, vms: &BTreeMap<String, Vm>) {
+        self.coming.retain(|name, coming| {
+            let Some(vm) = vms.get(name) else { return false };
+            let is_there = vm.pool == coming.pool && vm.state == State::Up && !vm.worker.is_empty();
+            if is_there {
+                let arrived = *coming.arrived.get_or_insert(listed);
+                coming.worker.clone_from(&vm.worker);
+                return listed - arrived < ARRIVAL;
+            }
+            let is_under_way = vm.state == State::Moving || listed - coming.ordered < LAG;
+            is_under_way && vm.state != State::Down
+        });
+    }
+
+    /// Lives of workers that have come to a pool and that its owner is not known to
+    /// count.
+    pub fn uncounted(&self, pool: &str) -> Vec<String> {
+        let is_there = |coming: &&Coming| coming.pool == pool && !coming.worker.is_empty();
+        self.coming.values().filter(is_there).map(|coming| coming.worker.clone()).collect()
+    }
+
+    /// The owner of a pool counts these lives.
+    pub fn counted(&mut self, pool: &str, lives: &[String]) {
+        self.coming.retain(|_, coming| coming.pool != pool || !lives.contains(&coming.worker));
+    }
+
+    /// How many VMs are on their way to a pool.
+    pub fn number(&self, pool: &str) -> usize {
+        self.coming.values().filter(|coming| coming.pool == pool).count()
+    }
+
+    /// Whether a VM is on its way.
+    pub fn has(&self, vm: &str) -> bool {
+        self.coming.contains_key(vm)
+    }
+
+    /// The pool that a VM is on its way to.
+    pub fn pool_of(&self, vm: &str) -> Option<&str> {
+        self.coming.get(vm).map(|coming| coming.pool.as_str())
+    }
+}
+
+/// What a pool has.
+///
+/// ```
+/// use corianderfork_entry::arrivals::Stock;
+///
+/// let stock = Stock { there: 12, coming: 8 };
+/// assert_eq!(stock.missing(25), 5);
+/// assert_eq!(stock.keep(15), Some(7));
+/// assert_eq!(stock.keep(20), None);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stock {
+    /// Workers there; those too that are to run empty, since they take work again
+    /// as soon as the pool is to keep more.
+    pub there: usize,
+    /// VMs on their way.
+    pub coming: usize,
+}
+
+impl Stock {
+    /// What a pool of this load has with `coming` on their way.
+    pub fn new(load: &Load, coming: usize) -> Self {
+        Self { there: (load.workers + load.surplus) as usize, coming }
+    }
+
+    /// How many VMs are to be ordered for the pool to have `target`.
+    pub fn missing(&self, target: usize) -> usize {
+        target.saturating_sub(self.there + self.coming)
+    }
+
+    /// How many of its workers the pool is to keep; `None` for all.
+    pub fn keep(&self, target: usize) -> Option<usize> {
+        let keep = target.saturating_sub(self.coming);
+        (keep < self.there).then_some(keep)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,10 +6,12 @@
 //! rest brings that and the world together, as tasks of one thread.
 
 pub mod absence;
+pub mod arrivals;
 pub mod duty;
 pub mod heard;
 pub mod lookup;
 pub mod outage;
+pub mod pacing;
 pub mod settings;
 
 mod clock;
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::absence::Absence;
+use crate::arrivals::Arrivals;
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
 use crate::member;
@@ -60,7 +61,7 @@
     /// Waves that operators were told to be under way.
     told: BTreeSet<u64>,
     /// VMs on their way to a pool.
-    coming: HashMap<String, size::Coming>,
+    coming: Arrivals,
     /// What is known of each pool's size.
     sizes: HashMap<String, size::Pool>,
     /// VMs of waves that lists leave out.
@@ -74,8 +75,8 @@
     /// Orders that may go out, as of `allowed_at`.
     allowed: f64,
     allowed_at: Time,
-    /// Whether pools asked for more VMs than there are when last looked at.
-    is_scarce: bool,
+    /// Whether pools asked for more VMs than were free when last looked at.
+    is_short: bool,
 }
 
 /// Calls the fleet's service.
@@ -89,7 +90,7 @@
     let name = node.settings.name.as_str().to_owned();
     let holder = Holder { name, fence };
     let (waves, away, told) = (BTreeMap::new(), HashMap::new(), BTreeSet::new());
-    let (coming, sizes) = (HashMap::new(), HashMap::new());
+    let (coming, sizes) = (Arrivals::default(), HashMap::new());
     let (barred, ordered) = (BTreeMap::new(), BTreeMap::new());
     let mut planner = Planner {
         node: node.clone(),
@@ -104,7 +105,7 @@
         ordered,
         allowed: 0.0,
         allowed_at: Time::ZERO,
-        is_scarce: false,
+        is_short: false,
     };
     planner.load().await;
     node.trace.key("duty begun", json!({ "duty": FLEET, "fence": fence }));
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -2,7 +2,6 @@
 //! none.
 
 use std::collections::{BTreeMap, HashSet};
-use std::time::Duration;
 
 use corianderfork_adapter::fleet::{self, Answer, State, Vm};
 use corianderfork_jobs::job::Room;
@@ -13,30 +12,15 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::Planner;
+use crate::arrivals::Stock;
 use crate::clock;
 use crate::peer::{Ask, Reply};
 
-/// How long a VM counts as coming at most after the list has it in its new pool,
-/// if the pool's owner doesn't count its worker: it registers, is written down and
-/// looked at, which takes some hundreds of milliseconds.
-const ARRIVAL: Duration = Duration::from_millis(2_500);
-/// How long an order for a move counts as under way though the list, which lags,
-/// has the VM where it was.
-const LAG: Duration = Duration::from_millis(1_500);
 /// Orders under way at once.
 const AT_ONCE: usize = 24;
 /// Keeps all workers of a pool.
 const ALL: u32 = u32::MAX;
 
-/// A VM that was ordered to a pool.
-pub(super) struct Coming {
-    pool: String,
-    ordered: Time,
-    arrived: Option<Time>,
-    /// The life of its worker, once it is there.
-    worker: String,
-}
-
 /// What is known of a pool's size.
 #[derive(Default)]
 pub(super) struct Pool {
@@ -51,27 +35,10 @@
 struct Asked {
     pool: String,
     load: Load,
-    coming: usize,
+    stock: Stock,
     want: Want,
 }
 
-impl Asked {
-    /// What the pool has or will have without another order.
-    ///
-    /// A worker counts once. *Before that was so* one that had just come counted
-    /// as there and as coming; the pool was told to give up as many as had come,
-    /// and VMs went back in the middle of the ramp that had sent for them. A
-    /// worker that is to run empty counts as well: it takes work again as soon as
-    /// the pool is to keep more.
-    fn have(&self) -> usize {
-        self.there() + self.coming
-    }
-
-    fn there(&self) -> usize {
-        (self.load.workers + self.load.surplus) as usize
-    }
-}
-
 struct Need {
     pool: String,
     missing: usize,
@@ -80,27 +47,29 @@
 impl Planner {
     /// Sends VMs where work waits, and those that idle to the spares.
     pub(super) async fn tick_sizes(&mut self, listed_at: Time, vms: &BTreeMap<String, Vm>) {
-        self.settle_coming(listed_at, vms);
+        self.coming.settle(listed_at, vms);
         let (pools, spares) = self.pools();
         let Some(each) = usual_room(vms) else { return };
         let mut free = self.spare_vms(vms, &spares);
         let asked = self.ask_loads(&pools, &each).await;
         let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
         let total = there(vms);
-        self.is_scarce = wants.iter().map(|want| want.now).sum::<u32>() > total;
         let mut needs = Vec::new();
         let mut keeps = Vec::new();
         for (asked, target) in asked.iter().zip(share(&wants, total)) {
             let target = target as usize;
             self.log_size(asked, target);
-            if asked.have() < target {
-                needs.push(Need { pool: asked.pool.clone(), missing: target - asked.have() });
+            let missing = asked.stock.missing(target);
+            if missing > 0 {
+                needs.push(Need { pool: asked.pool.clone(), missing });
             }
             keeps.extend(self.keep(asked, target));
         }
         let idle = self.shrink(keeps, vms).await;
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
+        let missing: usize = needs.iter().map(|need| need.missing).sum();
         free.extend(idle.iter().cloned());
+        self.is_short = missing > free.len();
         let moves = moves(&needs, &free, &idle, spares.first());
         let most = self.allowance();
         let moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
@@ -137,27 +106,21 @@
     }
 
     async fn ask_loads(&mut self, pools: &[String], each: &Room) -> Vec<Asked> {
-        let ask = |pool: &String| Ask::Load { pool: pool.clone(), arrived: self.arrived(pool) };
+        let ask =
+            |pool: &String| Ask::Load { pool: pool.clone(), arrived: self.coming.uncounted(pool) };
         let replies = self.ask_all(pools.iter().map(ask).collect()).await;
         let mut asked = Vec::new();
         for (pool, reply) in pools.iter().zip(replies) {
             let Some(Reply::Load { load, counted }) = reply else { continue };
-            self.coming.retain(|_, c| c.pool != *pool || !counted.contains(&c.worker));
-            let coming = self.coming.values().filter(|coming| coming.pool == *pool).count();
+            self.coming.counted(pool, &counted);
+            let stock = Stock::new(&load, self.coming.number(pool));
             let known = self.sizes.entry(pool.clone()).or_default();
             let want = known.size.want(clock::now(), &load, each);
-            asked.push(Asked { pool: pool.clone(), load, coming, want });
+            asked.push(Asked { pool: pool.clone(), load, stock, want });
         }
         asked
     }
 
-    /// Lives of workers that have come to a pool and that its owner is not known to
-    /// count.
-    fn arrived(&self, pool: &str) -> Vec<String> {
-        let is_there = |coming: &&Coming| coming.pool == pool && !coming.worker.is_empty();
-        self.coming.values().filter(is_there).map(|coming| coming.worker.clone()).collect()
-    }
-
     fn log_size(&mut self, asked: &Asked, target: usize) {
         let Some(known) = self.sizes.get_mut(&asked.pool) else { return };
         if std::mem::replace(&mut known.target, target) != target {
@@ -165,7 +128,7 @@
             self.node.trace.line(
                 "pool sized",
                 json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
-                    "workers": load.workers, "surplus": load.surplus, "coming": asked.coming, "rooted": load.rooted,
+                    "workers": load.workers, "surplus": load.surplus, "coming": asked.stock.coming, "rooted": load.rooted,
                     "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
                     "needed": load.needed }),
             );
@@ -182,20 +145,6 @@
         (names(pools), names(spares))
     }
 
-    fn settle_coming(&mut self, listed_at: Time, vms: &BTreeMap<String, Vm>) {
-        self.coming.retain(|name, coming| {
-            let Some(vm) = vms.get(name) else { return false };
-            let is_there = vm.pool == coming.pool && vm.state == State::Up && !vm.worker.is_empty();
-            if is_there {
-                let arrived = *coming.arrived.get_or_insert(listed_at);
-                coming.worker.clone_from(&vm.worker);
-                return listed_at - arrived < ARRIVAL;
-            }
-            let is_under_way = vm.state == State::Moving || listed_at - coming.ordered < LAG;
-            is_under_way && vm.state != State::Down
-        });
-    }
-
     /// VMs of the spares that may be moved.
     fn spare_vms(&self, vms: &BTreeMap<String, Vm>, spares: &[String]) -> Vec<String> {
         let is_free = |vm: &&Vm| {
@@ -205,24 +154,19 @@
     }
 
     fn is_ordered(&self, vm: &str) -> bool {
-        self.coming.contains_key(vm) || self.away.contains_key(vm) || !self.may_order_vm(vm)
+        self.coming.has(vm) || self.away.contains_key(vm) || !self.may_order_vm(vm)
     }
 
     /// What the owner of a pool is to be told of its size, if anything: it keeps
     /// all until it is told otherwise.
     fn keep(&mut self, asked: &Asked, target: usize) -> Option<Ask> {
         let known = self.sizes.get_mut(&asked.pool)?;
-        let keep = target.saturating_sub(asked.coming);
-        // Those that run empty already count: told to keep all because the others
-        // are no more than it keeps, an owner would have them take work again, and
-        // they would never be empty. One notices it by a pool whose number of
-        // workers falls and rises again with each decision.
-        let is_more = keep < asked.there();
-        if !is_more && !known.is_shrunk {
+        let keep = asked.stock.keep(target);
+        if keep.is_none() && !known.is_shrunk {
             return None;
         }
-        known.is_shrunk = is_more;
-        let keep = if is_more { u32::try_from(keep).unwrap_or(ALL) } else { ALL };
+        known.is_shrunk = keep.is_some();
+        let keep = keep.and_then(|keep| u32::try_from(keep).ok()).unwrap_or(ALL);
         Some(Ask::Shrink { pool: asked.pool.clone(), keep })
     }
 
@@ -242,9 +186,7 @@
 
     fn transfer(&mut self, vm: &Vm, pool: String) -> JoinHandle<(Vm, Option<Answer>)> {
         let call = fleet::transfer(&vm.name, &pool, &self.holder);
-        let (ordered, worker) = (clock::now(), String::new());
-        let coming = Coming { pool, ordered, arrived: None, worker };
-        self.coming.insert(vm.name.clone(), coming);
+        self.coming.order(clock::now(), &vm.name, &pool);
         let (node, vm) = (self.node.clone(), vm.clone());
         spawn_local(async move {
             let answer = super::call(&node, &call).await;
@@ -253,7 +195,7 @@
     }
 
     fn transferred(&mut self, vm: &Vm, answer: Option<Answer>) {
-        let pool = self.coming.get(&vm.name).map(|coming| coming.pool.clone());
+        let pool = self.coming.pool_of(&vm.name);
         self.node.trace.line(
             "move ordered",
             json!({ "vm": vm.name, "from": vm.pool, "pool": pool, "worker": vm.worker,
@@ -263,7 +205,7 @@
             Some(Answer::Fenced) => self.node.planner.set(None),
             Some(Answer::Done) | None => {}
             Some(Answer::Busy | Answer::Refused | Answer::Unavailable) => {
-                self.coming.remove(&vm.name);
+                self.coming.cancel(&vm.name);
             }
         }
     }
