--- a/crates/jobs/src/flow.rs
+++ b/crates/jobs/src/flow.rs
@@ -13,13 +13,6 @@
     [Duration::from_millis(500), Duration::from_millis(1_000), Duration::from_millis(2_000)];
 /// How many standard errors below what was seen the flow is taken to be.
 const CAUTION: f64 = 0.5;
-/// The time over which a growing flow is measured, and the time before that it is
-/// compared with.
-const RECENT: Duration = Duration::from_millis(500);
-/// See [`RECENT`].
-const BEFORE: Duration = Duration::from_millis(1_000);
-/// How many times as large the flow is taken to become at most.
-const GROWN: f64 = 2.0;
 /// Arrivals kept: a bound on memory, above what comes in the longest window.
 const MOST: usize = 16_384;
 
@@ -70,43 +63,17 @@
     pub fn rate(&self, now: Time) -> Work {
         let mut most = Work::default();
         for window in WINDOWS {
-            let seen = self.seen(now, Duration::ZERO, window);
-            most = most.max(&seen.rate.less(&seen.error.times(CAUTION)));
+            most = most.max(&self.rate_over(now, window));
         }
         most
     }
 
-    /// The room that the flow will keep busy `lead` from now, if it grows on as it
-    /// has of late. Growth that may be chance is not carried on, nor more than
-    /// [`GROWN`].
-    pub fn rate_ahead(&self, now: Time, lead: Duration) -> Work {
-        let rate = self.rate(now);
-        let last = self.seen(now, Duration::ZERO, RECENT);
-        let before = self.seen(now, RECENT, RECENT + BEFORE);
-        let mut error = last.error.squared();
-        error.add(&before.error.squared());
-        let grown = last.rate.less(&before.rate).less(&error.root().times(CAUTION));
-        let apart = (RECENT + BEFORE) / 2;
-        let mut ahead = rate;
-        ahead.add(&grown.per(apart).times(lead.as_secs_f64()));
-        ahead.min(&rate.times(GROWN))
-    }
-
-    /// What came in between `from` and `to` ago.
-    fn seen(&self, now: Time, from: Duration, to: Duration) -> Seen {
+    fn rate_over(&self, now: Time, window: Duration) -> Work {
         let (mut sum, mut squares) = (Work::default(), Work::default());
-        let is_in = |at: Time| now - at >= from && now - at < to;
-        for (_, work) in self.arrivals.iter().filter(|(at, _)| is_in(*at)) {
+        for (_, work) in self.arrivals.iter().filter(|(at, _)| now - *at < window) {
             sum.add(work);
             squares.add(&work.squared());
         }
-        let window = to - from;
-        Seen { rate: sum.per(window), error: squares.root().per(window) }
+        sum.less(&squares.root().times(CAUTION)).per(window)
     }
 }
-
-/// A rate and its standard error, if jobs come by chance.
-struct Seen {
-    rate: Work,
-    error: Work,
-}
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -15,12 +15,6 @@
 /// The shortest time within which what waits is to be done: a worker takes longer
 /// than this to come, and what has to begin sooner can't be helped by it.
 const SOONEST: Duration = Duration::from_millis(1_000);
-/// How long a worker takes to come: it is moved, registers, is written down and
-/// looked at.
-const LEAD: Duration = Duration::from_millis(1_800);
-/// How long after its begin an owner knows little of the flow: of what came before
-/// it finds only what isn't done. Until then a pool keeps what runs.
-const UNINFORMED: Duration = Duration::from_millis(2_000);
 /// Within how long work is to be done that will be late whatever is done.
 const CATCH_UP: Duration = Duration::from_millis(3_000);
 /// A second: work over it is room.
@@ -80,12 +74,8 @@
                 widest = widest.max(&entry.widest_gang(row));
             }
         }
-        let flow = self.flow.rate_ahead(now, LEAD);
-        let mut needed = stock.needed(&flow).max(&widest);
-        if self.begun.is_none_or(|begun| now - begun < UNINFORMED) {
-            needed = needed.max(&stock.running);
-        }
-        load.needed = needed.to_room();
+        let flow = self.flow.rate(now);
+        load.needed = stock.needed(&flow).max(&widest).to_room();
         load
     }
 
@@ -105,7 +95,6 @@
             }
             let room = step.room();
             stock.room.add(&Work::of(&room.times(state.left), ONCE));
-            stock.running.add(&Work::of(&room.times(state.left - state.waiting), ONCE));
             let waiting = Work::of(&room.times(state.waiting), takes[index]);
             stock.backlog.add(&waiting.per(within));
         }
@@ -146,8 +135,6 @@
 struct Stock {
     /// What all tasks take whose turn has come.
     room: Work,
-    /// What those take that are on a worker.
-    running: Work,
     /// What is needed for what waits to be done while it is in time.
     backlog: Work,
 }
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -15,6 +15,10 @@
 /// and one there and back costs more than the time that it saves; so a dip that
 /// is shorter is ridden out.
 const HOLD: Duration = Duration::from_millis(700);
+/// Over how long the growth of the demand is measured.
+const SLOPE: Duration = Duration::from_millis(1_000);
+/// How far ahead of the demand workers are ordered: as long as a move takes.
+const LEAD: Duration = Duration::from_millis(1_500);
 /// Workers that a pool keeps whatever it is asked for: work that comes finds one
 /// at once, and the loss of one is not the loss of all.
 const LEAST: u32 = 2;
@@ -36,6 +40,8 @@
 pub struct Size {
     /// Wants of late, falling from the first to the last.
     wants: VecDeque<(Time, u32)>,
+    /// Demands of late, in workers.
+    demands: VecDeque<(Time, f64)>,
 }
 
 /// What a pool asks for.
@@ -82,13 +88,29 @@
 }
 
 impl Size {
+    /// The demand that a worker ordered now will meet, if it grows on as it has
+    /// of late.
+    fn ahead(&mut self, now: Time, demand: f64) -> f64 {
+        self.demands.push_back((now, demand));
+        while self.demands.front().is_some_and(|(at, _)| now - *at > SLOPE) {
+            self.demands.pop_front();
+        }
+        let Some((at, before)) = self.demands.front().copied() else { return demand };
+        let since = (now - at).as_secs_f64();
+        if since < SLOPE.as_secs_f64() / 2.0 {
+            return demand;
+        }
+        let growth = ((demand - before) / since).max(0.0);
+        demand + growth * LEAD.as_secs_f64()
+    }
+
     /// How many workers of room `each` the pool is to have.
     pub fn want(&mut self, now: Time, load: &Load, each: &Room) -> Want {
         // One more for each lasting task that fits on none of those there are.
         let fitting = if load.unfit > 0 { load.workers + load.unfit } else { 0 };
         let least = load.rooted.max(LEAST).max(fitting);
         let demand = load.lasting.in_units_of(each) + load.needed.in_units_of(each);
-        let want = whole(demand * HEADROOM).max(least);
+        let want = whole(self.ahead(now, demand) * HEADROOM).max(least);
         while self.wants.back().is_some_and(|(_, known)| *known <= want) {
             self.wants.pop_back();
         }
@@ -97,7 +119,7 @@
             self.wants.pop_front();
         }
         let held = self.wants.front().map_or(want, |(_, want)| *want);
-        Want { least, now: want, held }
+        Want { least, now: whole(demand * HEADROOM).max(least), held }
     }
 }
 
