--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod heard;
 pub mod lookup;
 pub mod outage;
-pub mod pacing;
 pub mod settings;
 
 mod clock;
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -75,8 +75,8 @@
     /// Orders that may go out, as of `allowed_at`.
     allowed: f64,
     allowed_at: Time,
-    /// Whether pools asked for more VMs than were free when last looked at.
-    is_short: bool,
+    /// Whether pools asked for more VMs than there are when last looked at.
+    is_scarce: bool,
 }
 
 /// Calls the fleet's service.
@@ -105,7 +105,7 @@
         ordered,
         allowed: 0.0,
         allowed_at: Time::ZERO,
-        is_short: false,
+        is_scarce: false,
     };
     planner.load().await;
     node.trace.key("duty begun", json!({ "duty": FLEET, "fence": fence }));
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -54,6 +54,7 @@
         let asked = self.ask_loads(&pools, &each).await;
         let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
         let total = there(vms);
+        self.is_scarce = wants.iter().map(|want| want.now).sum::<u32>() > total;
         let mut needs = Vec::new();
         let mut keeps = Vec::new();
         for (asked, target) in asked.iter().zip(share(&wants, total)) {
@@ -67,9 +68,7 @@
         }
         let idle = self.shrink(keeps, vms).await;
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
-        let missing: usize = needs.iter().map(|need| need.missing).sum();
         free.extend(idle.iter().cloned());
-        self.is_short = missing > free.len();
         let moves = moves(&needs, &free, &idle, spares.first());
         let most = self.allowance();
         let moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -1,6 +1,7 @@
 //! Waves: each VM of them is emptied and maintained in its time.
 
 use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
 
 use corianderfork_adapter::config::{self, Wave};
 use corianderfork_adapter::fleet::{self, Answer, State, Vm};
@@ -11,9 +12,15 @@
 use super::{AHEAD, Planner, Progress, WAVES};
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
-use crate::pacing;
 use crate::peer::{Ask, Reply};
 
+/// How long one round of a wave takes: a VM is emptied, which takes as long as
+/// its longest task, and maintained for two seconds.
+const ROUND: Duration = Duration::from_millis(4_500);
+/// What is kept in reserve until a wave's deadline: lasting tasks leave a VM one
+/// after the other.
+const RESERVE: Duration = Duration::from_millis(6_000);
+
 impl Planner {
     pub(super) async fn tick_wave(&mut self, wave: &Wave, vms: &BTreeMap<String, Vm>) {
         if self.told.insert(wave.number) {
@@ -30,13 +37,13 @@
             return;
         }
         let left: Vec<&Vm> = names.into_iter().filter_map(|name| vms.get(name)).collect();
-        let at_once = self.pace(wave, left.len()).at_once(self.is_short);
+        let may_wait = self.is_scarce && self.may_wait(wave, left.len());
         let is_away = |name: &String| {
             self.away.contains_key(name)
                 || vms.get(name).is_some_and(|v| v.state == State::Maintained)
         };
         let away = wave.vms.iter().filter(|name| is_away(name)).count();
-        let may_go = at_once.saturating_sub(away);
+        let may_go = wave.most.saturating_sub(away);
         if may_go == 0 {
             return;
         }
@@ -46,6 +53,8 @@
         let mut ready: Vec<&Vm> = left.into_iter().filter(is_ready).collect();
         // VMs without a worker have nothing to be emptied of.
         ready.sort_by_key(|vm| (!vm.worker.is_empty(), vm.name.clone()));
+        // Those whose work would have to go elsewhere wait for a calmer moment.
+        ready.retain(|vm| vm.worker.is_empty() || !may_wait);
         ready.truncate(may_go + AHEAD);
         let allowance = self.allowance();
         let mut empty = self.empty_of(&ready).await;
@@ -60,11 +69,13 @@
         }
     }
 
-    fn pace(&self, wave: &Wave, left: usize) -> pacing::Wave {
+    /// Whether there is time enough to maintain the VMs that are left later.
+    fn may_wait(&self, wave: &Wave, left: usize) -> bool {
         let waves = self.node.waves.borrow();
-        // One that is no longer known has no time left.
-        let age = waves.get(&wave.number).map_or(wave.within, |(_, since)| clock::now() - *since);
-        pacing::Wave { left, most: wave.most, age, within: wave.within }
+        let Some((_, since)) = waves.get(&wave.number) else { return false };
+        let rounds = u32::try_from(left.div_ceil(wave.most)).unwrap_or(u32::MAX);
+        let needed = ROUND.saturating_mul(rounds).saturating_add(RESERVE);
+        clock::now() - *since + needed < wave.within
     }
 
     /// Those on which nothing runs, after asking the owners of their pools to
