Decide sizes each tenth of a second, and see workers as they come

Hypothesis: from the begin of a queue's busy time to the first worker it takes a move's time, 1.5 s, and 0.4 s of our own: half a decision's period and half of the time for which heartbeats are gathered. Jobs of these queues have 1.2 s to wait. Change: sizes are decided every 0.1 s on a list that is at most 0.25 s old (calls for lists don't grow); the owner of a pool that expects workers gathers heartbeats for 0.04 s instead of 0.2 s.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -22,6 +22,9 @@
 /// worker is one, some 30 a second on a site of 49: read one by one they were
 /// nine in ten of all calls to the store.
 const BEATS: Duration = Duration::from_millis(200);
+/// The same while workers are expected: each waits to be seen for half of this on
+/// the average, and so does the work that it was sent for.
+const BEATS_EXPECTING: Duration = Duration::from_millis(40);
 /// The pause after the store didn't answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -34,11 +37,11 @@
 }
 
 /// Follows the keys with `prefix` for as long as `is_wanted`. After changes it
-/// waits for `together`, so that what comes meanwhile is read in one call.
+/// waits for as long as `together` says, so that what comes meanwhile is read in one call.
 pub async fn follow(
     node: Rc<Node>,
     prefix: String,
-    together: Duration,
+    together: impl Fn() -> Duration,
     is_wanted: impl Fn() -> bool,
     mut learn: impl FnMut(News),
 ) {
@@ -57,7 +60,7 @@
                     }
                     after = after.max(revision);
                     if is_news {
-                        tokio::time::sleep(together).await;
+                        tokio::time::sleep(together()).await;
                     }
                 }
                 Ok(Watched::Compacted) => {
@@ -85,7 +88,7 @@
             }
         }
     };
-    follow(node, config::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
+    follow(node, config::PREFIX.to_owned(), || Duration::ZERO, || true, learn).await;
 }
 
 fn operators_key(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
@@ -136,7 +139,7 @@
         }
         learner.changed.notify_waiters();
     };
-    follow(node, duty::PREFIX.to_owned(), Duration::ZERO, || true, learn).await;
+    follow(node, duty::PREFIX.to_owned(), || Duration::ZERO, || true, learn).await;
 }
 
 fn put(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
@@ -207,7 +210,12 @@
                 owner.wake.notify_one();
             }
         };
-        follow(node.clone(), worker::PREFIX.to_owned(), BEATS, is_wanted, learn).await;
+        let expecting = node.clone();
+        let together = move || {
+            let is_expecting = clock::now() < expecting.expects_until.get();
+            if is_expecting { BEATS_EXPECTING } else { BEATS }
+        };
+        follow(node.clone(), worker::PREFIX.to_owned(), together, is_wanted, learn).await;
     }
 }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -63,6 +63,8 @@
     pub servers: RefCell<BTreeMap<String, Listed>>,
     /// Whether the workers have been read once.
     pub servers_known: Cell<bool>,
+    /// Until when workers are expected to register for a pool of this daemon's.
+    pub expects_until: Cell<Time>,
     /// When the last renewal of the member's lease that succeeded was sent.
     pub renewed: Cell<Time>,
     /// Whether the daemon is to end.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -39,6 +39,9 @@
 /// How long a worker stays vacated after the planner last asked.
 const VACATE: Duration = Duration::from_millis(2_500);
 
+/// How long workers are expected after the planner last said so.
+const EXPECTED: Duration = Duration::from_millis(500);
+
 /// Owns the work of a pool.
 pub struct Owner {
     node: Rc<Node>,
@@ -176,7 +179,10 @@
                 self.wake.notify_one();
                 Reply::Vacated { empty }
             }
-            Ask::Load { arrived, .. } => {
+            Ask::Load { arrived, expects, .. } => {
+                if expects {
+                    self.node.expects_until.set(clock::now() + EXPECTED);
+                }
                 let pool = self.pool.borrow();
                 let counted = arrived.into_iter().filter(|id| pool.counts(id)).collect();
                 Reply::Load { load: pool.load(clock::now()), counted }
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -165,7 +165,7 @@
             }
         };
         let prefix = format!("{JOBS}{}/", self.name);
-        follow(self.node.clone(), prefix, JOBS_TOGETHER, move || !wanted.retired.get(), learn)
+        follow(self.node.clone(), prefix, || JOBS_TOGETHER, move || !wanted.retired.get(), learn)
             .await;
     }
 }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -78,6 +78,8 @@
         pool: String,
         /// Lives that have come to the pool of late.
         arrived: Vec<String>,
+        /// Whether VMs are on their way to the pool.
+        expects: bool,
     },
     /// Keep so many workers and empty the others; to the owner of the pool.
     Shrink {
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -30,8 +30,12 @@
 const WAVES: &str = "fleet/wave/";
 /// The key of the VMs that were ordered of late.
 const ORDERS: &str = "fleet/orders";
-/// How often the fleet is looked at.
-const TICK: Duration = Duration::from_millis(250);
+/// How often sizes are decided: each moment before the begin of a queue's busy
+/// time is noticed is one more that its jobs wait.
+const TICK: Duration = Duration::from_millis(100);
+/// How often the fleet is listed. The list lags by more than this, and each page
+/// of it is a call that is priced and counted.
+const LIST: Duration = Duration::from_millis(250);
 /// How long the fleet's service may take over an answer.
 const ANSWER: Duration = Duration::from_millis(1_000);
 /// How long a VM whose maintenance was ordered counts as away though the list,
@@ -77,6 +81,8 @@
     allowed_at: Time,
     /// Whether pools asked for more VMs than there are when last looked at.
     is_scarce: bool,
+    /// The last list of the fleet, and when it was asked for.
+    listed: Option<(Time, Rc<BTreeMap<String, Vm>>)>,
 }
 
 /// Calls the fleet's service.
@@ -106,6 +112,7 @@
         allowed: 0.0,
         allowed_at: Time::ZERO,
         is_scarce: false,
+        listed: None,
     };
     planner.load().await;
     node.trace.key("duty begun", json!({ "duty": FLEET, "fence": fence }));
@@ -266,13 +273,24 @@
             let is_open = |number: &u64| !self.waves.get(number).is_some_and(|p| p.completed);
             all.values().map(|(wave, _)| wave).filter(|w| is_open(&w.number)).cloned().collect()
         };
-        let listed_at = clock::now();
-        let Some(vms) = self.list().await else { return };
-        self.settle(listed_at, &vms);
-        let wanted = waves.iter().flat_map(|wave| &wave.vms).map(String::as_str);
-        self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
-        for wave in waves {
-            self.tick_wave(&wave, &vms).await;
+        let known = self.listed.clone().filter(|(at, _)| clock::now() - *at < LIST);
+        let is_fresh = known.is_none();
+        let (listed_at, vms) = match known {
+            Some(listed) => listed,
+            None => {
+                let at = clock::now();
+                let Some(vms) = self.list().await else { return };
+                (at, Rc::new(vms))
+            }
+        };
+        self.listed = Some((listed_at, vms.clone()));
+        if is_fresh {
+            self.settle(listed_at, &vms);
+            let wanted = waves.iter().flat_map(|wave| &wave.vms).map(String::as_str);
+            self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
+            for wave in waves {
+                self.tick_wave(&wave, &vms).await;
+            }
         }
         self.tick_sizes(listed_at, &vms).await;
     }
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -105,8 +105,11 @@
     }
 
     async fn ask_loads(&mut self, pools: &[String], each: &Room) -> Vec<Asked> {
-        let ask =
-            |pool: &String| Ask::Load { pool: pool.clone(), arrived: self.coming.uncounted(pool) };
+        let ask = |pool: &String| Ask::Load {
+            pool: pool.clone(),
+            arrived: self.coming.uncounted(pool),
+            expects: self.coming.number(pool) > 0,
+        };
         let replies = self.ask_all(pools.iter().map(ask).collect()).await;
         let mut asked = Vec::new();
         for (pool, reply) in pools.iter().zip(replies) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -81,6 +81,7 @@
         planner: Cell::new(None),
         servers: RefCell::default(),
         servers_known: Cell::new(false),
+        expects_until: Cell::new(Time::ZERO),
         renewed: Cell::new(Time::ZERO),
         stopping: Cell::new(false),
         changed: Notify::new(),
