--- a/crates/jobs/src/flow.rs
+++ b/crates/jobs/src/flow.rs
@@ -11,6 +11,8 @@
 /// that a queue's busy time has begun, the long one is steady once it has.
 const WINDOWS: [Duration; 3] =
     [Duration::from_millis(500), Duration::from_millis(1_000), Duration::from_millis(2_000)];
+/// Over how long [`Flow::noise`] is measured.
+const SECOND: Duration = Duration::from_secs(1);
 /// How many standard errors below what was seen the flow is taken to be.
 const CAUTION: f64 = 0.5;
 /// Arrivals kept: a bound on memory, above what comes in the longest window.
@@ -68,6 +70,16 @@
         most
     }
 
+    /// By how much the flow of a second differs from the next one's by chance: one
+    /// standard error.
+    pub fn noise(&self, now: Time) -> Work {
+        let mut squares = Work::default();
+        for (_, work) in self.arrivals.iter().filter(|(at, _)| now - *at < SECOND) {
+            squares.add(&work.squared());
+        }
+        squares.root().per(SECOND)
+    }
+
     fn rate_over(&self, now: Time, window: Duration) -> Work {
         let (mut sum, mut squares) = (Work::default(), Work::default());
         for (_, work) in self.arrivals.iter().filter(|(at, _)| now - *at < window) {
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -41,6 +41,8 @@
     /// What all other work needs to be in time: what is known, and what goes on
     /// coming in.
     pub needed: Room,
+    /// By how much that changes from one second to the next by chance.
+    pub noise: Room,
     /// Lasting tasks that have waited for a worker for a while, and steps that no
     /// worker of the pool may run: there is none that has what one needs, however
     /// much all have together.
@@ -75,6 +77,7 @@
             }
         }
         let flow = self.flow.rate(now);
+        load.noise = self.flow.noise(now).to_room();
         load.needed = stock.needed(&flow).max(&widest).to_room();
         load
     }
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -90,7 +90,10 @@
 impl Size {
     /// The demand that a worker ordered now will meet, if it grows on as it has
     /// of late.
-    fn ahead(&mut self, now: Time, demand: f64) -> f64 {
+    ///
+    /// Growth that may be chance is not carried on: where jobs are few and large
+    /// each one that comes would have workers sent for that nobody needs.
+    fn ahead(&mut self, now: Time, demand: f64, noise: f64) -> f64 {
         self.demands.push_back((now, demand));
         while self.demands.front().is_some_and(|(at, _)| now - *at > SLOPE) {
             self.demands.pop_front();
@@ -100,7 +103,7 @@
         if since < SLOPE.as_secs_f64() / 2.0 {
             return demand;
         }
-        let growth = ((demand - before) / since).max(0.0);
+        let growth = ((demand - before - noise) / since).max(0.0);
         demand + growth * LEAD.as_secs_f64()
     }
 
@@ -110,7 +113,8 @@
         let fitting = if load.unfit > 0 { load.workers + load.unfit } else { 0 };
         let least = load.rooted.max(LEAST).max(fitting);
         let demand = load.lasting.in_units_of(each) + load.needed.in_units_of(each);
-        let want = whole(self.ahead(now, demand) * HEADROOM).max(least);
+        let noise = load.noise.in_units_of(each);
+        let want = whole(self.ahead(now, demand, noise) * HEADROOM).max(least);
         while self.wants.back().is_some_and(|(_, known)| *known <= want) {
             self.wants.pop_back();
         }
