Give the room saved by steadier sizes to headroom

Hypothesis: with sizes that follow chance less, more headroom serves more at the same price. Headroom 1.15 to 1.3.

--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -10,7 +10,7 @@
 
 /// What is wanted more than is needed, so that tasks of uneven sizes find a
 /// worker that holds them.
-const HEADROOM: f64 = 1.15;
+const HEADROOM: f64 = 1.3;
 /// How long the largest want of late is kept to. A move takes about this long,
 /// and one there and back costs more than the time that it saves; so a dip that
 /// is shorter is ridden out.
