--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -41,6 +41,11 @@
 /// How long a VM whose maintenance was ordered counts as away though the list,
 /// which lags, shows it up.
 const SETTLE: Duration = Duration::from_millis(1_200);
+/// How long an owner's word that a worker is empty is relied on: less than the time
+/// for which it keeps the worker empty. The write that announces an order takes
+/// seconds where the store is slow, and an order after that would end a task that
+/// was started meanwhile.
+const EMPTY: Duration = Duration::from_millis(1_500);
 /// The share of the service's rate that is used: a holder before may have used
 /// some of this second's.
 const SHARE: f64 = 0.8;
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::task::{JoinHandle, spawn_local};
 
-use super::Planner;
+use super::{EMPTY, Planner};
 use crate::arrivals::Stock;
 use crate::clock;
 use crate::peer::{Ask, Reply};
@@ -66,16 +66,20 @@
             }
             keeps.extend(self.keep(asked, target));
         }
+        let asked_at = clock::now();
         let idle = self.shrink(keeps, vms).await;
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
         free.extend(idle.iter().cloned());
         let moves = moves(&needs, &free, &idle, spares.first());
         let most = self.allowance();
-        let moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
+        let mut moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
         let names: Vec<String> = moves.iter().map(|(vm, _)| vm.clone()).collect();
         if names.is_empty() || !self.announce(&names).await {
             return;
         }
+        if clock::now() - asked_at >= EMPTY {
+            moves.retain(|(vm, _)| !idle.contains(vm));
+        }
         for some in moves.chunks(AT_ONCE) {
             self.transfer_some(some, vms).await;
         }
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tokio::task::{JoinHandle, spawn_local};
 
-use super::{AHEAD, Planner, Progress, WAVES};
+use super::{AHEAD, EMPTY, Planner, Progress, WAVES};
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
 use crate::peer::{Ask, Reply};
@@ -57,12 +57,16 @@
         ready.retain(|vm| vm.worker.is_empty() || !may_wait);
         ready.truncate(may_go + AHEAD);
         let allowance = self.allowance();
+        let asked = clock::now();
         let mut empty = self.empty_of(&ready).await;
         empty.truncate(may_go.min(allowance));
         let names: Vec<String> = empty.iter().map(|vm| vm.name.clone()).collect();
         if names.is_empty() || !self.announce(&names).await {
             return;
         }
+        if clock::now() - asked >= EMPTY {
+            empty.retain(|vm| vm.worker.is_empty());
+        }
         if self.maintain_all(wave, &empty).await {
             let progress = self.waves.get(&wave.number).cloned().unwrap_or_default();
             self.write(wave.number, progress).await;
