--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -34,7 +34,7 @@
 /// let each = Room { cpu: 1_000, memory_mb: 1_000, gpu: 0 };
 /// let needed = Room { cpu: 5_000, memory_mb: 0, gpu: 0 };
 /// let load = Load { needed, ..Load::default() };
-/// assert_eq!(Size::default().want(Time::ZERO, &load, &each).held, 6);
+/// assert_eq!(Size::default().want(Time::ZERO, &load, &each).held, 7);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Size {
