Log: which job was refused while the store is away, and what a size rests on

The line of a refusal names the job; `pool sized` tells how much of the need may be chance and how old the list of VMs was.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -176,7 +176,7 @@
         match self.node.ask_owner(&route.pool, ask, peer::PROMPT).await {
             Ok(Reply::State { .. }) => (Told::new(200, b"{}".to_vec()), "known"),
             _ if self.is_unsure(id) => unknown(),
-            _ => (self.refuse_away("submit"), "store away"),
+            _ => (self.refuse_away(id), "store away"),
         }
     }
 
@@ -198,11 +198,11 @@
     }
 
     /// Refuses what the store is needed for while it is away: nothing was written.
-    fn refuse_away(&self, what: &'static str) -> Told {
+    fn refuse_away(&self, id: &str) -> Told {
         let (silent, failures) = self.node.store.evidence();
         self.node.trace.line(
             "refused while the store is away",
-            json!({ "what": what, "silent_ms": ms(silent), "failures": failures }),
+            json!({ "job": id, "silent_ms": ms(silent), "failures": failures }),
         );
         refuse("the store is away; nothing was done; come back")
     }
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -2,6 +2,7 @@
 //! none.
 
 use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
 
 use corianderfork_adapter::fleet::{self, Answer, State, Vm};
 use corianderfork_jobs::job::Room;
@@ -59,7 +60,7 @@
         let mut keeps = Vec::new();
         for (asked, target) in asked.iter().zip(share(&wants, total)) {
             let target = target as usize;
-            self.log_size(asked, target);
+            self.log_size(asked, target, clock::now() - listed_at);
             let missing = asked.stock.missing(target);
             if missing > 0 {
                 needs.push(Need { pool: asked.pool.clone(), missing });
@@ -127,7 +128,7 @@
         asked
     }
 
-    fn log_size(&mut self, asked: &Asked, target: usize) {
+    fn log_size(&mut self, asked: &Asked, target: usize, listed: Duration) {
         let Some(known) = self.sizes.get_mut(&asked.pool) else { return };
         if std::mem::replace(&mut known.target, target) != target {
             let (load, want) = (asked.load, asked.want);
@@ -136,7 +137,8 @@
                 json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
                     "workers": load.workers, "surplus": load.surplus, "coming": asked.stock.coming, "rooted": load.rooted,
                     "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
-                    "needed": load.needed }),
+                    "needed": load.needed, "noise": load.noise,
+                    "listed_ms_ago": crate::owner::ms(listed) }),
             );
         }
     }
