--- /dev/null
+++ b/crates/entry/src/explain.rs
@@ -0,0 +1,39 @@
+//! Why a job waits, as operators ask for it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use corianderfork_adapter::caller;
+use corianderfork_jobs::JobId;
+use serde_json::json;
+
+use crate::clock;
+use crate::node::Node;
+use crate::server::Told;
+
+/// Where a job stands and why, if this daemon owns its pool; else who owns which
+/// pool.
+pub fn explain(node: &Rc<Node>, id: &str) -> Told {
+    let Ok(id) = id.parse::<JobId>() else {
+        return Told::new(400, caller::error("a job's id has 16 hexadecimal digits"));
+    };
+    let now = clock::now();
+    let owners = node.owners.borrow();
+    let found = owners.iter().find_map(|(pool, owner)| {
+        Some((pool, owner.fence(), owner.pool.borrow().explain(now, id)?))
+    });
+    let (status, body) = match found {
+        Some((pool, fence, job)) => (200, json!({ "pool": pool, "fence": fence, "job": job })),
+        None => {
+            let table = node.table.borrow();
+            let holders: BTreeMap<&str, &str> = table
+                .duties
+                .iter()
+                .map(|(duty, record)| (duty.as_str(), record.holder.name.as_str()))
+                .collect();
+            let error = "this entry VM doesn't own the job's pool, or there is no such job";
+            (404, json!({ "error": error, "duties": holders }))
+        }
+    };
+    Told::new(status, body.to_string().into_bytes())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 
 mod clock;
+mod explain;
 mod follow;
 mod gateway;
 mod http;
@@ -23,6 +24,7 @@
 mod owner;
 mod peer;
 mod planner;
+mod relay;
 mod run;
 mod server;
 mod store;
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -1,6 +1,7 @@
 //! The fleet's planner: one daemon at a time that orders VMs to pools and to
 //! maintenance.
 
+mod orders;
 mod size;
 mod wave;
 
@@ -11,7 +12,6 @@
 use corianderfork_adapter::Call;
 use corianderfork_adapter::config::Wave;
 use corianderfork_adapter::fleet::{self, Holder, State, Vm};
-use corianderfork_adapter::store::{Outcome, Txn};
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -21,7 +21,7 @@
 use crate::absence::Absence;
 use crate::arrivals::Arrivals;
 use crate::clock;
-use crate::duty::{DUTIES, FLEET};
+use crate::duty::FLEET;
 use crate::member;
 use crate::node::Node;
 use crate::peer::{self, Ask, Reply};
@@ -46,9 +46,6 @@
 /// seconds where the store is slow, and an order after that would end a task that
 /// was started meanwhile.
 const EMPTY: Duration = Duration::from_millis(1_500);
-/// The share of the service's rate that is used: a holder before may have used
-/// some of this second's.
-const SHARE: f64 = 0.8;
 /// VMs that are emptied ahead of those that may go now.
 const AHEAD: usize = 1;
 
@@ -162,66 +159,6 @@
         }
     }
 
-    /// Whether a VM may be ordered by this holder.
-    fn may_order_vm(&self, vm: &str) -> bool {
-        self.barred.get(vm).is_none_or(|until| clock::now() >= *until)
-    }
-
-    /// Leaves alone for a while what the holder before ordered, by the ages of
-    /// its orders when it last wrote. How long ago that was isn't known.
-    fn bar(&mut self, ages: BTreeMap<String, u64>) {
-        let now = clock::now();
-        let gap = self.gap();
-        let until = |age: u64| now + gap.saturating_sub(Duration::from_millis(age));
-        self.barred = ages.into_iter().map(|(vm, age)| (vm, until(age))).collect();
-    }
-
-    /// How far two holders' orders for a VM are kept apart: the platform's bound
-    /// and the time that an order may be on its way.
-    fn gap(&self) -> Duration {
-        self.node.settings.order_gap + Duration::from_millis(300)
-    }
-
-    /// The ages of orders of late, this holder's and those before.
-    fn ages(&self) -> BTreeMap<String, u64> {
-        let now = clock::now();
-        let gap = self.gap();
-        let left = |until: Time| crate::owner::ms(gap.saturating_sub(until - now));
-        let barred = self.barred.iter().filter(|(_, until)| now < **until);
-        let mut ages: BTreeMap<String, u64> =
-            barred.map(|(vm, until)| (vm.clone(), left(*until))).collect();
-        let own = self.ordered.iter().filter(|(_, at)| now - **at < gap);
-        ages.extend(own.map(|(vm, at)| (vm.clone(), crate::owner::ms(now - *at))));
-        ages
-    }
-
-    /// Writes which VMs are about to be ordered, so that a successor leaves them
-    /// alone for a while. Nothing may be ordered if this fails.
-    async fn announce(&mut self, vms: &[String]) -> bool {
-        let now = clock::now();
-        let gap = self.gap();
-        self.ordered.retain(|_, at| now - *at < gap);
-        self.ordered.extend(vms.iter().map(|vm| (vm.clone(), now)));
-        self.allowed -= vms.len() as f64;
-        self.write_ages().await
-    }
-
-    async fn write_ages(&mut self) -> bool {
-        let txn = Txn {
-            expect: vec![(format!("{DUTIES}{FLEET}"), self.holder.fence)],
-            set: vec![(ORDERS.to_owned(), serde_json::to_vec(&self.ages()).unwrap_or_default(), 0)],
-            remove: Vec::new(),
-        };
-        match self.node.store.txn(&txn).await {
-            Ok(Outcome::Written(_)) => self.is_holder() && self.node.may_order(),
-            Ok(_) => {
-                self.node.planner.set(None);
-                false
-            }
-            Err(_) => false,
-        }
-    }
-
     /// Tells the owners of pools that workers' lives are over. Nobody waits for
     /// it: without it an owner notices by itself, once the lease is over.
     fn tell_gone(&self, vms: &[Vm]) {
@@ -261,17 +198,6 @@
         replies
     }
 
-    /// How many orders may go out now: the service counts them by the second,
-    /// from all together, and turns away what is more.
-    fn allowance(&mut self) -> usize {
-        let now = clock::now();
-        let rate = self.node.settings.fleet_orders * SHARE;
-        let since = (now - self.allowed_at).as_secs_f64();
-        self.allowed = (self.allowed + since * rate).min(rate);
-        self.allowed_at = now;
-        self.allowed as usize
-    }
-
     async fn tick(&mut self) {
         let waves: Vec<Wave> = {
             let all = self.node.waves.borrow();
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,91 @@
+//! Calls to the store by way of peers, for a VM that it turns away.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::Call;
+use hyper::body::Bytes;
+
+use crate::http::Failed;
+use crate::node::Node;
+use crate::peer::{self, Ask, Reply};
+use crate::store::Relay;
+
+/// Peers asked to make a call to the store, one after the other.
+const RELAYS: usize = 2;
+
+/// Makes a call for a peer.
+pub async fn relayed(
+    node: &Rc<Node>,
+    method: &str,
+    target: String,
+    body: String,
+    within_ms: u64,
+) -> Reply {
+    let method = match method {
+        "GET" => "GET",
+        "DELETE" => "DELETE",
+        _ => "POST",
+    };
+    let call = Call { method, target, headers: Vec::new(), body: body.into_bytes() };
+    match node.store.relayed(&call, Duration::from_millis(within_ms)).await {
+        Ok((status, body)) => {
+            Reply::Store { status, sent: true, body: String::from_utf8_lossy(&body).into_owned() }
+        }
+        Err(failed) => {
+            Reply::Store { status: 0, sent: failed == Failed::Lost, body: String::new() }
+        }
+    }
+}
+
+/// Calls the store by way of peers that reach it.
+pub fn relay(node: &Rc<Node>) -> Relay {
+    let node = node.clone();
+    Rc::new(move |call: Call, within: Duration| {
+        let node = node.clone();
+        Box::pin(async move { relay_call(&node, &call, within).await })
+    })
+}
+
+async fn relay_call(
+    node: &Rc<Node>,
+    call: &Call,
+    within: Duration,
+) -> Result<(u16, Bytes), Failed> {
+    let me = node.settings.name.as_str();
+    let mut peers: Vec<std::net::SocketAddr> = {
+        let table = node.table.borrow();
+        table.members.iter().filter(|(name, _)| *name != me).map(|(_, m)| m.peers).collect()
+    };
+    let mut is_lost = false;
+    for _ in 0..RELAYS {
+        if peers.is_empty() {
+            break;
+        }
+        let peer = peers.swap_remove(draw(peers.len()));
+        let ask = Ask::Store {
+            method: call.method.to_owned(),
+            target: call.target.clone(),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
+            within_ms: crate::owner::ms(within),
+        };
+        let slack = Duration::from_millis(100);
+        match peer::ask(&node.client, peer, &ask, within + slack).await {
+            Ok(Reply::Store { status, body, .. })
+                if status != 0 && status != 429 && status != 503 =>
+            {
+                return Ok((status, Bytes::from(body)));
+            }
+            Ok(Reply::Store { sent, status, .. }) => is_lost |= sent && status == 0,
+            Err(Failed::Unsent) => {}
+            _ => is_lost = true,
+        }
+    }
+    Err(if is_lost { Failed::Lost } else { Failed::Unsent })
+}
+
+/// A number below `bound`, so that peers share what is relayed.
+fn draw(bound: usize) -> usize {
+    let seed = corianderfork_runtime::clock::seed() % (bound.max(1) as u64);
+    usize::try_from(seed).unwrap_or(0)
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,31 +1,28 @@
 //! The daemon's start, its end, and what it answers in between.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_adapter::{Call, caller};
-use corianderfork_jobs::JobId;
+use corianderfork_adapter::caller;
 use corianderfork_model::Time;
-use hyper::body::Bytes;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::gateway::Gateway;
-use crate::http::{Client, Failed};
+use crate::http::Client;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::peer::{Ask, Reply};
 use crate::server::{self, Asked, Gauge, Handler, Told};
 use crate::settings::Settings;
-use crate::store::{Relay, Store};
+use crate::store::Store;
 use crate::trace::Trace;
-use crate::{clock, follow, member, peer};
+use crate::{clock, explain, follow, member, relay};
 
 /// Descriptors kept for the store, workers, peers and the log.
 const OWN_FDS: usize = 300;
@@ -43,8 +40,6 @@
 const NOTICED: Duration = Duration::from_millis(2_600);
 /// What is left of the grace period when the daemon ends at the latest.
 const SPARE: Duration = Duration::from_millis(500);
-/// Peers asked to make a call to the store, one after the other.
-const RELAYS: usize = 2;
 
 /// Runs the daemon.
 pub fn run(settings: Settings, path: &Path) -> ExitCode {
@@ -98,7 +93,7 @@
         return ExitCode::FAILURE;
     }
     node.trace.key("started", json!({ "boot": node.boot, "callers": node.settings.callers }));
-    node.store.set_relay(relay(&node));
+    node.store.set_relay(relay::relay(&node));
     let prober = node.clone();
     spawn_local(async move { prober.store.probe().await });
     spawn_local(follow::operators(node.clone()));
@@ -149,7 +144,7 @@
     let (node, gauge) = (node.clone(), gauge.clone());
     Rc::new(move |asked| {
         if let Some(id) = asked.path.strip_prefix(JOBS) {
-            let told = explain(&node, id);
+            let told = explain::explain(&node, id);
             return Box::pin(async move { told });
         }
         if asked.path != METRICS {
@@ -163,33 +158,6 @@
     })
 }
 
-/// Where a job stands and why, if this daemon owns its pool; else who owns which
-/// pool.
-fn explain(node: &Rc<Node>, id: &str) -> Told {
-    let Ok(id) = id.parse::<JobId>() else {
-        return Told::new(400, caller::error("a job's id has 16 hexadecimal digits"));
-    };
-    let now = clock::now();
-    let owners = node.owners.borrow();
-    let found = owners.iter().find_map(|(pool, owner)| {
-        Some((pool, owner.fence(), owner.pool.borrow().explain(now, id)?))
-    });
-    let (status, body) = match found {
-        Some((pool, fence, job)) => (200, json!({ "pool": pool, "fence": fence, "job": job })),
-        None => {
-            let table = node.table.borrow();
-            let holders: BTreeMap<&str, &str> = table
-                .duties
-                .iter()
-                .map(|(duty, record)| (duty.as_str(), record.holder.name.as_str()))
-                .collect();
-            let error = "this entry VM doesn't own the job's pool, or there is no such job";
-            (404, json!({ "error": error, "duties": holders }))
-        }
-    };
-    Told::new(status, body.to_string().into_bytes())
-}
-
 fn caller_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
     let gateway = Gateway::new(node.clone());
     let (node, gauge) = (node.clone(), gauge.clone());
@@ -229,7 +197,7 @@
             Reply::Retired { grants: owner.and_then(|owner| owner.give_way(fence)) }
         }
         Ask::Store { method, target, body, within_ms } => {
-            relayed(node, &method, target, body, within_ms).await
+            relay::relayed(node, &method, target, body, within_ms).await
         }
         Ask::Advise { job, occurrence, step, workers, within_ms } => {
             let within = Duration::from_millis(within_ms);
@@ -242,75 +210,6 @@
     }
 }
 
-async fn relayed(
-    node: &Rc<Node>,
-    method: &str,
-    target: String,
-    body: String,
-    within_ms: u64,
-) -> Reply {
-    let method = match method {
-        "GET" => "GET",
-        "DELETE" => "DELETE",
-        _ => "POST",
-    };
-    let call = Call { method, target, headers: Vec::new(), body: body.into_bytes() };
-    match node.store.relayed(&call, Duration::from_millis(within_ms)).await {
-        Ok((status, body)) => {
-            Reply::Store { status, sent: true, body: String::from_utf8_lossy(&body).into_owned() }
-        }
-        Err(failed) => {
-            Reply::Store { status: 0, sent: failed == Failed::Lost, body: String::new() }
-        }
-    }
-}
-
-/// Calls the store by way of peers that reach it.
-fn relay(node: &Rc<Node>) -> Relay {
-    let node = node.clone();
-    Rc::new(move |call: Call, within: Duration| {
-        let node = node.clone();
-        Box::pin(async move { relay_call(&node, &call, within).await })
-    })
-}
-
-async fn relay_call(
-    node: &Rc<Node>,
-    call: &Call,
-    within: Duration,
-) -> Result<(u16, Bytes), Failed> {
-    let me = node.settings.name.as_str();
-    let mut peers: Vec<std::net::SocketAddr> = {
-        let table = node.table.borrow();
-        table.members.iter().filter(|(name, _)| *name != me).map(|(_, m)| m.peers).collect()
-    };
-    let mut is_lost = false;
-    for _ in 0..RELAYS {
-        if peers.is_empty() {
-            break;
-        }
-        let peer = peers.swap_remove(draw(peers.len()));
-        let ask = Ask::Store {
-            method: call.method.to_owned(),
-            target: call.target.clone(),
-            body: String::from_utf8_lossy(&call.body).into_owned(),
-            within_ms: crate::owner::ms(within),
-        };
-        let slack = Duration::from_millis(100);
-        match peer::ask(&node.client, peer, &ask, within + slack).await {
-            Ok(Reply::Store { status, body, .. })
-                if status != 0 && status != 429 && status != 503 =>
-            {
-                return Ok((status, Bytes::from(body)));
-            }
-            Ok(Reply::Store { sent, status, .. }) => is_lost |= sent && status == 0,
-            Err(Failed::Unsent) => {}
-            _ => is_lost = true,
-        }
-    }
-    Err(if is_lost { Failed::Lost } else { Failed::Unsent })
-}
-
 async fn wait_for_stop() {
     let Ok(mut term) = signal(SignalKind::terminate()) else {
         return std::future::pending().await;
@@ -372,9 +271,3 @@
     // The log's thread writes what is queued.
     tokio::time::sleep(Duration::from_millis(30)).await;
 }
-
-/// A number below `bound`, so that peers share what is relayed.
-fn draw(bound: usize) -> usize {
-    let seed = corianderfork_runtime::clock::seed() % (bound.max(1) as u64);
-    usize::try_from(seed).unwrap_or(0)
-}
