Log what a job told unknown rests on, and which write carried an end

Cause: a 410 for an accepted job left one line, `unknown job`. Whether it came of reads on both sides of a write, of an owner that had not read all, or of a pool that was not searched could not be told from logs: neither the answers of owners nor the reads were there, and no line said when the write of an end was done. Weighed: a line a read (too many: each answer without an owner reads twice); the revision alone, without the reads in order (doesn't show what lay between them). Change: `job told unknown` (410) and `state not known` (503) list each pool's owner's answer and the reads behind it with the store's revision, and are counted; `ends written` names the jobs whose ends one write carried and its revision. Not measured here: what the lines cost; a few a second at an owner, beside 300 that are allowed.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Callers: jobs handed in, asked for and taken back, at any entry VM.
 
 mod accept;
+mod sought;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -23,6 +24,7 @@
 use crate::server::{Asked, Told};
 use crate::store::Error;
 use accept::{Accepted, Waiting, patience};
+use sought::Sought;
 
 /// When a caller that is refused is told to come back, in seconds.
 const RETRY_AFTER: u64 = 1;
@@ -170,14 +172,18 @@
 
     async fn state(&self, route: &Route, id: &str) -> (Told, &'static str) {
         let mut is_failed = false;
+        let mut sought = Vec::new();
         for pool in self.node.pools_of(&route.name, &route.pool) {
             let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
-            match self.node.ask_owner(&pool, ask, peer::ANSWER).await {
+            let begun = clock::now();
+            let answer = self.node.ask_owner(&pool, ask, peer::ANSWER).await;
+            let mut row = Sought::new(&pool, begun, &answer);
+            match answer {
                 Ok(Reply::State { state }) => {
                     return (Told::new(200, caller::state(state)), "owner");
                 }
                 _ if self.node.store.is_away() => is_failed = true,
-                _ => match self.look_up(&pool, id).await {
+                _ => match self.look_up(&pool, id, &mut row).await {
                     Ok(Next::Found(state)) => {
                         return (Told::new(200, caller::state(state)), "store");
                     }
@@ -185,24 +191,39 @@
                     Ok(Next::Read(_) | Next::Unreadable) | Err(_) => is_failed = true,
                 },
             }
+            sought.push(row);
         }
+        self.log_sought(route, id, &sought, is_failed);
         if is_failed {
             return (refuse("neither the owner nor the store answers; come back"), "no answer");
         }
         (Told::new(410, caller::error("no such job")), "unknown job")
     }
 
+    /// Tells what an answer rests on that names no state.
+    fn log_sought(&self, route: &Route, id: &str, sought: &[Sought], is_failed: bool) {
+        let event = if is_failed { "state not known" } else { "job told unknown" };
+        self.node.metrics.event(event);
+        self.node.trace.line(
+            event,
+            json!({ "job": id, "queue": route.name, "pool": route.pool, "sought": sought }),
+        );
+    }
+
     /// Where a job stands by the store: what the owner can't say, or not yet.
-    async fn look_up(&self, pool: &str, id: &str) -> Result<Next, Error> {
+    async fn look_up(&self, pool: &str, id: &str, sought: &mut Sought) -> Result<Next, Error> {
         let mut lookup = Lookup::new(pool, id);
         loop {
-            match lookup.next() {
-                Next::Read(key) => {
-                    let item = self.node.store.get(&key).await?;
-                    lookup.learn(item.as_ref().map(|item| item.value.as_slice()));
-                }
+            let key = match lookup.next() {
+                Next::Read(key) => key,
                 found => return Ok(found),
-            }
+            };
+            let begun = clock::now();
+            let reading = self.node.store.read(&key).await;
+            let there = reading.as_ref().ok().map(|reading| reading.item.is_some());
+            let revision = reading.as_ref().ok().and_then(|reading| reading.revision);
+            sought.note(key, begun, there, revision);
+            lookup.learn(reading?.item.as_ref().map(|item| item.value.as_slice()));
         }
     }
 
--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -13,7 +13,7 @@
 
 use super::Gateway;
 use crate::clock;
-use crate::lookup::{Next, job_key, run_key};
+use crate::lookup::{Lookup, Next, job_key, run_key};
 use crate::server::Asked;
 use crate::store::Error;
 
@@ -168,7 +168,12 @@
     }
 
     async fn is_known(&self, pool: &str, id: &str) -> Result<bool, Error> {
-        Ok(self.look_up(pool, id).await? != Next::Absent)
+        let mut lookup = Lookup::new(pool, id);
+        while let Next::Read(key) = lookup.next() {
+            let item = self.node.store.get(&key).await?;
+            lookup.learn(item.as_ref().map(|item| item.value.as_slice()));
+        }
+        Ok(lookup.next() != Next::Absent)
     }
 }
 
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use super::{Owner, ROSTERS, WRITES};
+use super::{Owner, ROSTERS, WRITES, ms};
 use crate::clock;
 use crate::duty::DUTIES;
 use crate::lookup::{job_key, run_key};
@@ -46,8 +46,10 @@
         self.writes.set(number);
         let token = format!("{}.{}.{number}", self.node.settings.name, self.node.boot);
         let txn = self.txn(&batch, roster.as_ref(), &token);
+        let begun = clock::now();
         let is_written = self.commit(&txn, &token).await;
         if is_written {
+            self.log_ends(&batch, clock::now() - begun);
             self.pool.borrow_mut().written(&batch);
             if let Some(seats) = roster {
                 self.pool.borrow_mut().roster_written(seats);
@@ -58,6 +60,20 @@
         is_written
     }
 
+    /// Tells at which revision of the store jobs ended: a reading of the store
+    /// that found no such job is held against it.
+    fn log_ends(&self, batch: &Batch, took: Duration) {
+        let ended = batch.rows.iter().filter(|row| row.progress.state.is_final());
+        let jobs: Vec<String> = ended.map(|row| row.id.to_string()).collect();
+        if !jobs.is_empty() {
+            self.node.trace.line(
+                "ends written",
+                json!({ "duty": self.name, "fence": self.fence(),
+                    "revision": self.write_revision.get(), "jobs": jobs, "took_ms": ms(took) }),
+            );
+        }
+    }
+
     fn txn(&self, batch: &Batch, roster: Option<&Vec<Seat>>, token: &str) -> Txn {
         let write_key = format!("{WRITES}{}", self.name);
         let mut txn = Txn::default();
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_adapter::store::{self, Item, Outcome, Page, Txn, Watched};
+use corianderfork_adapter::store::{self, Item, Outcome, Page, Reading, Txn, Watched};
 use corianderfork_adapter::{Call, Fault};
 use corianderfork_model::Time;
 use hyper::body::Bytes;
@@ -223,6 +223,15 @@
     ///
     /// Fails if the store doesn't answer.
     pub async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        Ok(self.read(key).await?.item)
+    }
+
+    /// Reads a key, and tells at which revision of the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store doesn't answer.
+    pub async fn read(&self, key: &str) -> Result<Reading, Error> {
         let (status, body) = self.call(&store::get(key), "get", ANSWER).await.map_err(failed)?;
         store::got(status, &body).map_err(fault)
     }
