Take a job not to be there only once the store was asked since

Cause: an owner that lists an end of a job that it doesn't know let the worker forget it after 4 s, and stopped a run of one after 1.5 s. Both took a time for an answer: while the store is away nobody can tell of the job. How such a job comes to be: the owner before hears of it from the gateway and starts it, after its successor has read the accepted jobs and before the worker was looked at under the new fence. Ruled out: longer pauses (an outage lasts as long as it lasts); asking the store for each such job (a call each, and the watch answers the question anyway). Change: each reading of the accepted jobs that is answered whole moves on the moment up to which all are known (`Pool::jobs_known`, told by `follow` as `News::Upto`); an end or a run of an unknown job waits until that moment is past the one at which it was first seen, and at least for the pauses of before.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,6 +7,7 @@
 use corianderfork_adapter::config;
 use corianderfork_adapter::store::{Event, Item, Watched};
 use corianderfork_adapter::worker;
+use corianderfork_model::Time;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
@@ -34,6 +35,8 @@
     All(Vec<Item>),
     /// One change.
     Change(Event),
+    /// All that was written before this moment has been told.
+    Upto(Time),
 }
 
 /// Follows the keys with `prefix` for as long as `is_wanted`. After changes it
@@ -46,18 +49,22 @@
     mut learn: impl FnMut(News),
 ) {
     while is_wanted() {
+        let asked = clock::now();
         let Ok((items, mut after)) = node.store.range(&prefix).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
         learn(News::All(items));
+        learn(News::Upto(asked));
         while is_wanted() {
+            let asked = clock::now();
             match node.store.watch(&prefix, after, WAIT).await {
                 Ok(Watched::Events(events, revision)) => {
                     let is_news = !events.is_empty();
                     for event in events {
                         learn(News::Change(event));
                     }
+                    learn(News::Upto(asked));
                     after = after.max(revision);
                     if is_news {
                         tokio::time::sleep(together()).await;
@@ -87,6 +94,7 @@
                 operators_key(&learner, &event.key, &value, event.revision);
             }
         }
+        News::Upto(_) => {}
     };
     follow(node, config::PREFIX.to_owned(), || Duration::ZERO, || true, learn).await;
 }
@@ -136,6 +144,7 @@
                     json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
                 );
             }
+            News::Upto(_) => return,
         }
         learner.changed.notify_waiters();
     };
@@ -204,6 +213,7 @@
                 News::Change(event) => {
                     put_worker(&learner, &event.key, event.value.as_deref(), event.revision);
                 }
+                News::Upto(_) => return,
             }
             for owner in learner.owners.borrow().values() {
                 owner.list_changed.set(true);
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -163,6 +163,7 @@
                     learner.accept_item(&event.key, &value, None, event.revision);
                 }
             }
+            News::Upto(at) => learner.pool.borrow_mut().jobs_known(at),
         };
         let prefix = format!("{JOBS}{}/", self.name);
         follow(self.node.clone(), prefix, || JOBS_TOGETHER, move || !wanted.retired.get(), learn)
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -116,6 +116,8 @@
     by_id: HashMap<String, worker::Key>,
     jobs: SlotMap<JobKey, Entry>,
     by_job: HashMap<JobId, JobKey>,
+    /// All jobs that were accepted before this are known.
+    known: Time,
     /// Jobs with something to write, oldest first.
     dirty: BTreeSet<(Time, JobId)>,
     starts: u64,
@@ -155,6 +157,7 @@
             by_id: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_job: HashMap::new(),
+            known: Time::ZERO,
             dirty: BTreeSet::new(),
             starts: 0,
             deposed: false,
--- a/crates/jobs/src/pool/ends.rs
+++ b/crates/jobs/src/pool/ends.rs
@@ -11,9 +11,9 @@
 use crate::task::{self, Ended, How};
 use crate::worker::{self, Pending, Stray};
 
-/// How long an end of an unknown job is kept for the job to become known. The
-/// store tells of an accepted job within milliseconds; a watch that went silent
-/// is noticed within two seconds.
+/// How long an end of an unknown job is kept at least, see [`Pool::is_ignorant`]
+/// for how long besides. Ends are seldom of jobs that aren't known, and one that is
+/// listed a few seconds longer costs nothing.
 const ORPHAN: Duration = Duration::from_secs(4);
 /// After how many failed runs in a row, of different jobs, a worker is avoided:
 /// one that fails everything at once looks idle and would draw all work.
@@ -39,7 +39,7 @@
         if self.entry(name.job).is_none() {
             let Some(worker) = self.workers.get_mut(key) else { return };
             worker.orphans.push(ended.clone());
-            worker.pending.insert(ended.number, Pending::Unknown { until: now + ORPHAN });
+            worker.pending.insert(ended.number, Pending::Unknown { since: now });
             worker.release(name, ended.run);
             return;
         }
@@ -189,10 +189,14 @@
         }
     }
 
+    /// Gives up ends of jobs that are certainly not there.
     pub(super) fn expire_orphans(&mut self, now: Time, key: worker::Key) {
+        let known = self.known;
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let is_over =
-            |pending: &Pending| matches!(pending, Pending::Unknown { until } if now >= *until);
+        let is_over = |pending: &Pending| match pending {
+            Pending::Unknown { since } => known >= *since && now >= *since + ORPHAN,
+            Pending::Written { .. } => false,
+        };
         let over: Vec<u64> =
             worker.pending.iter().filter(|(_, p)| is_over(p)).map(|(n, _)| *n).collect();
         for number in over {
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -71,6 +71,38 @@
         work
     }
 
+    /// Takes in that each job which was accepted before `at` has been told by
+    /// [`Pool::accept`]: a reading of the store that was asked for at `at` was
+    /// answered whole.
+    ///
+    /// Until then an end or a run of a job that isn't known waits: that the job
+    /// wasn't heard of doesn't say that there is none. A worker that were let
+    /// forget the end meanwhile would leave nobody who knows that the task is done,
+    /// and it would run again once the store tells of its job.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use corianderfork_jobs::pool::{Config, Pool};
+    /// use corianderfork_model::Time;
+    ///
+    /// let mut pool = Pool::new(Config::new(7, Time::ZERO));
+    /// let asked = Time::from_millis(2_000);
+    /// pool.jobs_known(asked);
+    /// // An answer that was overtaken changes nothing.
+    /// pool.jobs_known(Time::from_millis(1_000));
+    /// assert!(!pool.is_ignorant(asked));
+    /// assert!(pool.is_ignorant(asked + Duration::from_millis(1)));
+    /// ```
+    pub fn jobs_known(&mut self, at: Time) {
+        self.known = self.known.max(at);
+    }
+
+    /// Whether a job that was accepted before `at` may not have been told yet.
+    pub fn is_ignorant(&self, at: Time) -> bool {
+        self.known < at
+    }
+
     /// Takes in that a job ended under an owner before.
     pub fn accept_ended(&mut self, now: Time, id: JobId, progress: &Progress) {
         if self.by_job.contains_key(&id) {
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -16,8 +16,8 @@
 
 /// How long an order may be on its way before it is sent again.
 const ANSWER: Duration = Duration::from_millis(1_000);
-/// The pause before a stray of an unknown job is asked to stop, and between two
-/// such orders: the store may be about to tell of its job.
+/// The least pause before a stray of an unknown job is asked to stop, and the one
+/// between two such orders: the store may be about to tell of its job.
 const STRAY: Duration = Duration::from_millis(1_500);
 
 impl Pool {
@@ -58,9 +58,12 @@
 
     fn stop_strays(&mut self, now: Time, orders: &mut Vec<Order>) {
         let mut due = Vec::new();
+        let known = self.known;
         for (key, worker) in &mut self.workers {
             for (name, stray) in &mut worker.strays {
-                let is_certain = stray.is_over || now - stray.since >= STRAY;
+                let is_settled = stray.is_sized || known >= stray.since;
+                let is_nobodys = is_settled && now - stray.since >= STRAY;
+                let is_certain = stray.is_over || is_nobodys;
                 if is_certain && stray.asked.is_none_or(|at| now - at >= STRAY) {
                     stray.asked = Some(now);
                     due.push((key, *name, stray.run));
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -55,8 +55,8 @@
 pub(crate) enum Pending {
     /// Until this version of the job's progress is written.
     Written { job: JobId, version: u64 },
-    /// Until the job is known, or then.
-    Unknown { until: Time },
+    /// Until the job is known, or it is certain that there is none.
+    Unknown { since: Time },
 }
 
 /// A run that takes room on the worker.
@@ -73,7 +73,7 @@
     pub since: Time,
     /// When it was last asked to stop.
     pub asked: Option<Time>,
-    /// Whether what it takes is known.
+    /// Whether its step, and so what it takes, is known.
     pub is_sized: bool,
     /// Whether its job is known to be over.
     pub is_over: bool,
--- a/crates/jobs/tests/orphan.rs
+++ b/crates/jobs/tests/orphan.rs
@@ -8,6 +8,7 @@
 use corianderfork_jobs::pool::What;
 use corianderfork_jobs::record::State;
 use corianderfork_jobs::task::How;
+use corianderfork_model::Time;
 
 /// The number of a run that an owner before started.
 const RUN: u64 = 3;
@@ -67,3 +68,40 @@
     assert_eq!(world.where_runs(first(job)), ["w0"]);
     assert!(!world.orders.iter().any(|order| matches!(order.what, What::Stop)));
 }
+
+#[test]
+fn take_end_of_a_job_that_is_not_there() {
+    // Symptom: a worker lists an end for ever, and each look at it returns at once.
+    // Sequence: a run ends whose job was forgotten long ago.
+    // Cause: an end of a job that nobody will ever tell of is waited for.
+    let (mut world, job) = world();
+    world.workers.get_mut("w0").expect("a worker").end(first(job), How::Done);
+    world.run(OUTAGE);
+    world.pool.jobs_known(at(world.now));
+    world.run(200);
+    assert_eq!(seen(&mut world), 1);
+}
+
+#[test]
+fn plan_stops_a_run_whose_job_is_not_there() {
+    // Symptom: a run takes room on a worker for ever.
+    // Sequence: its job was cancelled and forgotten while its worker was cut off.
+    // Cause: a run of a job that nobody will ever tell of is left alone.
+    let (mut world, job) = world();
+    world.run(OUTAGE);
+    world.pool.jobs_known(at(world.now));
+    world.run(200);
+    assert!(world.where_runs(first(job)).is_empty());
+}
+
+#[test]
+fn plan_leaves_a_run_alone_that_came_after_the_last_news() {
+    // Symptom: a run is stopped that nobody took back.
+    // Sequence: the store tells all jobs, then goes away; a worker that answers
+    //   again lists a run of a job that was accepted since.
+    // Cause: news from before the run was first seen says nothing of its job.
+    let (mut world, job) = world();
+    world.pool.jobs_known(Time::from_millis(999));
+    world.run(OUTAGE);
+    assert_eq!(world.where_runs(first(job)), ["w0"]);
+}
