--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -210,11 +210,16 @@
 
     /// Lists the workers, writes the roster, looks at all.
     pub fn settle(&mut self) {
+        self.list();
+        self.look();
+    }
+
+    /// Lists the workers as they stand, each after one more heartbeat.
+    pub fn list(&mut self) {
         self.pool.set_workers(at(self.now), &self.entries);
         if let Some(seats) = self.pool.roster() {
             self.pool.roster_written(seats);
         }
-        self.look();
     }
 
     pub fn submit(&mut self, id: u64, steps: Vec<Step>) -> JobId {
