Believe a worker again that was taken to have ended and writes heartbeats

Cause: an owner kept each life that it took to be over among 512 that it never listed again. Two of the ways to that belief are conclusions, not knowledge: silence past the lease while the entry is missing (the worker may be cut off from the owner and the store), and `done` for an order that may have been carried out before. Such a worker stood idle for as long as its pool's owner lived. Change: entries carry the store's revision; `pool::over` lets a life back in whose entry changes more than 3 s after its end, later than a heartbeat of before.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -234,7 +234,7 @@
 /// its lease as for any worker that is no longer listed.
 fn put_worker(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
     let id = key.strip_prefix(worker::PREFIX).unwrap_or(key);
-    let listed = value.and_then(|value| match worker::listed(key, value) {
+    let listed = value.and_then(|value| match worker::listed(key, value, revision) {
         Ok(listed) => Some(listed),
         Err(error) => {
             unreadable(node, key, revision, &error.to_string());
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -11,6 +11,7 @@
 mod load;
 mod look;
 mod order;
+mod over;
 mod pace;
 mod place;
 mod progress;
@@ -19,7 +20,7 @@
 mod turns;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -40,6 +41,7 @@
 use crate::record::State;
 use crate::task;
 use crate::worker::{self, Worker};
+use over::Over;
 use table::Entry;
 
 slotmap::new_key_type! {
@@ -126,8 +128,7 @@
     begun: Option<Time>,
     roster_written: BTreeSet<worker::Seat>,
     notes: Vec<Note>,
-    /// Lives of workers that are over, oldest first.
-    over: VecDeque<String>,
+    over: Over,
     /// What tasks wait for that not every worker has, as of the last plan.
     sought: BTreeSet<Feature>,
 }
@@ -164,7 +165,7 @@
             begun: None,
             roster_written: BTreeSet::new(),
             notes: Vec::new(),
-            over: VecDeque::new(),
+            over: Over::default(),
             sought: BTreeSet::new(),
         }
     }
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -9,10 +9,6 @@
 use crate::task;
 use crate::worker::{self, Entry, Seat, Worker};
 
-/// Lives that are over and remembered, so that a list that lags doesn't bring
-/// them back.
-const OVER: usize = 512;
-
 impl Pool {
     pub(super) fn add_worker(&mut self, seat: Seat, inherited_until: Time) -> worker::Key {
         let id = seat.id.clone();
@@ -43,10 +39,10 @@
 
     fn set_worker(&mut self, now: Time, entry: &Entry) {
         let seat = Seat { id: entry.id.clone(), address: entry.address };
-        if self.over.contains(&entry.id) {
+        let known = self.by_id.get(&entry.id).copied();
+        if known.is_none() && self.over.holds(now, entry) {
             return;
         }
-        let known = self.by_id.get(&entry.id).copied();
         let key = known.unwrap_or_else(|| self.add_worker(seat.clone(), now));
         let is_rostered = self.roster_written.contains(&seat);
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -106,11 +102,7 @@
         self.note("worker gone", None, Some(key), why.to_owned());
         let Some(worker) = self.workers.remove(key) else { return };
         self.by_id.remove(&worker.id);
-        // The list lags: it may name this life for a while yet.
-        self.over.push_back(worker.id.clone());
-        if self.over.len() > OVER {
-            self.over.pop_front();
-        }
+        self.over.end(now, worker.id.clone());
         self.free_tasks(now, key, worker.hosted.keys().copied().collect());
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -39,6 +39,8 @@
     pub room: Room,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// The store's revision of the entry: it grows with each heartbeat.
+    pub revision: u64,
 }
 
 /// Where a worker can be found again: kept in the store for a successor.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -172,6 +172,7 @@
         rack: rack.to_owned(),
         room: Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 },
         draining: false,
+        revision: 1,
     }
 }
 
@@ -216,6 +217,7 @@
 
     /// Lists the workers as they stand, each after one more heartbeat.
     pub fn list(&mut self) {
+        self.entries.iter_mut().for_each(|entry| entry.revision += 1);
         self.pool.set_workers(at(self.now), &self.entries);
         if let Some(seats) = self.pool.roster() {
             self.pool.roster_written(seats);
