Take only the service's own word that a VM is not of a wave

Cause: an answer to an order for a VM that wasn't known here (a failure of the service or of something on the way, a refusal for another reason) counted as the word that the VM is not of the wave. The wave was then told to be completed without it. Change: `fleet::Answer::Unknown`, treated like no answer: the VM counts as away until the list shows it, and is ordered again. Seen red before: `ordered_without_a_word_on_the_vm` (404: Refused). After: both tests of platform/tests/fleet.rs pass.

--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -211,7 +211,7 @@
         );
         match answer {
             Some(Answer::Fenced) => self.node.planner.set(None),
-            Some(Answer::Done) | None => {}
+            Some(Answer::Done | Answer::Unknown) | None => {}
             Some(Answer::Busy | Answer::Refused | Answer::Unavailable) => {
                 self.coming.cancel(&vm.name);
             }
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -150,7 +150,7 @@
                 let progress = self.waves.entry(wave).or_default();
                 return progress.done.insert(vm.name.clone());
             }
-            None => {}
+            Some(Answer::Unknown) | None => {}
         }
         false
     }
