Bound each address's connections apart, and keep four unused to a peer

Cause: peers, the balancer and who reads metrics shared one bound of 150 connections, and one past it was closed unheard. Each entry VM kept up to 24 unused connections to each other for 20 s, so that on 44 VMs the owner of a busy pool was full of unused ones: it answered no questions about jobs (two reads of the store each, at each entry VM), wasn't told of accepted jobs, told the planner no load (its pool got no VMs just then), failed its readiness and could not be scraped. Ruled out: an owner out of processor time (its answers were lost after 11 to 22 ms, not after the 700 ms that they have). Change: `entry::listen` bounds each address apart, peers by a quarter of the descriptors; a client of its own for peers keeps four. One that is closed unheard is logged and counted.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -44,12 +44,24 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Makes calls.
-#[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Time)>>>,
+    /// Unused connections kept for one address.
+    kept: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::keeping(KEPT)
+    }
 }
 
 impl Client {
+    /// A client that keeps `kept` unused connections for each address.
+    pub fn keeping(kept: usize) -> Self {
+        Self { idle: RefCell::default(), kept }
+    }
+
     /// Sends `call` to `address` and waits for the whole answer.
     ///
     /// # Errors
@@ -103,7 +115,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address).or_default();
-        if kept.len() < KEPT {
+        if kept.len() < self.kept {
             kept.push((sender, clock::now()));
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod gateway;
 mod http;
+mod listen;
 mod member;
 mod metrics;
 mod node;
--- /dev/null
+++ b/crates/entry/src/listen.rs
@@ -0,0 +1,167 @@
+//! The addresses on which a daemon listens, and what it answers there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use corianderfork_adapter::caller;
+use tokio::task::spawn_local;
+
+use crate::gateway::Gateway;
+use crate::node::Node;
+use crate::peer::{Ask, Reply};
+use crate::server::{self, Asked, Gauge, Handler, Told};
+use crate::{explain, relay};
+
+/// Descriptors kept for calls to the store, workers and peers, and for the log.
+const OWN_FDS: usize = 300;
+/// The part of the descriptors that peers' connections may take. Each entry VM asks
+/// the owners of pools, and keeps some connections to them (`PEER_KEPT` in `run`): a quarter
+/// of 4,100 is room for 250 entry VMs. The bound is apart from those of the balancer
+/// and of who reads metrics: with one for the three, an owner that many asked was
+/// taken for not ready, and nobody could read why.
+const PEER_SHARE: usize = 4;
+/// Connections of the balancer, and of who reads metrics: a few of each at once.
+const LOOKERS: usize = 32;
+/// The largest body of a peer: an answer of the store on its way.
+const PEER_BODY: usize = 8 << 20;
+/// The path of the metrics.
+const METRICS: &str = "/metrics";
+/// The path, on the address of the metrics, under which a job is explained; its
+/// id follows.
+const JOBS: &str = "/jobs/";
+
+/// What is open on each address.
+#[derive(Clone)]
+pub struct Gauges {
+    /// For callers.
+    pub callers: Gauge,
+    peers: Gauge,
+    readiness: Gauge,
+    metrics: Gauge,
+}
+
+impl Gauges {
+    /// Shares `max_fds` descriptors among the addresses.
+    pub fn new(max_fds: usize) -> Self {
+        let peers = max_fds / PEER_SHARE;
+        let callers = max_fds.saturating_sub(OWN_FDS + peers).max(16);
+        Self {
+            callers: Gauge::new("callers", callers),
+            peers: Gauge::new("peers", peers),
+            readiness: Gauge::new("readiness", LOOKERS),
+            metrics: Gauge::new("metrics", LOOKERS),
+        }
+    }
+
+    /// Listens on all addresses of a daemon, and serves them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of them can't be had.
+    pub async fn open(&self, node: &Rc<Node>) -> std::io::Result<()> {
+        let readiness = server::listen(node.settings.readiness).await?;
+        let metrics = server::listen(node.settings.metrics).await?;
+        let peers = server::listen(node.settings.peers).await?;
+        let callers = server::listen(node.settings.callers).await?;
+        self.peers.max_body.set(PEER_BODY);
+        let serve = |listener, gauge: &Gauge, handler| {
+            spawn_local(server::serve(listener, gauge.clone(), handler, node.trace.clone()));
+        };
+        serve(readiness, &self.readiness, ready_handler(node));
+        serve(metrics, &self.metrics, metrics_handler(node, self));
+        serve(peers, &self.peers, peer_handler(node));
+        serve(callers, &self.callers, caller_handler(node, &self.callers));
+        Ok(())
+    }
+}
+
+fn ready_handler(node: &Rc<Node>) -> Handler {
+    let node = node.clone();
+    Rc::new(move |asked| {
+        if asked.path != caller::READY {
+            return Box::pin(async { nothing_here() });
+        }
+        let is_ready = node.config.borrow().is_some() && !node.stopping.get();
+        let status = if is_ready { 200 } else { 503 };
+        Box::pin(async move { Told::new(status, b"{}".to_vec()) })
+    })
+}
+
+/// What other paths get. A caller that reaches these addresses by mistake must
+/// not take an answer of theirs for one to its request.
+fn nothing_here() -> Told {
+    Told::new(404, caller::error("nothing is served at this path; see [listen] of the settings"))
+}
+
+fn metrics_handler(node: &Rc<Node>, gauges: &Gauges) -> Handler {
+    let (node, gauges) = (node.clone(), gauges.clone());
+    Rc::new(move |asked| {
+        if let Some(id) = asked.path.strip_prefix(JOBS) {
+            let told = explain::explain(&node, id);
+            return Box::pin(async move { told });
+        }
+        if asked.path != METRICS {
+            return Box::pin(async { nothing_here() });
+        }
+        node.metrics.set("connections", gauges.callers.connections.get());
+        node.metrics.set("requests", gauges.callers.requests.get());
+        node.metrics.set("peers' connections", gauges.peers.connections.get());
+        node.metrics.set("callers closed unheard", gauges.callers.closed.get());
+        node.metrics.set("peers closed unheard", gauges.peers.closed.get());
+        node.metrics.set("duties", node.owners.borrow().len());
+        let text = node.metrics.text();
+        Box::pin(async move { Told::new(200, text.into_bytes()) })
+    })
+}
+
+fn caller_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
+    let gateway = Gateway::new(node.clone());
+    let (node, gauge) = (node.clone(), gauge.clone());
+    gauge.max_body.set(1 << 20);
+    Rc::new(move |asked: Asked| {
+        let gateway = gateway.clone();
+        let max_body = node.config.borrow().as_ref().map(|config| config.max_body);
+        gauge.max_body.set(max_body.unwrap_or(1 << 20));
+        Box::pin(async move {
+            if asked.path == caller::READY {
+                return Told::new(404, caller::error("no such queue"));
+            }
+            gateway.answer(asked).await
+        })
+    })
+}
+
+fn peer_handler(node: &Rc<Node>) -> Handler {
+    let node = node.clone();
+    Rc::new(move |asked: Asked| {
+        let node = node.clone();
+        Box::pin(async move {
+            let ask = asked.body.and_then(|body| serde_json::from_slice::<Ask>(&body).ok());
+            let Some(ask) = ask else {
+                return Told::new(400, b"a peer sends a message of this version".to_vec());
+            };
+            let reply = answer(&node, ask).await;
+            Told::new(200, serde_json::to_vec(&reply).unwrap_or_default())
+        })
+    })
+}
+
+async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
+    match ask {
+        Ask::Retire { duty, fence } => {
+            let owner = node.owners.borrow().get(&duty).cloned();
+            Reply::Retired { grants: owner.and_then(|owner| owner.give_way(fence)) }
+        }
+        Ask::Store { method, target, body, within_ms } => {
+            relay::relayed(node, &method, target, body, within_ms).await
+        }
+        Ask::Advise { job, occurrence, step, workers, within_ms } => {
+            let within = Duration::from_millis(within_ms);
+            node.advise_peer((&job, occurrence, step), &workers, within).await
+        }
+        ask => match node.own(ask.pool()) {
+            Some(owner) => owner.answer(ask).await,
+            None => Reply::NotOwner,
+        },
+    }
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -36,8 +36,10 @@
     pub settings: Settings,
     /// A number of this one start.
     pub boot: u64,
-    /// Calls over HTTP.
+    /// Calls over HTTP to the platform's services and to workers.
     pub client: Rc<Client>,
+    /// Calls over HTTP to peers.
+    pub peers: Rc<Client>,
     /// The platform's store.
     pub store: Store,
     /// The log.
@@ -131,7 +133,7 @@
             holder.filter(|holder| !self.is_me(holder)).and_then(|holder| holder.peers)
         };
         let Some(peers) = peers else { return Err(Failed::Unsent) };
-        peer::ask(&self.client, peers, &ask, within).await
+        peer::ask(&self.peers, peers, &ask, within).await
     }
 
     /// Takes in a configuration, unless a newer one is known.
--- a/crates/entry/src/owner/advise.rs
+++ b/crates/entry/src/owner/advise.rs
@@ -100,7 +100,7 @@
             workers,
             within_ms: ms(within),
         };
-        match peer::ask(&self.node.client, peer, &ask, within + SLACK).await {
+        match peer::ask(&self.node.peers, peer, &ask, within + SLACK).await {
             Ok(Reply::Advised { good: Some(good), valid_ms }) => {
                 Advice::Told { good, valid: Duration::from_millis(valid_ms) }
             }
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -55,7 +55,7 @@
     async fn say_farewell(&self, before: Holder) -> Option<BTreeMap<String, u64>> {
         let peers = before.peers.filter(|_| !self.node.is_me(&before))?;
         let ask = Ask::Retire { duty: self.name.clone(), fence: self.fence() };
-        match peer::ask(&self.node.client, peers, &ask, FAREWELL).await {
+        match peer::ask(&self.node.peers, peers, &ask, FAREWELL).await {
             Ok(Reply::Retired { grants }) => grants,
             _ => None,
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -14,9 +14,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use crate::trace::Trace;
+
 /// How long a caller may take over the head of a request.
 const HEAD: Duration = Duration::from_secs(15);
 /// The pause after an accept failed, for want of descriptors as a rule.
@@ -58,9 +61,11 @@
 /// Answers requests.
 pub type Handler = Rc<dyn Fn(Asked) -> Pin<Box<dyn Future<Output = Told>>>>;
 
-/// What is open, and whether it is to be closed.
+/// What is open on one address, and whether it is to be closed.
 #[derive(Clone, Default)]
 pub struct Gauge {
+    /// What the address is for.
+    pub name: &'static str,
     /// Open connections.
     pub connections: Rc<Cell<usize>>,
     /// Requests being answered.
@@ -69,10 +74,19 @@
     pub closing: Rc<Cell<bool>>,
     /// Most connections at once.
     pub most: Rc<Cell<usize>>,
+    /// Connections that were closed unheard since there were so many.
+    pub closed: Rc<Cell<usize>>,
     /// The longest body that is taken.
     pub max_body: Rc<Cell<usize>>,
 }
 
+impl Gauge {
+    /// What is open on the address `name`, `most` connections at once.
+    pub fn new(name: &'static str, most: usize) -> Self {
+        Self { name, most: Rc::new(Cell::new(most)), ..Self::default() }
+    }
+}
+
 /// Listens on `address`.
 ///
 /// # Errors
@@ -83,7 +97,7 @@
 }
 
 /// Serves connections until the process ends.
-pub async fn serve(listener: TcpListener, gauge: Gauge, handler: Handler) {
+pub async fn serve(listener: TcpListener, gauge: Gauge, handler: Handler, trace: Trace) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -91,6 +105,12 @@
                 // are needed for the store and the workers.
                 if gauge.connections.get() < gauge.most.get() {
                     spawn_local(connection(stream, gauge.clone(), handler.clone()));
+                } else {
+                    gauge.closed.set(gauge.closed.get() + 1);
+                    trace.line(
+                        "connection closed unheard",
+                        json!({ "address": gauge.name, "open": gauge.connections.get() }),
+                    );
                 }
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
