Tell of written ends also where other lines are too many

A write goes out at a time, so that the lines are bounded by the store's answers. Not measured apart.

--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -61,12 +61,13 @@
     }
 
     /// Tells at which revision of the store jobs ended: a reading of the store
-    /// that found no such job is held against it.
+    /// that found no such job is held against it. A line a write, and one write goes
+    /// out at a time: it is told also where a busy owner's other lines are too many.
     fn log_ends(&self, batch: &Batch, took: Duration) {
         let ended = batch.rows.iter().filter(|row| row.progress.state.is_final());
         let jobs: Vec<String> = ended.map(|row| row.id.to_string()).collect();
         if !jobs.is_empty() {
-            self.node.trace.line(
+            self.node.trace.key(
                 "ends written",
                 json!({ "duty": self.name, "fence": self.fence(),
                     "revision": self.write_revision.get(), "jobs": jobs, "took_ms": ms(took) }),
