Keep an end of a job that is over until that is written

Cause: an end of a job that was cancelled, or had failed, counted for nothing, whether or not the job's own end was in the store. The worker was let forget it at once. Where all entry VMs then lost power, the successor found the job accepted and the task not done, and started it again. Ruled out: a second owner (one holder before and one after the loss of power); a lease that lapsed (the run had ended as done); orders carried out late (started anew). Change: such an end waits for the version of the job that is to be written, like any other. Before: `next_look_lets_forget_an_end_only_once…` red; after: it and all of jobs pass (cargo test -p corianderfork-jobs).

--- a/crates/jobs/src/pool/ends.rs
+++ b/crates/jobs/src/pool/ends.rs
@@ -95,9 +95,12 @@
             worker.failures = 0;
         }
         let Some(entry) = self.entry_mut(name.job) else { return };
-        if entry.lasts || entry.state.is_final() {
+        if entry.lasts {
             return;
         }
+        if entry.state.is_final() {
+            return self.await_end_of_job(key, ended);
+        }
         self.learn(now, name, began);
         let Some(entry) = self.entry_mut(name.job) else { return };
         let is_gang = entry.step(name).is_some_and(|step| step.gang);
@@ -142,7 +145,7 @@
             return;
         }
         if entry.state.is_final() {
-            return;
+            return self.await_end_of_job(key, ended);
         }
         let queue = entry.queue.clone();
         let attempts = self.queue(&queue).attempts.max(1);
@@ -159,6 +162,19 @@
         self.set_pending(key, ended.number, Pending::Written { job: name.job, version });
     }
 
+    /// Keeps an end of a job that is over until that is written.
+    ///
+    /// Until then a successor finds the job under way and nothing of this end. Were
+    /// the worker let forget it, the successor would start a task again that is done.
+    fn await_end_of_job(&mut self, key: worker::Key, ended: &Ended) {
+        let job = ended.task.job;
+        let Some(entry) = self.entry(job) else { return };
+        if entry.written < entry.version {
+            let version = entry.version;
+            self.set_pending(key, ended.number, Pending::Written { job, version });
+        }
+    }
+
     /// Counts a failed run once, however often its end is listed; a gang's run
     /// once, whoever of it failed. The runs of a gang are kept at its first
     /// member.
