Tell peers of operators' drains in reports; controllers send them too

Cause, traced (first new log lines: who brought a drain, and when): - Reports told only of VMs whose record says that they leave. A drain that no controller had written a record for reached a proxy that is cut off from the store only with all records, which it asks for 3 s after its last word from the store.

Ruled out: the platform's lagging list (not used for this), a silent watch (the cut ends it at once), the gossip's interval (250 ms).

Change: a report tells of the drains that hold and that no VM's record shows yet; proxies and controllers take them in, unless not newer than their own last read, and pass them on.

--- a/crates/controller/src/actor/gossip.rs
+++ b/crates/controller/src/actor/gossip.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
-use corianderfork_provider::key;
-use corianderfork_provider::record::{Config, Member, Phase};
-use corianderfork_provider::store::{Entry, Revision};
+use corianderfork_provider::record::{Member, Phase};
 use corianderfork_runtime::core::Handle;
 use corianderfork_runtime::peers::{Error, Handler, Peers, Reply};
 use corianderfork_runtime::port::Port;
@@ -167,12 +165,12 @@
         let now = world.clock.now();
         match incoming {
             Incoming::Report(from, reply) => {
-                world.directory.on_report(now, None, &from);
+                learn(world, now, None, &from);
                 reply.send(report(world, now));
             }
-            Incoming::Answer(sent, Ok(from)) => world.directory.on_report(now, Some(sent), &from),
+            Incoming::Answer(sent, Ok(from)) => learn(world, now, Some(sent), &from),
             Incoming::Answer(_, Err(error)) => log::debug!("no report: {error}"),
-            Incoming::Request(request, reply) => reply.send(snapshot(world, &request)),
+            Incoming::Request(request, reply) => reply.send(world.view.snapshot(&request)),
             Incoming::Snapshot(answer) => {
                 self.asking = false;
                 match answer {
@@ -184,6 +182,11 @@
     }
 }
 
+fn learn(world: &mut World, now: Time, sent: Option<Time>, from: &peer::Report) {
+    world.directory.on_report(now, sent, from);
+    world.view.on_wishes(&from.wishes);
+}
+
 fn report(world: &World, now: Time) -> peer::Report {
     let config_revision = world.view.config_revision();
     let leaving = world
@@ -210,51 +213,14 @@
                 revision: held.revision.0,
             })
             .collect(),
+        wishes: world.view.wishes(),
         ..peer::Report::default()
     }
 }
 
-fn snapshot(world: &World, request: &peer::SnapshotRequest) -> peer::SnapshotReply {
-    let view = &world.view;
-    let mut reply = peer::SnapshotReply {
-        config_revision: view.config_revision(),
-        store_revision: view.complete().0,
-        ..peer::SnapshotReply::default()
-    };
-    if let Some((revision, active)) = view.config()
-        && revision > request.config_revision
-    {
-        reply.config.clone_from(&active.text);
-    }
-    if view.complete().0 > request.store_revision {
-        let vms = view.vms().map(|(name, held)| (key::vm(name), held));
-        reply.vms =
-            vms.filter_map(|(key, held)| record(key, &held.record, held.revision.0)).collect();
-        let members = view.members().map(|member| (key::member(member.role, &member.name), member));
-        reply.members = members.filter_map(|(key, member)| record(key, member, 0)).collect();
-    }
-    reply
-}
-
-fn record(key: String, value: &impl serde::Serialize, revision: u64) -> Option<peer::Record> {
-    let value = serde_json::to_string(value).ok()?;
-    Some(peer::Record { key, value, revision })
-}
-
 fn take(world: &mut World, now: Time, snapshot: &peer::SnapshotReply) {
-    if !snapshot.config.is_empty() {
-        // Peers send the text, an entry of the store holds a record around it.
-        let text = serde_json::from_str::<Config>(&snapshot.config).map(|config| config.text);
-        let text = text.unwrap_or_else(|_| snapshot.config.clone());
-        if world.view.offer_config(snapshot.config_revision, &text) {
-            log::info!(revision = snapshot.config_revision; "a peer's configuration came into force");
-        }
-    }
-    for one in &snapshot.vms {
-        let revision = Revision(one.revision);
-        let (key, value) = (one.key.clone(), one.value.clone());
-        let entry = Entry { key, value, revision, lease: None };
-        world.view.on_entry(&one.key, revision, Some(&entry));
+    if world.view.on_snapshot(snapshot) {
+        log::info!(revision = snapshot.config_revision; "a peer's configuration came into force");
     }
     let members: Vec<Member> =
         snapshot.members.iter().filter_map(|one| serde_json::from_str(&one.value).ok()).collect();
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -4,6 +4,9 @@
 //! own writes and from peers, in any order. Each record is kept by the revision
 //! of its write and never goes back.
 
+mod snapshot;
+mod wish;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- a/crates/controller/tests/records.rs
+++ b/crates/controller/tests/records.rs
@@ -15,6 +15,7 @@
 use corianderfork_provider::store::{
     Changes, Entry, Error, Expect, Found, LeaseId, Range, Revision, Store,
 };
+use corianderfork_wire::peer;
 
 const VM: &str =
     r#"{"pool":"a","phase":"serving","epoch":1,"runners":[],"reason":"","since_ms":1}"#;
@@ -198,3 +199,54 @@
     lines.on_end(true);
     assert_eq!(lines.take(at(40_000)), None);
 }
+
+const DRAIN: &str = r#"{"by":"asha","reason":"fan"}"#;
+
+fn shown(wishes: &[peer::Record]) -> Vec<(&str, u64)> {
+    wishes.iter().map(|wish| (wish.key.as_str(), wish.revision)).collect()
+}
+
+#[test]
+fn drain_wished_is_in_what_a_controller_sends() {
+    // Symptom: a proxy that is cut off from the store sends to a drained VM
+    // again.
+    // Sequence: it heard of the drain; then it asks a controller for all
+    // records.
+    // Cause: the controller leaves the wishes out, and what is left out counts
+    // as over.
+    let mut view = View::default();
+    let vm = entry("shared/vm/v01", VM, 4);
+    let entries = vec![vm, entry("shared/drain/v01", DRAIN, 7)];
+    view.on_whole(Time::ZERO, &Range { revision: Revision(7), entries });
+    let sent = view.snapshot(&peer::SnapshotRequest::default());
+    let wish = ("shared/drain/v01", 7);
+    assert_eq!(shown(&sent.members), [wish]);
+    assert_eq!(shown(&view.wishes()), [wish]);
+    // Once the VM's record says it, reports tell of it as leaving.
+    let draining = entry("shared/vm/v01", &VM.replace("serving", "draining"), 8);
+    view.on_entry("shared/vm/v01", Revision(8), Some(&draining));
+    assert_eq!(view.wishes(), []);
+    assert_eq!(shown(&view.snapshot(&peer::SnapshotRequest::default()).members), [wish]);
+}
+
+#[test]
+fn drain_wished_is_passed_on_by_a_controller_that_is_cut_off() {
+    // Symptom: a drain that one process heard of before the store went down
+    // reaches the others late.
+    // Sequence: controllers are told of it by a peer, and call others.
+    // Cause: they tell only what the store told them.
+    let mut view = View::default();
+    let entries = vec![entry("shared/vm/v01", VM, 4)];
+    view.on_whole(Time::ZERO, &Range { revision: Revision(6), entries });
+    let told = |revision| {
+        let (key, value) = ("shared/drain/v01".to_owned(), DRAIN.to_owned());
+        [peer::Record { key, value, revision }]
+    };
+    view.on_wishes(&told(5));
+    assert!(view.drain(&name("v01")).is_none(), "over before the read");
+    view.on_wishes(&told(7));
+    assert_eq!(shown(&view.wishes()), [("shared/drain/v01", 7)]);
+    let news = view.news();
+    view.on_wishes(&told(7));
+    assert_eq!(view.news(), news, "told again");
+}
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -175,7 +175,10 @@
     fn sent(&mut self, result: Result<peer::SnapshotReply, Error>) {
         self.asking = false;
         match result {
-            Ok(snapshot) => self.hub.on_snapshot(&snapshot),
+            Ok(snapshot) => {
+                ::log::info!(revision = snapshot.store_revision; "records from a peer");
+                self.hub.on_snapshot(&snapshot);
+            }
             Err(error) => ::log::warn!("no records from a peer: {error}"),
         }
     }
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -54,14 +54,14 @@
     /// Applies a read of all records, sent at `sent`.
     pub fn on_range(&self, sent: Time, range: &Range) {
         let effects = self.view.borrow_mut().on_range(range);
-        self.apply(effects);
+        self.apply("the store", effects);
         self.on_synced(sent);
     }
 
     /// Applies changes of a watch that was sent at `sent`.
     pub fn on_changes(&self, sent: Time, changes: &Changes) {
         let effects = self.view.borrow_mut().on_changes(changes);
-        self.apply(effects);
+        self.apply("the store", effects);
         self.on_synced(sent);
     }
 
@@ -70,7 +70,7 @@
         let effects = self.view.borrow_mut().on_snapshot(snapshot);
         let now = self.shared.clock.now();
         self.members.borrow_mut().on_snapshot(now, self.view.borrow().members());
-        self.apply(effects);
+        self.apply("a peer's records", effects);
         self.meet();
     }
 
@@ -121,7 +121,8 @@
         self.shared.metrics.set(Gauge::Members, members.len() as u64);
     }
 
-    fn apply(&self, effects: Vec<Effect>) {
+    /// Does what news asks for; `from` says in the log who brought it.
+    fn apply(&self, from: &str, effects: Vec<Effect>) {
         let mut republish = false;
         for effect in effects {
             match effect {
@@ -135,6 +136,9 @@
                 Effect::VmGone(vm, revision) => {
                     self.shared.gate.remove_vm(&vm, revision);
                 }
+                Effect::Wish { vm, revision, holds } => {
+                    ::log::info!(vm = vm.as_str(), revision, holds, from; "an operator's drain");
+                }
                 Effect::Directory => republish = true,
                 Effect::Malformed { key, why } => ::log::error!(key = key.as_str(); "{why}"),
             }
@@ -187,6 +191,14 @@
             leaving: convert::leaving(&loads, |vm| view.revision(vm)),
             suspects: convert::suspects(&loads),
             demands: convert::demands(&loads),
+            wishes: view.wishes(),
+        }
+    }
+
+    fn on_wishes(&self, wishes: &[peer::Record]) {
+        let effects = self.view.borrow_mut().on_wishes(wishes);
+        if !effects.is_empty() {
+            self.apply("a peer's report", effects);
         }
     }
 
@@ -195,6 +207,7 @@
         let now = self.shared.clock.now();
         let from = self.members.borrow_mut().on_report(now, sent, report);
         let Some(from) = from else { return };
+        self.on_wishes(&report.wishes);
         for leaving in report.leaving.iter().filter(|leaving| leaving.epoch > 0) {
             let Ok(vm) = Name::new(&leaving.vm) else { continue };
             if self.shared.gate.drain(&vm, leaving.epoch) {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -4,6 +4,7 @@
 //! newest revision wins, so that a late message cannot bring back what is over.
 
 mod snapshot;
+mod wish;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use corianderfork_routing::view;
 
 use crate::shared::Directory;
+use wish::Wish;
 
 /// A configuration in force.
 #[derive(Clone, Debug)]
@@ -37,6 +39,15 @@
     Vm(view::Vm),
     /// A VM's record was deleted, as of this revision.
     VmGone(Name, u64),
+    /// An operator wants a VM drained, or no longer.
+    Wish {
+        /// The VM.
+        vm: Name,
+        /// The revision of the wish or of its end.
+        revision: u64,
+        /// Whether the wish holds.
+        holds: bool,
+    },
     /// Members or owners changed.
     Directory,
     /// A record could not be understood; what was known of it stays.
@@ -67,20 +78,6 @@
     synced: u64,
 }
 
-/// An operator's wish that a VM be drained, as last heard of.
-///
-/// Without it a drain that was accepted just before the store went down (or the
-/// controller died) would reach no proxy: the VM's record still says that it
-/// serves, and the VM gets requests for the whole outage. The wish itself is
-/// heeded, so that only this process has to have heard of it.
-#[derive(Clone, Debug, Default)]
-struct Wish {
-    /// The revision of the wish or of its end.
-    revision: u64,
-    /// The record, while the wish holds.
-    value: Option<String>,
-}
-
 impl View {
     /// Applies a read of all shared records.
     pub fn on_range(&mut self, range: &Range) -> Vec<Effect> {
@@ -124,20 +121,6 @@
         }
     }
 
-    fn drop_wishes(
-        &mut self,
-        revision: u64,
-        has: impl Fn(&str) -> bool,
-        effects: &mut Vec<Effect>,
-    ) {
-        let held = self.wishes.iter().filter(|(_, wish)| wish.value.is_some());
-        let over: Vec<Name> =
-            held.filter(|(vm, _)| !has(&key::drain(vm))).map(|(vm, _)| vm.clone()).collect();
-        for vm in over {
-            self.offer_wish(vm, None, revision, effects);
-        }
-    }
-
     fn put(&mut self, entry: &Entry, effects: &mut Vec<Effect>) {
         self.record(&entry.key, &entry.value, entry.revision.0, effects);
     }
@@ -209,23 +192,6 @@
         }
     }
 
-    fn offer_wish(
-        &mut self,
-        vm: Name,
-        value: Option<String>,
-        revision: u64,
-        effects: &mut Vec<Effect>,
-    ) {
-        let wish = self.wishes.entry(vm.clone()).or_default();
-        if revision <= wish.revision {
-            return;
-        }
-        *wish = Wish { revision, value };
-        let Some(register) = self.vms.get(&vm) else { return };
-        let Some(Some(row)) = register.get() else { return };
-        effects.push(Effect::Vm(routed(&vm, &row.vm, register.revision(), Some(wish))));
-    }
-
     fn vm_gone(&mut self, name: Name, revision: u64, effects: &mut Vec<Effect>) {
         let Some(register) = self.vms.get_mut(&name) else { return };
         let known = matches!(register.get(), Some(Some(_)));
--- a/crates/proxy/src/view/snapshot.rs
+++ b/crates/proxy/src/view/snapshot.rs
@@ -60,11 +60,8 @@
                     revision: *revision,
                 })
                 .collect();
-            // A peer that is cut off from the store learns of drains only here.
-            reply.members.extend(self.wishes.iter().filter_map(|(vm, wish)| {
-                let value = wish.value.clone()?;
-                Some(peer::Record { key: key::drain(vm), value, revision: wish.revision })
-            }));
+            // What is missing here counts as over.
+            reply.members.extend(self.wish_records());
         }
         reply
     }
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -180,3 +180,38 @@
     let effects = cut_off.on_snapshot(&peer.snapshot(&asked));
     assert_eq!(last_vm(&effects), Some(routed(7, false)));
 }
+
+#[test]
+fn drain_wished_reaches_a_proxy_that_is_cut_off_by_a_report() {
+    // Symptom: one proxy alone sends to a drained VM for some seconds.
+    // Sequence: it is cut off from the store; the drain is accepted; peers tell
+    // what they know, before the controller has written the VM's record.
+    // Cause: reports tell of VM records alone, and all records are asked for
+    // only once the store has been silent for some seconds.
+    let (mut cut_off, mut peer) = (View::default(), View::default());
+    let start = range(vec![vm(Phase::Serving, 0, 4)], 4);
+    cut_off.on_range(&start);
+    peer.on_range(&start);
+    peer.on_changes(&changes(vec![wish(7)], 7));
+    let effects = cut_off.on_wishes(&peer.wishes());
+    assert_eq!(last_vm(&effects), Some(routed(7, false)));
+    assert_eq!(cut_off.on_wishes(&peer.wishes()), [], "told again");
+    assert_eq!(cut_off.wishes(), peer.wishes(), "passed on");
+    // The record says it now, with an epoch.
+    peer.on_changes(&changes(vec![vm(Phase::Draining, 1, 8)], 8));
+    assert_eq!(peer.wishes(), []);
+}
+
+#[test]
+fn drain_taken_back_is_not_brought_back_by_a_peer_that_lags() {
+    // Symptom: a VM that serves again gets nothing from one proxy, for good.
+    // Sequence: a proxy starts after a drain was taken back; a peer that is cut
+    // off still tells of the wish.
+    // Cause: a wish that is not known is taken for a new one.
+    let (mut new, mut lagging) = (View::default(), View::default());
+    lagging.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    lagging.on_changes(&changes(vec![wish(7)], 7));
+    new.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 9));
+    assert_eq!(new.on_wishes(&lagging.wishes()), []);
+    assert_eq!(new.wishes(), []);
+}
