Look at the backend server, not at the caller, for what is in flight

Cause of drain_is_confirmed_only_when_nothing_is_in_flight being red at times: the test, not the proxy. What is promised is that nothing is in flight at the VM (DESIGN, the drain barrier; Ack in peer.proto), so that its reboot cuts off nothing. The proxy confirms once it holds the whole answer; the test looked at whether the caller's thread had ended, which comes after that, by as much as the thread has to wait for a processor.

Change: the test asks the backend server what it has in flight after each report that it looks at. Nothing new comes there, so what is there after the report was there when it was made: any confirmation before that is an error. It now also fails if it never looked while the request was in flight, and the run takes 3 s instead of 1.5 for this. The stand-in counts a request out just before it writes the answer; that moment alone is no longer looked at.

--- a/crates/proxy/tests/process.rs
+++ b/crates/proxy/tests/process.rs
@@ -231,7 +231,7 @@
     let e1 = fleet.proxy("e1", "");
     until(|| e1.serves());
     let acks = support::acks::Asker::start();
-    fleet.behave("{\"late_ms\":1500}");
+    fleet.behave("{\"late_ms\":3000}");
     let to = e1.callers;
     let text = b"GET /transfer/wb-1 HTTP/1.1\r\nRequest-Id: slow\r\nConnection: close\r\n\r\n";
     let caller = thread::spawn(move || raw(to, text));
@@ -239,10 +239,19 @@
     fleet.vm("v02", Phase::Serving, 0);
     fleet.vm("v01", Phase::Draining, 1);
     until(|| acks.report(e1.peers).leaving.iter().any(|leaving| leaving.vm == "v01"));
-    while !caller.is_finished() {
+    // What is promised is about the backend server, so that is where to look:
+    // a caller may read its answer at any time later. Nothing new comes there,
+    // so what is in flight after the report was in flight when it was made.
+    let mut looks = 0;
+    loop {
         let confirmed = acks.has_acked(e1.peers, "v01", 1);
-        assert!(!confirmed || caller.is_finished(), "confirmed with a request in flight");
+        if fleet.in_flight("v01") == 0 {
+            break;
+        }
+        assert!(!confirmed, "confirmed with a request in flight");
+        looks += 1;
     }
+    assert!(looks > 0, "nobody looked while the request was in flight");
     let answer = caller.join().unwrap();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     until(|| acks.has_acked(e1.peers, "v01", 1));
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -153,6 +153,17 @@
         post(self.platform, "/_fault", json);
     }
 
+    /// Requests that the backend server on `vm` has taken and not run to their
+    /// end.
+    pub fn in_flight(&self, vm: &str) -> u64 {
+        let text = raw(self.admin, b"GET /_runners HTTP/1.1\r\nConnection: close\r\n\r\n");
+        let (_, body) = text.split_once("\r\n\r\n").unwrap();
+        let shown: serde_json::Value = serde_json::from_str(body).unwrap();
+        let runners = shown["runners"].as_array().unwrap().iter();
+        let here = runners.filter(|runner| runner["vm"] == vm);
+        here.map(|runner| runner["in_flight"].as_u64().unwrap()).sum()
+    }
+
     /// How often the key was run.
     pub fn runs(&self, id: &str) -> usize {
         let text = raw(self.admin, b"GET /_runs HTTP/1.1\r\nConnection: close\r\n\r\n");
