--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -14,12 +14,13 @@
 mod pace;
 mod place;
 mod progress;
+mod reserve;
 mod runs;
 mod table;
 mod turns;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -128,6 +129,8 @@
     over: VecDeque<String>,
     /// What tasks wait for that not every worker has, as of the last plan.
     sought: BTreeSet<Feature>,
+    /// On which worker room is kept for a lasting task.
+    kept: BTreeMap<task::Name, worker::Key>,
 }
 
 /// Something worth a line in the log.
@@ -163,6 +166,7 @@
             notes: Vec::new(),
             over: VecDeque::new(),
             sought: BTreeSet::new(),
+            kept: BTreeMap::new(),
         }
     }
 
--- a/crates/jobs/src/pool/advice.rs
+++ b/crates/jobs/src/pool/advice.rs
@@ -164,7 +164,10 @@
         }
         let is_first = known.asked.is_empty();
         let room = step.room();
-        let has_room = |worker: &Worker| worker.room.fits(&worker.used, &room);
+        let task = name(entry.id, turn.occurrence, turn.step, 0);
+        let has_room = |worker: &Worker| {
+            worker.room.fits(&worker.occupied(|kept| kept.is_sibling(&task)), &room)
+        };
         let fit = || self.workers.iter().filter(|(_, worker)| suits(worker, now, step));
         let is_served = fit().any(|(key, worker)| known.holds(now, key) && has_room(worker));
         if is_served && !step.gang {
@@ -248,7 +251,7 @@
 }
 
 impl super::table::Entry {
-    fn advice(&self, task: task::Name) -> Option<&Known> {
+    pub(super) fn advice(&self, task: task::Name) -> Option<&Known> {
         let row = self.occurrences.get(&task.occurrence)?;
         row.steps.get(task.step as usize).map(|state| &state.advice)
     }
--- a/crates/jobs/src/pool/choose.rs
+++ b/crates/jobs/src/pool/choose.rs
@@ -42,11 +42,11 @@
         let takes_stranded = self.takes_stranded(now, step);
         let is_fit = |worker: &Worker| {
             (worker.is_usable(now) || (takes_stranded && worker.is_stranded(now)))
-                && worker.room.fits(&worker.used, &room)
+                && worker.holds(name, &room)
                 && !worker.hosted.contains_key(&name)
                 && step.label.as_ref().is_none_or(|label| worker.has_label(label))
                 && rack.or(near).is_none_or(|rack| worker.rack == rack)
-                && (step.most_together == 0 || worker.together(name) < step.most_together)
+                && (step.most_together == 0 || worker.to_be_together(name) < step.most_together)
         };
         let fit = self.workers.iter().filter(|(_, worker)| is_fit(worker));
         let fit = fit.filter(|(key, _)| self.is_advised(now, name, *key));
@@ -99,7 +99,7 @@
     /// at least where there are two: the loss of one must not take them all.
     fn score(&self, worker: &Worker, name: task::Name, step: &Step) -> (bool, bool, bool, i64) {
         let is_near = step.near.as_ref().is_some_and(|rack| worker.rack == *rack);
-        let is_spread = !step.lasts || worker.together(name) < step.count.div_ceil(2);
+        let is_spread = !step.lasts || worker.to_be_together(name) < step.count.div_ceil(2);
         let free = worker.room.cpu.saturating_sub(worker.used.cpu);
         let mut score = -i64::try_from(free).unwrap_or(i64::MAX);
         score -= i64::from(worker.failures) * FAILURE_COST;
@@ -131,9 +131,7 @@
 impl Worker {
     /// Tasks here of the same step of the same occurrence.
     pub(super) fn together(&self, name: task::Name) -> u32 {
-        let is_sibling = |other: &&task::Name| {
-            other.job == name.job && other.occurrence == name.occurrence && other.step == name.step
-        };
+        let is_sibling = |other: &&task::Name| other.is_sibling(&name);
         u32::try_from(self.hosted.keys().filter(is_sibling).count()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -117,7 +117,7 @@
         // The one that comes free by the fewest moves.
         let movable = having.filter_map(|(key, worker)| {
             let lasting = self.movable(worker);
-            let mut kept = worker.used;
+            let mut kept = worker.occupied(|_| false);
             lasting.iter().for_each(|name| kept.sub(&worker.hosted[name].room));
             worker.room.fits(&kept, &needed).then_some((lasting.len(), key))
         });
@@ -140,11 +140,15 @@
         if place.worker != key || !is_running || !step.lasts || !self.may_stop(entry, name, step) {
             return;
         }
-        let has_place = self.choose(now, name, step, None).is_some();
-        if !has_place && !self.may_be_away(now, key, name, step) {
+        let place = self.choose(now, name, step, None);
+        if place.is_none() && !self.may_be_away(now, key, name, step) {
             return self.seek_advice(name);
         }
+        let step = step.clone();
         self.ask_stop(now, name);
+        if let Some(key) = place.filter(|_| !step.gang) {
+            self.keep(name, key, &step, "it is stopped to move there");
+        }
         self.note("task evacuated", Some(name), Some(key), why.to_owned());
     }
 
--- a/crates/jobs/src/pool/explain.rs
+++ b/crates/jobs/src/pool/explain.rs
@@ -10,6 +10,7 @@
 use crate::id::JobId;
 use crate::job::{Room, Step};
 use crate::record::State;
+use crate::task;
 use crate::worker::{Worker, millis};
 
 /// Where a job stands, and why.
@@ -76,7 +77,11 @@
         (step, state): (usize, &StepState),
     ) -> Part {
         let placed = state.tasks.iter().filter(|task| matches!(task.at, At::On(_))).count();
-        let why = if state.waiting == 0 { String::new() } else { self.why(now, entry, row, step) };
+        let why = if state.waiting == 0 {
+            String::new()
+        } else {
+            self.why(now, entry, (occurrence, row), step)
+        };
         let task = name(entry.id, occurrence, step, 0);
         Part {
             occurrence,
@@ -90,7 +95,13 @@
     }
 
     /// Why the tasks of a step wait.
-    fn why(&self, now: Time, entry: &Entry, row: &Occurrence, index: usize) -> String {
+    fn why(
+        &self,
+        now: Time,
+        entry: &Entry,
+        (occurrence, row): (u32, &Occurrence),
+        index: usize,
+    ) -> String {
         let Some(step) = entry.steps.get(index) else { return String::new() };
         if !row.is_ready(step) {
             return format!("runs after the steps {:?}, which are not all done", step.after);
@@ -107,15 +118,19 @@
         if row.steps.get(index).is_some_and(|state| state.advice.is_asking()) {
             return "advice on which workers may run it was asked and not told yet".to_owned();
         }
-        let has_room = |worker: &&&Worker| worker.room.fits(&worker.used, &step.room());
+        let task = name(entry.id, occurrence, index, 0);
+        let occupied = |worker: &Worker| worker.occupied(|kept| kept.is_sibling(&task));
+        let has_room = |worker: &&&Worker| worker.room.fits(&occupied(worker), &step.room());
         let with_room = fit.iter().filter(has_room).count();
         if with_room == 0 {
-            let free = fit.iter().map(|worker| worker.room.cpu.saturating_sub(worker.used.cpu));
+            let free =
+                fit.iter().map(|worker| worker.room.cpu.saturating_sub(occupied(worker).cpu));
             return format!(
-                "none of {} workers that suit has room: a task needs {}, the most that one has left is {} thousandths of a core",
+                "none of {} workers that suit has room: a task needs {}, the most that one has left is {} thousandths of a core{}",
                 fit.len(),
                 told(&step.room()),
-                free.max().unwrap_or(0)
+                free.max().unwrap_or(0),
+                self.why_kept(task, &fit)
             );
         }
         match &step.near {
@@ -126,6 +141,22 @@
         }
     }
 
+    /// What kept room has to do with a step's waiting.
+    fn why_kept(&self, task: task::Name, fit: &[&Worker]) -> String {
+        let own: Vec<&str> = self
+            .kept
+            .iter()
+            .filter(|(kept, _)| kept.is_sibling(&task))
+            .filter_map(|(_, key)| Some(self.workers.get(*key)?.id.as_str()))
+            .collect();
+        let others = fit.iter().filter(|w| w.kept.keys().any(|kept| !kept.is_sibling(&task)));
+        match (own.is_empty(), others.count()) {
+            (false, _) => format!("; room is kept for it on {}", own.join(", ")),
+            (true, 0) => String::new(),
+            (true, count) => format!("; room is kept for lasting tasks on {count} of them"),
+        }
+    }
+
     fn why_none_fits(&self, now: Time, step: &Step) -> String {
         let all = self.workers.len();
         let usable = self.workers.values().filter(|worker| worker.is_usable(now)).count();
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -123,13 +123,13 @@
         u32::try_from(steps.filter(is_barred).count()).unwrap_or(u32::MAX)
     }
 
-    /// Whether lasting tasks run there.
+    /// Whether lasting tasks run there, or have room kept.
     pub(crate) fn is_rooted(&self, worker: &Worker) -> bool {
         let is_lasting = |name: &task::Name| {
             let step = self.entry(name.job).and_then(|entry| entry.step(*name));
             step.is_some_and(|step| step.lasts)
         };
-        worker.hosted.keys().any(is_lasting)
+        !worker.kept.is_empty() || worker.hosted.keys().any(is_lasting)
     }
 }
 
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -29,11 +29,13 @@
         self.begin_due(now, wall_ms);
         self.release_ended();
         self.stop_stalled(now);
+        self.review_kept(now);
         self.evacuate(now);
         self.pending_orders(now, &mut orders);
         self.stop_strays(now, &mut orders);
         self.pace(now, &mut orders);
         self.place(now, &mut orders);
+        self.keep_room(now);
         orders
     }
 
@@ -87,7 +89,7 @@
             let is_too_large = room.cpu < step.room().cpu || room.memory_mb < step.room().memory_mb;
             let step = step.clone();
             self.note_stuck(now, turn);
-            if is_too_large && !self.takes_stranded(now, &step) {
+            if is_too_large && !self.takes_stranded(now, &step) && !self.keeps_for(turn) {
                 continue;
             }
             let before = orders.len();
@@ -128,7 +130,7 @@
     /// Whether each listed worker was looked at once under this owner's fence,
     /// or could not be. A task started before that could be running on a worker
     /// where the owner before started it just now.
-    fn is_surveyed(&self) -> bool {
+    pub(super) fn is_surveyed(&self) -> bool {
         self.workers.values().all(|worker| worker.tried || worker.missing_since.is_some())
     }
 
@@ -137,13 +139,21 @@
     fn largest_room(&self, now: Time) -> Room {
         let mut most = Room::default();
         for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
-            most.cpu = most.cpu.max(worker.room.cpu.saturating_sub(worker.used.cpu));
-            let memory = worker.room.memory_mb.saturating_sub(worker.used.memory_mb);
+            let occupied = worker.occupied(|_| false);
+            most.cpu = most.cpu.max(worker.room.cpu.saturating_sub(occupied.cpu));
+            let memory = worker.room.memory_mb.saturating_sub(occupied.memory_mb);
             most.memory_mb = most.memory_mb.max(memory);
         }
         most
     }
 
+    /// Whether room is kept for tasks of a step.
+    fn keeps_for(&self, turn: Turn) -> bool {
+        let Some(entry) = self.jobs.get(turn.job) else { return false };
+        let task = name(entry.id, turn.occurrence, turn.step, 0);
+        self.kept.keys().any(|kept| kept.is_sibling(&task))
+    }
+
     fn place_step(&mut self, now: Time, turn: Turn, step: &Step, orders: &mut Vec<Order>) {
         for index in 0..step.count as usize {
             let Some(entry) = self.jobs.get(turn.job) else { return };
@@ -152,7 +162,13 @@
             if !matches!(task.at, At::Waiting) || now < task.not_before {
                 continue;
             }
-            let Some(key) = self.choose(now, name, step, None) else { return };
+            let Some(key) = self.choose(now, name, step, None) else {
+                // A later one of the step may have room kept.
+                if self.keeps_for(turn) {
+                    continue;
+                }
+                return;
+            };
             let run = self.next_run();
             self.start(now, key, name, step, run, orders);
         }
@@ -171,6 +187,8 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
         worker.host(name, run, step.room());
+        self.use_kept(name, key);
+        let Some(worker) = self.workers.get(key) else { return };
         let why = format!("run {run}, {} of {} in use", worker.used.cpu, worker.room.cpu);
         let Some(entry) = self.entry_mut(name.job) else { return };
         let spec = entry.spec.clone();
--- /dev/null
+++ b/crates/jobs/src/pool/reserve.rs
@@ -0,0 +1,273 @@
+//! Room that is kept for lasting tasks.
+//!
+//! A lasting task that takes most of a worker finds room only where several
+//! smaller tasks have ended. These end one by one, and though it is ranked first,
+//! each bit of room that comes free goes to smaller ones that wait behind it:
+//! for as long as there are any, it doesn't run. One sees it as a task that waits
+//! for seconds while tasks of lower rank are started. A task that is stopped to
+//! move loses the room that it was stopped for in the same way, within the
+//! moment that its stop takes.
+//!
+//! So room is kept on one worker for it, and what is kept counts like what runs
+//! ([`Worker::occupied`]): nothing else is started there that would leave too
+//! little. It is kept
+//!
+//! - from the moment on at which the task is stopped to move, where it has room;
+//! - on the worker where its room comes free soonest, by what its tasks are
+//!   predicted to take, once it has waited for [`WAIT`].
+//!
+//! What that costs smaller tasks: of a move nothing but the moment that the stop
+//! takes, in which the room stands empty. Of a task that waits, what has come
+//! free of its room until all of it has: at most its room, for as long as the
+//! last task takes that has to end; with two that share it evenly, half of it for
+//! half of such a task on average. At most one worker in [`SHARE`] is run empty
+//! like this at a time, and one in any pool. Higher priorities wait too: what
+//! lasts is promised to run whatever its queue.
+//!
+//! Nothing is kept for a gang: it needs room on several workers at once, and as
+//! many would stand half empty until the last has it. Nor for what ends by
+//! itself, however wide its step: tasks of a step start one by one, by rank, and
+//! one that waits is late and not broken. What is kept is not written down: a
+//! successor keeps room anew, after the same wait.
+
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::advice::could;
+use super::table::{At, Entry, Phase, StepState, name};
+use crate::job::{Room, Step};
+use crate::task;
+use crate::worker::{self, Worker};
+
+/// How long a lasting task waits before room is kept for it: some tens of times
+/// what it takes to place one that fits somewhere.
+const WAIT: Duration = Duration::from_millis(300);
+/// One worker in so many, and at least one, is kept from other work until a task
+/// has its room there.
+const SHARE: usize = 8;
+
+impl Pool {
+    /// Keeps room on a worker for a task that is to run there.
+    pub(super) fn keep(&mut self, name: task::Name, key: worker::Key, step: &Step, why: &str) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.kept.insert(name, step.room());
+        self.kept.insert(name, key);
+        self.note("room kept", Some(name), Some(key), why.to_owned());
+    }
+
+    fn give_up(&mut self, name: task::Name, why: &str) {
+        let Some(key) = self.kept.remove(&name) else { return };
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.kept.remove(&name);
+        }
+        self.note("kept room given up", Some(name), Some(key), why.to_owned());
+    }
+
+    /// Ends what was kept for a task that starts on a worker.
+    pub(super) fn use_kept(&mut self, name: task::Name, key: worker::Key) {
+        if self.kept.get(&name).is_some_and(|kept| *kept != key) {
+            return self.give_up(name, "it found room elsewhere");
+        }
+        self.kept.remove(&name);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.kept.remove(&name);
+        }
+    }
+
+    /// Gives up what is kept and of no use any more.
+    pub(super) fn review_kept(&mut self, now: Time) {
+        let over = |(name, key): (&task::Name, &worker::Key)| {
+            Some((*name, self.why_over(now, *name, *key)?))
+        };
+        let over: Vec<(task::Name, &str)> = self.kept.iter().filter_map(over).collect();
+        for (name, why) in over {
+            self.give_up(name, why);
+        }
+    }
+
+    fn why_over(&self, now: Time, name: task::Name, key: worker::Key) -> Option<&'static str> {
+        let open = self.entry(name.job).filter(|entry| !entry.state.is_final());
+        let Some((entry, step)) = open.and_then(|entry| Some((entry, entry.step(name)?))) else {
+            return Some("its job is over");
+        };
+        if !entry.task(name).is_some_and(|task| is_without(&task.at)) {
+            return Some("it runs, or is done");
+        }
+        let Some(worker) = self.workers.get(key).filter(|worker| worker.is_usable(now)) else {
+            return Some("the worker takes no work");
+        };
+        let is_fit = self.may_keep(now, name, step, (key, worker))
+            && self.frees_in(now, name, step, worker).is_some();
+        (!is_fit).then_some("the worker can't carry it")
+    }
+
+    /// Keeps room for lasting tasks that have waited for long, or were stopped
+    /// and have nowhere to go, those first that have waited for longest.
+    pub(super) fn keep_room(&mut self, now: Time) {
+        let mut without = self.without_room(now);
+        without.sort();
+        for (_, name) in without {
+            if self.is_emptying_enough(now) {
+                return;
+            }
+            let Some(step) = self.entry(name.job).and_then(|entry| entry.step(name)) else {
+                continue;
+            };
+            let step = step.clone();
+            if let Some((frees_in, key)) = self.soonest(now, name, &step) {
+                let why = format!("it is to come free within {frees_in} ms");
+                self.keep(name, key, &step, &why);
+            }
+        }
+    }
+
+    /// Lasting tasks for which room is to be kept and isn't, and since when.
+    fn without_room(&self, now: Time) -> Vec<(Time, task::Name)> {
+        if !self.is_surveyed() {
+            return Vec::new();
+        }
+        let is_recovering = self.is_recovering(now);
+        let is_meant = |entry: &&Entry| {
+            let is_clear = !is_recovering || entry.revision > self.config.fence;
+            entry.lasts && !entry.state.is_final() && is_clear
+        };
+        let mut found = Vec::new();
+        for entry in self.jobs.values().filter(is_meant) {
+            entry.without_room(now, &mut found);
+        }
+        found.retain(|(_, name)| !self.kept.contains_key(name));
+        found
+    }
+
+    /// Whether as many workers are run empty for lasting tasks as may be at once.
+    fn is_emptying_enough(&self, now: Time) -> bool {
+        let usable = self.workers.values().filter(|worker| worker.is_usable(now)).count();
+        let is_short = |(name, key): &(&task::Name, &worker::Key)| {
+            let worker = self.workers.get(**key);
+            worker.is_some_and(|w| w.kept.get(name).is_some_and(|room| !w.holds(**name, room)))
+        };
+        self.kept.iter().filter(is_short).count() >= (usable / SHARE).max(1)
+    }
+
+    /// The worker on which a task's room comes free soonest, and in how many
+    /// milliseconds.
+    fn soonest(&self, now: Time, name: task::Name, step: &Step) -> Option<(u64, worker::Key)> {
+        let fit = self.workers.iter().filter(|at| self.may_keep(now, name, step, *at));
+        fit.filter_map(|(key, worker)| Some((self.frees_in(now, name, step, worker)?, key))).min()
+    }
+
+    /// Whether a worker may carry a task once it has room.
+    fn may_keep(
+        &self,
+        now: Time,
+        name: task::Name,
+        step: &Step,
+        (key, worker): (worker::Key, &Worker),
+    ) -> bool {
+        let is_bad = self.entry(name.job).and_then(|entry| entry.advice(name));
+        worker.is_usable(now)
+            && could(worker, step)
+            && !worker.hosted.contains_key(&name)
+            && !is_bad.is_some_and(|known| known.is_bad(key))
+            && (step.most_together == 0 || worker.to_be_together(name) < step.most_together)
+    }
+
+    /// In how many milliseconds a worker is predicted to have room for a task;
+    /// none if what runs there doesn't end by itself, or is kept for others.
+    fn frees_in(&self, now: Time, name: task::Name, step: &Step, worker: &Worker) -> Option<u64> {
+        let needed = step.room();
+        let mut occupied = worker.occupied(|kept| *kept == name);
+        let ends = |(task, room): (&task::Name, &Room)| Some((self.ends_in(now, *task)?, *room));
+        let hosted = worker.hosted.iter().map(|(task, hosted)| (task, &hosted.room));
+        let mut ends: Vec<(u64, Room)> = hosted.filter_map(ends).collect();
+        ends.sort_by_key(|(ends, _)| *ends);
+        let mut frees_in = 0;
+        for (ends, room) in ends {
+            if worker.room.fits(&occupied, &needed) {
+                break;
+            }
+            occupied.sub(&room);
+            frees_in = ends;
+        }
+        worker.room.fits(&occupied, &needed).then_some(frees_in)
+    }
+
+    /// In how many milliseconds a run is predicted to end; none if it lasts.
+    /// What is being stopped, or is nobody's, ends in a moment.
+    fn ends_in(&self, now: Time, name: task::Name) -> Option<u64> {
+        let Some(entry) = self.entry(name.job).filter(|entry| !entry.state.is_final()) else {
+            return Some(0);
+        };
+        let (Some(step), Some(place)) = (entry.step(name), entry.place(name)) else {
+            return Some(0);
+        };
+        if matches!(place.phase, Phase::Stopping { .. }) {
+            return Some(0);
+        }
+        let takes = Duration::from_millis(self.predict(&entry.queue, step));
+        (!step.lasts).then(|| worker::millis(place.since + takes - now))
+    }
+}
+
+impl Entry {
+    fn without_room(&self, now: Time, found: &mut Vec<(Time, task::Name)>) {
+        for (occurrence, row) in &self.occurrences {
+            let ready = self.steps.iter().zip(&row.steps).enumerate();
+            let ready = ready.filter(|(_, (step, _))| step.lasts && !step.gang);
+            for (index, (_, state)) in ready.filter(|(_, (step, _))| row.is_ready(step)) {
+                let since = without_since(now, self.begun_at, state);
+                found.extend(since.map(|(i, since)| (since, name(self.id, *occurrence, index, i))));
+            }
+        }
+    }
+}
+
+fn without_since(
+    now: Time,
+    begun: Time,
+    state: &StepState,
+) -> impl Iterator<Item = (usize, Time)> + '_ {
+    let since = move |(index, task): (usize, &super::table::Task)| {
+        let since = match &task.at {
+            At::Waiting => task.not_before.max(begun),
+            At::On(place) => place.since,
+            At::Done => return None,
+        };
+        let is_due = !matches!(task.at, At::Waiting) || now - since > WAIT;
+        (is_without(&task.at) && is_due).then_some((index, since))
+    };
+    state.tasks.iter().enumerate().filter_map(since)
+}
+
+/// Whether a task has no worker, or is about to have none.
+fn is_without(at: &At) -> bool {
+    match at {
+        At::Waiting => true,
+        At::On(place) => matches!(place.phase, Phase::Stopping { .. }),
+        At::Done => false,
+    }
+}
+
+impl Worker {
+    /// What runs there and what is kept, but for what is kept for oneself.
+    pub(super) fn occupied(&self, is_own: impl Fn(&task::Name) -> bool) -> Room {
+        let mut occupied = self.used;
+        let others = self.kept.iter().filter(|(name, _)| !is_own(name));
+        others.for_each(|(_, room)| occupied.add(room));
+        occupied
+    }
+
+    /// Whether a task finds room beside what runs and what is kept for others.
+    pub(super) fn holds(&self, name: task::Name, needed: &Room) -> bool {
+        self.room.fits(&self.occupied(|kept| *kept == name), needed)
+    }
+
+    /// Other tasks of the same step that run here or have room kept.
+    pub(super) fn to_be_together(&self, name: task::Name) -> u32 {
+        let is_sibling = |other: &&task::Name| **other != name && other.is_sibling(&name);
+        let kept = self.kept.keys().filter(is_sibling).count();
+        self.together(name).saturating_add(u32::try_from(kept).unwrap_or(u32::MAX))
+    }
+}
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -15,6 +15,13 @@
     pub index: u32,
 }
 
+impl Name {
+    /// Whether both are tasks of the same step of the same occurrence.
+    pub(crate) fn is_sibling(&self, other: &Self) -> bool {
+        (self.job, self.occurrence, self.step) == (other.job, other.occurrence, other.step)
+    }
+}
+
 /// A run as a worker lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Running {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -113,6 +113,8 @@
     pub(crate) orphans: Vec<task::Ended>,
     pub(crate) hosted: HashMap<task::Name, Hosted>,
     pub(crate) strays: HashMap<task::Name, Stray>,
+    /// Room that is kept for tasks which are to come.
+    pub(crate) kept: BTreeMap<task::Name, Room>,
     pub(crate) vacate_until: Time,
     /// When it was first asked to be emptied for maintenance.
     pub(crate) vacated: Time,
@@ -151,6 +153,7 @@
             orphans: Vec::new(),
             hosted: HashMap::new(),
             strays: HashMap::new(),
+            kept: BTreeMap::new(),
             vacate_until: Time::ZERO,
             vacated: Time::ZERO,
             is_surplus: false,
--- a/crates/jobs/tests/reserve.rs
+++ b/crates/jobs/tests/reserve.rs
@@ -117,11 +117,11 @@
     at_work(&mut world);
     let both = jobs.map(|job| world.where_runs(first(job))[0].to_owned());
     assert_eq!(both[0], both[1], "they are packed");
+    world.run(2_000);
     world.submit(3, vec![step(1, 2_000)]);
     world.plan();
     let filler = world.where_runs(first(JobId(3)))[0].to_owned();
     assert_ne!(filler, both[0]);
-    world.run(2_000);
     world.pool.vacate(at(world.now), &both[0], Duration::from_secs(60));
     world.run(1_000);
     let stay = jobs.iter().filter(|job| world.where_runs(first(**job)) == [both[0].as_str()]);
