--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -15,12 +15,13 @@
 mod pace;
 mod place;
 mod progress;
+mod reserve;
 mod runs;
 mod table;
 mod turns;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -131,6 +132,8 @@
     over: Over,
     /// What tasks wait for that not every worker has, as of the last plan.
     sought: BTreeSet<Feature>,
+    /// On which worker room is kept for a lasting task.
+    kept: BTreeMap<task::Name, worker::Key>,
 }
 
 /// Something worth a line in the log.
@@ -167,6 +170,7 @@
             notes: Vec::new(),
             over: Over::default(),
             sought: BTreeSet::new(),
+            kept: BTreeMap::new(),
         }
     }
 
