Mend: a queue's pools lie in the store, and acceptance holds over all of them

Cause: which pools a queue was in before was kept in each process. A daemon that started later answered 410 to GET and DELETE of an accepted job, and accepted one that was handed in again a second time. The pools before were read and then others written: a gateway with an older configuration, or a late write, fell in between. The count of a queue asked the present pool's owner alone. An owner that knew nothing of a job read the record of its acceptance alone before it said that there is none.

Change: entry/queue/NAME lists the pools in which a queue's jobs may lie, newest first, with the configuration's version. The write that accepts a job expects the record's revision, sets it where the queue is new in a pool, and expects the job in none of the pools. An older configuration never changes the record: the job goes to the record's first pool. A conflict brings the record and is tried again at once, within the job's patience; one that brings no news waits 40 ms. A search reads the record from the store before it says 410 and goes through pools that weren't known; a record that can't be read makes it 503, and the next acceptance writes it anew with all pools that have an owner. Pools that a record names have an owner. Counts are summed over the pools. Owner::cancel looks at the pool once more and at run/POOL/ID before it says that there is no job. Pure: entry::places, entry::admission. Node::earlier is gone.

Ten jobs fit one write of one queue, as before (31 rows of 32). A 410 takes one read more, a 410 to DELETE two.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -11,6 +11,8 @@
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::places::Entry;
+
 /// The prefix of members' records; the name follows.
 pub const MEMBERS: &str = "entry/member/";
 /// The prefix of duties' records; the name follows.
@@ -80,11 +82,29 @@
     pub members: BTreeMap<String, Member>,
     /// Duties by name.
     pub duties: BTreeMap<String, Record>,
+    /// Queues' records by queue.
+    pub queues: BTreeMap<String, Entry>,
     /// Since when a duty has no live holder, by duty.
     vacant: HashMap<String, (Time, Duration)>,
 }
 
 impl Table {
+    /// Takes in a queue's record, unless a newer one is known. Whether it is news.
+    pub fn learn(&mut self, queue: &str, entry: Entry) -> bool {
+        let known = self.queues.entry(queue.to_owned()).or_default();
+        let is_removed = entry == Entry::Damaged { revision: 0 };
+        let is_news = *known != entry && (is_removed || entry.revision() > known.revision());
+        if is_news {
+            *known = entry;
+        }
+        is_news
+    }
+
+    /// The pools that have an owner, or had one.
+    pub fn owned(&self) -> impl Iterator<Item = &str> {
+        self.duties.keys().map(String::as_str).filter(|duty| *duty != FLEET)
+    }
+
     /// Whether the holder of a record is known to live.
     pub fn is_live(&self, holder: &Holder) -> bool {
         self.members.get(&holder.name).is_some_and(|member| member.boot == holder.boot)
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::duty::{self, DUTIES, MEMBERS};
 use crate::node::Node;
+use crate::places::{self, QUEUES, queue_key};
 
 /// How long a watch waits. Its end is what shows that it still works: one whose
 /// connection went silent is noticed after this and the time for an answer, well
@@ -113,7 +114,7 @@
     }
 }
 
-/// Follows members and duties.
+/// Follows members, duties and queues' records.
 pub async fn entries(node: Rc<Node>) {
     let learner = node.clone();
     let learn = move |news: News| {
@@ -123,7 +124,12 @@
                 let mut table = learner.table.borrow_mut();
                 table.members.retain(|name, _| there(format!("{MEMBERS}{name}")));
                 table.duties.retain(|name, _| there(format!("{DUTIES}{name}")));
+                let gone = |name: &&String| !there(queue_key(name));
+                let gone: Vec<String> = table.queues.keys().filter(gone).cloned().collect();
                 drop(table);
+                for name in gone {
+                    put(&learner, &queue_key(&name), None, 0);
+                }
                 for item in items {
                     put(&learner, &item.key, Some(&item.value), item.revision);
                 }
@@ -161,6 +167,14 @@
         let revision = if value.is_some() { revision } else { 0 };
         let record = duty::Record { holder: holder.unwrap_or_default(), revision };
         table.duties.insert(name.to_owned(), record);
+    } else if let Some(name) = key.strip_prefix(QUEUES) {
+        // No daemon removes one: without it, nobody knows where the jobs are.
+        let removed = places::Entry::Damaged { revision: 0 };
+        let entry = value.map_or(removed, |value| places::Entry::read(value, revision));
+        if value.is_some() && entry.pools().is_empty() {
+            unreadable(node, key, revision, "the queue's pools aren't known until it is written");
+        }
+        table.learn(name, entry);
     }
 }
 
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -8,18 +8,20 @@
 use std::time::Duration;
 
 use corianderfork_adapter::caller;
-use corianderfork_adapter::config::Route;
+use corianderfork_adapter::config::{Config, Route};
 use corianderfork_jobs::{JobId, Record};
 use corianderfork_model::Time;
 use serde_json::json;
 use tokio::task::spawn_local;
 
+use crate::admission::Offer;
 use crate::clock;
 use crate::http::Failed;
 use crate::lookup::{Lookup, Next};
 use crate::node::Node;
 use crate::owner::ms;
 use crate::peer::{self, Ask, Reply};
+use crate::places::{Step, Way};
 use crate::server::{Asked, Told};
 use crate::store::Error;
 use accept::{Accepted, Waiting, patience};
@@ -69,7 +71,7 @@
         let id = asked.path[route.prefix.len()..].to_owned();
         let (told, why) = match (asked.method.as_str(), id.as_str()) {
             ("GET", "") => self.queued(route).await,
-            ("POST", id) => self.submit(route, id, &asked).await,
+            ("POST", id) => self.submit(&config, route, id, &asked).await,
             ("GET", id) => self.state(route, id).await,
             ("DELETE", id) => self.cancel(route, id).await,
             _ => (Told::new(405, caller::error("send POST, GET or DELETE")), "method"),
@@ -94,6 +96,7 @@
 
     async fn submit(
         self: &Rc<Self>,
+        config: &Config,
         route: &Route,
         id: &str,
         asked: &Asked,
@@ -112,16 +115,18 @@
             return self.submit_while_away(route, id).await;
         }
         let record = Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job };
-        match self.store(route, id, &record, patience(asked)).await {
-            Accepted::Stored(revision) => {
-                if let Some(revision) = revision {
-                    self.tell_owner(&route.pool, id, record, revision);
-                }
-                (
-                    Told::new(200, b"{}".to_vec()),
-                    if revision.is_some() { "stored" } else { "known" },
-                )
+        let offer = Offer {
+            queue: route.name.clone(),
+            way: Way { version: config.version, pool: route.pool.clone() },
+            id: id.to_owned(),
+            value: serde_json::to_vec(&record).unwrap_or_default(),
+        };
+        match self.store(offer, patience(asked)).await {
+            Accepted::Stored(pool, revision) => {
+                self.tell_owner(&pool, id, record, revision);
+                (Told::new(200, b"{}".to_vec()), "stored")
             }
+            Accepted::Known => (Told::new(200, b"{}".to_vec()), "known"),
             Accepted::NotStored if !self.is_unsure(id) => {
                 (refuse("the store took no job; come back"), "not stored")
             }
@@ -135,12 +140,14 @@
     /// What a job gets while the store is away: it can't be accepted, but it may
     /// have been before.
     async fn submit_while_away(&self, route: &Route, id: &str) -> (Told, &'static str) {
-        let ask = Ask::State { pool: route.pool.clone(), id: id.to_owned() };
-        match self.node.ask_owner(&route.pool, ask, peer::PROMPT).await {
-            Ok(Reply::State { .. }) => (Told::new(200, b"{}".to_vec()), "known"),
-            _ if self.is_unsure(id) => unknown(),
-            _ => (self.refuse_away(id), "store away"),
+        for pool in self.node.pools_of(&route.name, &route.pool) {
+            let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
+            let answer = self.node.ask_owner(&pool, ask, peer::PROMPT).await;
+            if let Ok(Reply::State { .. }) = answer {
+                return (Told::new(200, b"{}".to_vec()), "known");
+            }
         }
+        if self.is_unsure(id) { unknown() } else { (self.refuse_away(id), "store away") }
     }
 
     /// Refuses what the store is needed for while it is away: nothing was written.
@@ -169,26 +176,35 @@
     }
 
     async fn state(&self, route: &Route, id: &str) -> (Told, &'static str) {
-        let mut is_failed = false;
-        for pool in self.node.pools_of(&route.name, &route.pool) {
+        let mut search = self.node.search(&route.name, &route.pool);
+        loop {
+            let pool = match search.next() {
+                Step::Pool(pool) => pool,
+                Step::Record => {
+                    self.node.read_record(&route.name, &mut search).await;
+                    continue;
+                }
+                Step::Unclear => {
+                    let why = "neither the owner nor the store answers; come back";
+                    return (refuse(why), "no answer");
+                }
+                Step::Absent => break,
+            };
             let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
             match self.node.ask_owner(&pool, ask, peer::ANSWER).await {
                 Ok(Reply::State { state }) => {
                     return (Told::new(200, caller::state(state)), "owner");
                 }
-                _ if self.node.store.is_away() => is_failed = true,
+                _ if self.node.store.is_away() => search.unclear(),
                 _ => match self.look_up(&pool, id).await {
                     Ok(Next::Found(state)) => {
                         return (Told::new(200, caller::state(state)), "store");
                     }
-                    Ok(Next::Absent) => {}
-                    Ok(Next::Read(_) | Next::Unreadable) | Err(_) => is_failed = true,
+                    Ok(Next::Absent) => search.absent(),
+                    Ok(Next::Read(_) | Next::Unreadable) | Err(_) => search.unclear(),
                 },
             }
         }
-        if is_failed {
-            return (refuse("neither the owner nor the store answers; come back"), "no answer");
-        }
         (Told::new(410, caller::error("no such job")), "unknown job")
     }
 
@@ -207,26 +223,31 @@
     }
 
     async fn cancel(&self, route: &Route, id: &str) -> (Told, &'static str) {
-        let mut is_failed = false;
-        for pool in self.node.pools_of(&route.name, &route.pool) {
-            let ask = Ask::Cancel { pool: pool.clone(), id: id.to_owned() };
-            match self.node.ask_owner(&pool, ask, CANCEL).await {
-                Ok(Reply::Done) => return (Told::new(200, b"{}".to_vec()), "cancelled"),
-                Ok(Reply::Unknown) => {}
-                Ok(_) | Err(Failed::Unsent | Failed::Lost) => is_failed = true,
+        let mut search = self.node.search(&route.name, &route.pool);
+        loop {
+            match search.next() {
+                Step::Pool(pool) => {
+                    let ask = Ask::Cancel { pool: pool.clone(), id: id.to_owned() };
+                    match self.node.ask_owner(&pool, ask, CANCEL).await {
+                        Ok(Reply::Done) => return (Told::new(200, b"{}".to_vec()), "cancelled"),
+                        Ok(Reply::Unknown) => search.absent(),
+                        Ok(_) | Err(Failed::Unsent | Failed::Lost) => search.unclear(),
+                    }
+                }
+                Step::Record => self.node.read_record(&route.name, &mut search).await,
+                Step::Unclear => {
+                    let why = "the cancellation could not be written; ask again";
+                    return (refuse(why), "not written");
+                }
+                Step::Absent => {
+                    return (Told::new(410, caller::error("no such job")), "unknown job");
+                }
             }
         }
-        if is_failed {
-            return (refuse("the cancellation could not be written; ask again"), "not written");
-        }
-        (Told::new(410, caller::error("no such job")), "unknown job")
     }
 
     async fn queued(&self, route: &Route) -> (Told, &'static str) {
-        let ask = Ask::Queued { pool: route.pool.clone(), queue: route.name.clone() };
-        if let Ok(Reply::Queued { jobs }) =
-            self.node.ask_owner(&route.pool, ask, peer::ANSWER).await
-        {
+        if let Some(jobs) = self.count_queued(route).await {
             self.node.heard.borrow_mut().note(clock::now(), &route.name, jobs);
             return (Told::new(200, caller::waiting(jobs)), "owner");
         }
@@ -235,6 +256,19 @@
             None => (refuse("the queue's owner doesn't answer; come back"), "no answer"),
         }
     }
+
+    /// Jobs of a queue that wait, in all of its pools, if all owners tell.
+    async fn count_queued(&self, route: &Route) -> Option<usize> {
+        let mut all = 0;
+        for pool in self.node.pools_of(&route.name, &route.pool) {
+            let ask = Ask::Queued { pool: pool.clone(), queue: route.name.clone() };
+            match self.node.ask_owner(&pool, ask, peer::ANSWER).await {
+                Ok(Reply::Queued { jobs }) => all += jobs,
+                _ => return None,
+            }
+        }
+        Some(all)
+    }
 }
 
 /// What a caller gets whose job may be stored yet: 503 would promise that it never
--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -3,17 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_adapter::config::Route;
-use corianderfork_adapter::store::{MAX_ROWS, Outcome, Txn};
-use corianderfork_jobs::Record;
+use corianderfork_adapter::store::Outcome;
 use corianderfork_model::Time;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::Gateway;
+use crate::admission::{Admission, Offer};
 use crate::clock;
-use crate::lookup::{Next, job_key, run_key};
+use crate::lookup::Next;
+use crate::places::Entry;
 use crate::server::Asked;
 use crate::store::Error;
 
@@ -24,8 +24,6 @@
 const PATIENCE: u32 = 4;
 /// The pause between two tries.
 const PAUSE: Duration = Duration::from_millis(40);
-/// Rows of a write that one job takes: two conditions and a value.
-const JOB_ROWS: usize = 3;
 /// Writes of jobs under way at once: a second one goes out while the first
 /// waits for its answer.
 const WRITES: usize = 4;
@@ -37,8 +35,10 @@
 
 /// What became of a job handed in.
 pub(super) enum Accepted {
-    /// It is stored, at this revision, or was before.
-    Stored(Option<u64>),
+    /// It is stored in this pool, at this revision.
+    Stored(String, u64),
+    /// It was stored before.
+    Known,
     /// It was not stored and never will be.
     NotStored,
     /// Nobody knows.
@@ -47,9 +47,7 @@
 
 /// A job that waits for its write.
 pub(super) struct Waiting {
-    pool: String,
-    id: String,
-    value: Vec<u8>,
+    offer: Offer,
     until: Time,
     /// Whether a write of it may have been done though nobody said so.
     maybe: bool,
@@ -75,34 +73,14 @@
     }
 
     /// Has a job stored, within a part of the time that its caller waits.
-    pub(super) async fn store(
-        self: &Rc<Self>,
-        route: &Route,
-        id: &str,
-        record: &Record,
-        within: Duration,
-    ) -> Accepted {
-        let pools = self.node.pools_of(&route.name, &route.pool);
-        for earlier in pools.iter().skip(1) {
-            match self.is_known(earlier, id).await {
-                Ok(true) => return Accepted::Stored(None),
-                Ok(false) => {}
-                Err(_) => return Accepted::NotStored,
-            }
-        }
+    pub(super) async fn store(self: &Rc<Self>, offer: Offer, within: Duration) -> Accepted {
         let (told, accepted) = oneshot::channel();
-        self.waiting.borrow_mut().push_back(Waiting {
-            pool: route.pool.clone(),
-            id: id.to_owned(),
-            value: serde_json::to_vec(record).unwrap_or_default(),
-            until: clock::now() + within,
-            maybe: false,
-            told,
-        });
+        let (id, until) = (offer.id.clone(), clock::now() + within);
+        self.waiting.borrow_mut().push_back(Waiting { offer, until, maybe: false, told });
         self.write_some();
         match timeout(within, accepted).await {
             Ok(accepted) => accepted.unwrap_or(Accepted::Unknown),
-            Err(_) => self.withdraw(id),
+            Err(_) => self.withdraw(&id),
         }
     }
 
@@ -111,7 +89,7 @@
     fn withdraw(&self, id: &str) -> Accepted {
         let mut waiting = self.waiting.borrow_mut();
         let before = waiting.len();
-        waiting.retain(|job| job.id != id || job.maybe);
+        waiting.retain(|job| job.offer.id != id || job.maybe);
         if waiting.len() < before { Accepted::NotStored } else { Accepted::Unknown }
     }
 
@@ -121,11 +99,8 @@
         if self.writing.get() >= WRITES || self.waiting.borrow().is_empty() {
             return;
         }
-        let most = MAX_ROWS / JOB_ROWS;
-        let mut waiting = self.waiting.borrow_mut();
-        let count = waiting.len().min(most);
-        let jobs: Vec<Waiting> = waiting.drain(..count).collect();
-        drop(waiting);
+        let count = self.admission(self.waiting.borrow().iter()).count();
+        let jobs: Vec<Waiting> = self.waiting.borrow_mut().drain(..count).collect();
         self.writing.set(self.writing.get() + 1);
         let gateway = self.clone();
         spawn_local(async move {
@@ -135,52 +110,95 @@
         });
     }
 
+    /// What of some jobs goes together in one write, by what is known of their
+    /// queues.
+    fn admission<'a>(&self, jobs: impl Iterator<Item = &'a Waiting>) -> Admission {
+        let table = self.node.table.borrow();
+        Admission::new(jobs.map(|job| &job.offer), &table)
+    }
+
+    /// Takes in queues' records. Whether any of them is news.
+    fn learn(&self, entries: Vec<(String, Entry)>) -> bool {
+        let mut table = self.node.table.borrow_mut();
+        entries.into_iter().fold(false, |is_news, (queue, entry)| {
+            // Each is taken in, also behind the first that is news.
+            table.learn(&queue, entry) || is_news
+        })
+    }
+
     /// Writes jobs until each is known to be stored or its time is over.
     async fn write(&self, mut jobs: Vec<Waiting>) {
         while !jobs.is_empty() {
-            let failed = match self.node.store.txn(&txn(&jobs)).await {
+            let admission = self.admission(jobs.iter());
+            // A queue that has just come to another pool takes more of a write.
+            for job in jobs.drain(admission.count()..).rev() {
+                self.waiting.borrow_mut().push_front(job);
+            }
+            jobs = self.sift(&admission, jobs).await;
+            if jobs.is_empty() {
+                return;
+            }
+            let txn = admission.txn(jobs.iter().map(|job| &job.offer));
+            let mut is_news = false;
+            match self.node.store.txn(&txn).await {
                 Ok(Outcome::Written(revision)) => {
+                    self.learn(admission.written(revision));
                     for job in jobs {
+                        let pool = admission.pool(&job.offer).to_owned();
                         // A caller that left finds its job when it asks again.
-                        let _ = job.told.send(Accepted::Stored(Some(revision)));
+                        let _ = job.told.send(Accepted::Stored(pool, revision));
                     }
                     return;
                 }
                 Ok(Outcome::Conflict(items)) => {
-                    let is_stored = |job: &Waiting| {
-                        let keys = [job_key(&job.pool, &job.id), run_key(&job.pool, &job.id)];
-                        items.iter().any(|item| keys.contains(&item.key))
-                    };
+                    is_news = self.learn(admission.seen(&items));
+                    let is_stored = |job: &Waiting| admission.is_stored(&job.offer, &items);
                     let (stored, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(is_stored);
+                    is_news |= !stored.is_empty();
                     jobs = rest;
-                    for job in stored {
-                        let _ = job.told.send(Accepted::Stored(None));
-                    }
-                    continue;
+                    tell_known(stored);
+                }
+                Ok(Outcome::NoLease) | Err(Error::Unknown) => {
+                    jobs.iter_mut().for_each(|job| job.maybe = true);
                 }
-                Ok(Outcome::NoLease) | Err(Error::Unknown) => true,
-                Err(Error::NotDone(_)) => false,
-            };
-            jobs.iter_mut().for_each(|job| job.maybe |= failed);
+                Err(Error::NotDone(_)) => {}
+            }
             jobs = give_up(jobs, self.node.store.is_away());
-            tokio::time::sleep(PAUSE).await;
+            if !is_news {
+                tokio::time::sleep(PAUSE).await;
+            }
         }
     }
 
-    async fn is_known(&self, pool: &str, id: &str) -> Result<bool, Error> {
-        Ok(self.look_up(pool, id).await? != Next::Absent)
+    /// Tells those that are known in a pool for which their write has no room, and
+    /// keeps the others. Where that can't be read, a caller is told to come back.
+    async fn sift(&self, admission: &Admission, jobs: Vec<Waiting>) -> Vec<Waiting> {
+        let mut rest = Vec::new();
+        'jobs: for job in jobs {
+            for pool in admission.unchecked(&job.offer) {
+                match self.look_up(pool, &job.offer.id).await {
+                    Ok(Next::Absent) => {}
+                    Ok(_) => {
+                        tell_known(vec![job]);
+                        continue 'jobs;
+                    }
+                    Err(_) => {
+                        give_up(vec![job], true);
+                        continue 'jobs;
+                    }
+                }
+            }
+            rest.push(job);
+        }
+        rest
     }
 }
 
-fn txn(jobs: &[Waiting]) -> Txn {
-    let mut txn = Txn::default();
+fn tell_known(jobs: Vec<Waiting>) {
     for job in jobs {
-        let key = job_key(&job.pool, &job.id);
-        txn.expect.push((key.clone(), 0));
-        txn.expect.push((run_key(&job.pool, &job.id), 0));
-        txn.set.push((key, job.value.clone(), 0));
+        // A caller that left finds its job when it asks again.
+        let _ = job.told.send(Accepted::Known);
     }
-    txn
 }
 
 /// Answers those whose time is over, or all if the store is away, and keeps the
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -13,6 +13,7 @@
 use crate::duty::{DUTIES, FLEET, Holder, MEMBERS, Member, Record};
 use crate::node::{Node, TTL};
 use crate::owner::Owner;
+use crate::places::Entry;
 use crate::planner;
 use crate::store::Error;
 
@@ -108,9 +109,14 @@
         config.pools.iter().filter(|pool| !pool.spare).map(|pool| pool.name.clone()).collect();
     // A pool that the configuration dropped may have jobs left.
     let table = node.table.borrow();
-    let left = table.duties.keys().filter(|name| *name != FLEET && !duties.contains(name));
-    let left: Vec<String> = left.cloned().collect();
-    duties.extend(left);
+    let left = table.owned();
+    // So may one that was dropped before anyone owned it.
+    let named = table.queues.values().flat_map(Entry::pools).map(String::as_str);
+    for name in left.chain(named) {
+        if !duties.iter().any(|duty| duty == name) {
+            duties.push(name.to_owned());
+        }
+    }
     if node.settings.fleet.is_some() {
         duties.push(FLEET.to_owned());
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::peer::{self, Ask, Reply};
+use crate::places::{Entry, Search, queue_key};
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::trace::Trace;
@@ -46,9 +47,6 @@
     pub metrics: Metrics,
     /// The configuration in force.
     pub config: RefCell<Option<Rc<Config>>>,
-    /// Pools that a queue was in before, by queue: jobs stay where they were
-    /// accepted.
-    pub earlier: RefCell<HashMap<String, Vec<String>>>,
     /// Waves, with the time at which they were first seen.
     pub waves: RefCell<BTreeMap<u64, (Wave, Time)>>,
     /// Members and duties.
@@ -144,9 +142,6 @@
             "configuration in force",
             json!({ "version": config.version, "before": known, "routes": config.routes.len() }),
         );
-        if let Some(old) = self.config.borrow().as_ref() {
-            self.note_moved_queues(old, &config);
-        }
         let queues = self.queues(&config);
         *self.config.borrow_mut() = Some(Rc::new(config));
         for owner in self.owners.borrow().values() {
@@ -164,25 +159,30 @@
         queues
     }
 
-    fn note_moved_queues(&self, old: &Config, new: &Config) {
-        let mut earlier = self.earlier.borrow_mut();
-        for route in &old.routes {
-            let pool = new.routes.iter().find(|r| r.name == route.name).map(|r| &r.pool);
-            if pool != Some(&route.pool) {
-                earlier.entry(route.name.clone()).or_default().push(route.pool.clone());
-            }
+    /// Begins to look for a job of a queue, which is sent to `pool` now.
+    pub fn search(&self, queue: &str, pool: &str) -> Search {
+        let table = self.table.borrow();
+        Search::new(table.queues.get(queue).cloned().unwrap_or_default(), pool)
+    }
+
+    /// Goes on with a search by the queue's record as the store has it.
+    pub async fn read_record(&self, queue: &str, search: &mut Search) {
+        let key = queue_key(queue);
+        let read = if self.store.is_away() { None } else { self.store.get(&key).await.ok() };
+        let Some(item) = read else { return search.unclear() };
+        let entry = item.map_or(Entry::Missing, |item| Entry::read(&item.value, item.revision));
+        if entry != Entry::Missing {
+            self.table.borrow_mut().learn(queue, entry.clone());
         }
+        search.learn(entry);
     }
 
-    /// Where a queue's jobs may be: in its pool, and in those it was in before.
+    /// Where a queue's jobs may be, as far as is known here.
     pub fn pools_of(&self, queue: &str, pool: &str) -> Vec<String> {
-        let mut pools = vec![pool.to_owned()];
-        let earlier = self.earlier.borrow();
-        let before = earlier.get(queue).into_iter().flatten();
-        for before in before {
-            if !pools.contains(before) {
-                pools.push(before.clone());
-            }
+        let table = self.table.borrow();
+        let mut pools = table.queues.get(queue).map_or_else(Vec::new, |e| e.pools().to_vec());
+        if !pools.iter().any(|known| known == pool) {
+            pools.push(pool.to_owned());
         }
         pools
     }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -21,7 +21,7 @@
 
 use crate::clock;
 use crate::duty::Holder;
-use crate::lookup::job_key;
+use crate::lookup::{job_key, run_key};
 use crate::node::{HOLD_ON, Node, TTL};
 use crate::peer::{Ask, Reply};
 
@@ -209,7 +209,11 @@
             // It may have been accepted a moment ago.
             match self.node.store.get(&job_key(&self.name, text)).await {
                 Ok(Some(item)) => self.accept_item(&item.key, &item.value, None, item.revision),
-                Ok(None) => return Reply::Unknown,
+                Ok(None) => {
+                    if let Some(reply) = self.absence(id, text).await {
+                        return reply;
+                    }
+                }
                 Err(_) => return Reply::Later,
             }
         }
@@ -231,6 +235,23 @@
         }
     }
 
+    /// What is told of a job that isn't known here and whose acceptance isn't in
+    /// the store; nothing if it has become known.
+    ///
+    /// It may have become known and ended between the two looks, or another owner
+    /// took over and ended it: then the store has how far it is.
+    async fn absence(&self, id: JobId, text: &str) -> Option<Reply> {
+        if self.pool.borrow().state(id).is_some() {
+            return None;
+        }
+        let run = self.node.store.get(&run_key(&self.name, text)).await;
+        match (run, self.pool.borrow().state(id)) {
+            (_, Some(_)) => None,
+            (Ok(None), None) => Some(Reply::Unknown),
+            (Ok(Some(_)) | Err(_), None) => Some(Reply::Later),
+        }
+    }
+
     /// Ends for another holder, and tells what was granted.
     pub fn give_way(&self, fence: u64) -> Option<BTreeMap<String, u64>> {
         if fence <= self.fence() {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -68,7 +68,6 @@
         trace,
         metrics,
         config: RefCell::default(),
-        earlier: RefCell::default(),
         waves: RefCell::default(),
         table: RefCell::default(),
         owners: RefCell::default(),
