--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -37,6 +37,20 @@
 }
 
 /// Jobs that go together in one write.
+///
+/// ```
+/// use corianderfork_entry::admission::{Admission, Offer};
+/// use corianderfork_entry::duty::Table;
+/// use corianderfork_entry::places::Way;
+///
+/// let way = Way { version: 1, pool: "alpha".to_owned() };
+/// let id = "0123456789abcdef".to_owned();
+/// let offer = Offer { queue: "q".to_owned(), way, id, value: b"{}".to_vec() };
+/// let admission = Admission::new([&offer], &Table::default());
+/// let txn = admission.txn([&offer]);
+/// assert!(txn.expect.contains(&("entry/queue/q".to_owned(), 0)));
+/// assert!(txn.expect.contains(&("job/alpha/0123456789abcdef".to_owned(), 0)));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
     queues: BTreeMap<String, (Way, Placement)>,
