--- a/crates/entry/src/gateway/sought.rs
+++ b/crates/entry/src/gateway/sought.rs
@@ -38,6 +38,11 @@
         Self { pool: pool.to_owned(), owner: said(answer), owner_ms, reads: Vec::new() }
     }
 
+    /// The owner of `pool` isn't asked.
+    pub fn unasked(pool: &str) -> Self {
+        Self { pool: pool.to_owned(), owner: "not asked", owner_ms: 0, reads: Vec::new() }
+    }
+
     /// A key was read, from `begun` on; `there` is none if there was no answer.
     pub fn note(&mut self, key: String, begun: Time, there: Option<bool>, revision: Option<u64>) {
         self.reads.push(Read { key, there, revision, took_ms: ms(clock::now() - begun) });
