Tell a job whose end may be written by what the store says

Cause: an owner that had decided a job's end told it as running until its write was confirmed. Where the write had been carried out and its answer was lost, another entry VM that couldn't ask the owner had read the end in the store and told it: the job was completed, and then ran again. Weighed: telling the end before it is confirmed (it may never be written); the owner reading the store itself (a question to it takes a call more; the gateway has the reads already); running where the store doesn't answer (may contradict what was told).

--- a/crates/entry/src/gateway/sought.rs
+++ b/crates/entry/src/gateway/sought.rs
@@ -52,6 +52,7 @@
 fn said(answer: &Result<Reply, Failed>) -> &'static str {
     match answer {
         Ok(Reply::State { .. }) => "a state",
+        Ok(Reply::Ending) => "over, perhaps not written",
         Ok(Reply::Unknown) => "no such job",
         Ok(Reply::NotOwner) => "not the owner",
         Ok(_) => "something else",
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -162,10 +162,7 @@
                 }
                 Reply::Done
             }
-            Ask::State { id, .. } => {
-                let state = id.parse().ok().and_then(|id| self.pool.borrow().state(id));
-                state.map_or(Reply::Unknown, |state| Reply::State { state })
-            }
+            Ask::State { id, .. } => self.state(&id),
             Ask::Cancel { id, .. } => self.cancel(&id).await,
             // An owner that may have been replaced doesn't hear of new jobs: its
             // count would say that none wait while its successor has hundreds.
@@ -203,6 +200,19 @@
         }
     }
 
+    /// Where a job stands. One whose end is decided and not known to be written is
+    /// told as such: another entry VM may have read that end in the store and told it,
+    /// and a caller would see a job that was completed run again.
+    fn state(&self, id: &str) -> Reply {
+        let Ok(id) = id.parse() else { return Reply::Unknown };
+        let pool = self.pool.borrow();
+        match pool.state(id) {
+            Some(_) if pool.is_ending(id) => Reply::Ending,
+            Some(state) => Reply::State { state },
+            None => Reply::Unknown,
+        }
+    }
+
     async fn cancel(&self, text: &str) -> Reply {
         let Ok(id) = text.parse::<JobId>() else { return Reply::Unknown };
         if self.pool.borrow().state(id).is_none() {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -154,6 +154,9 @@
         /// The state.
         state: State,
     },
+    /// The job is over, and whether that is written isn't known: the store says
+    /// where it stands.
+    Ending,
     /// It could not be written in time; ask again.
     Later,
     /// How many jobs have not begun.
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -191,11 +191,14 @@
 
     /// Where a job stands, as it may be told: an end only once it is written.
     pub fn state(&self, id: JobId) -> Option<State> {
-        let entry = self.entry(id)?;
-        if entry.state.is_final() && entry.written < entry.version {
-            return Some(State::Running);
-        }
-        Some(entry.state)
+        let state = self.entry(id)?.state;
+        Some(if self.is_ending(id) { State::Running } else { state })
+    }
+
+    /// Whether a job is over, and it isn't known whether that is written yet: it may
+    /// be, with the answer lost or late.
+    pub fn is_ending(&self, id: JobId) -> bool {
+        self.entry(id).is_some_and(|entry| entry.state.is_final() && entry.written < entry.version)
     }
 
     /// Whether a task is known to be done.
