--- /dev/null
+++ b/crates/jobs/tests/saved.rs
@@ -0,0 +1,30 @@
+//! Progress that a run saved, and an owner that ends before the task goes on.
+#![allow(clippy::expect_used)]
+
+mod common;
+
+use common::{World, at, first, step};
+use corianderfork_jobs::task::How;
+
+#[test]
+fn next_look_lets_forget_saved_progress_only_once_it_is_kept() {
+    // Symptom: a task that had saved its progress begins anew.
+    // Sequence: a run is stopped and lists what it saved; its worker is let forget
+    //   that; before the task goes on elsewhere its owner ends; the successor finds
+    //   nothing of it, neither at the worker nor in the store.
+    // Cause: saved progress is held in the owner's memory alone.
+    let mut world = World::new(1);
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.takes = 60_000;
+    world.run(500);
+    let worker = world.workers.get_mut("w0").expect("a worker");
+    worker.end(first(job), How::Stopped);
+    worker.ended.last_mut().expect("an end").saved = "half".to_owned();
+    world.now += 100;
+    world.look();
+    world.write();
+    let key = world.key("w0");
+    let seen = world.pool.next_look(at(world.now), key).expect("a look").seen;
+    let is_written = world.progress.get(&job).is_some_and(|p| format!("{p:?}").contains("half"));
+    assert!(seen == 0 || is_written, "nobody but this owner has what was saved");
+}
