--- a/crates/entry/src/planner/orders.rs
+++ b/crates/entry/src/planner/orders.rs
@@ -22,8 +22,13 @@
 
     /// Leaves alone for a while what the holder before ordered, by the ages of
     /// its orders when it last wrote. How long ago that was isn't known.
+    ///
+    /// These VMs count as away until the list, which lags, has had the time to show
+    /// them so. Without that a wave that is taken over has more VMs away at once than
+    /// it may: the list still shows up what was ordered a moment before.
     pub(super) fn bar(&mut self, ages: BTreeMap<String, u64>) {
         let now = clock::now();
+        self.away.extend(ages.keys().map(|vm| (vm.clone(), now)));
         let gap = self.gap();
         let until = |age: u64| now + gap.saturating_sub(Duration::from_millis(age));
         self.barred = ages.into_iter().map(|(vm, age)| (vm, until(age))).collect();
--- a/crates/jobs/src/pool/ends.rs
+++ b/crates/jobs/src/pool/ends.rs
@@ -99,7 +99,7 @@
             return;
         }
         if entry.state.is_final() {
-            return self.await_end_of_job(key, ended);
+            return self.await_written(key, ended);
         }
         self.learn(now, name, began);
         let Some(entry) = self.entry_mut(name.job) else { return };
@@ -144,8 +144,11 @@
             }
             return;
         }
-        if entry.state.is_final() {
-            return self.await_end_of_job(key, ended);
+        // A run of a task that is done elsewhere may fail before its stop arrives.
+        // Counted, it would end a job as failed each task of which is done.
+        let is_done = entry.task(name).is_some_and(|task| matches!(task.at, At::Done));
+        if entry.state.is_final() || is_done {
+            return self.await_written(key, ended);
         }
         let queue = entry.queue.clone();
         let attempts = self.queue(&queue).attempts.max(1);
@@ -162,11 +165,12 @@
         self.set_pending(key, ended.number, Pending::Written { job: name.job, version });
     }
 
-    /// Keeps an end of a job that is over until that is written.
+    /// Keeps an end that changes nothing until what it came after is written: that
+    /// its job is over, or its task done.
     ///
     /// Until then a successor finds the job under way and nothing of this end. Were
     /// the worker let forget it, the successor would start a task again that is done.
-    fn await_end_of_job(&mut self, key: worker::Key, ended: &Ended) {
+    fn await_written(&mut self, key: worker::Key, ended: &Ended) {
         let job = ended.task.job;
         let Some(entry) = self.entry(job) else { return };
         if entry.written < entry.version {
--- a/crates/jobs/src/pool/reserve.rs
+++ b/crates/jobs/src/pool/reserve.rs
@@ -44,6 +44,10 @@
 /// How long a lasting task waits before room is kept for it: some tens of times
 /// what it takes to place one that fits somewhere.
 const WAIT: Duration = Duration::from_millis(300);
+/// How long room is waited for at most, by what tasks are predicted to take. Where
+/// nothing ends for minutes, a worker would stand nearly empty for as long, beside
+/// small tasks that wait.
+const LONGEST: Duration = Duration::from_millis(4_000);
 /// One worker in so many, and at least one, is kept from other work until a task
 /// has its room there.
 const SHARE: usize = 8;
@@ -174,8 +178,8 @@
             && (step.most_together == 0 || worker.to_be_together(name) < step.most_together)
     }
 
-    /// In how many milliseconds a worker is predicted to have room for a task;
-    /// none if what runs there doesn't end by itself, or is kept for others.
+    /// In how many milliseconds a worker is predicted to have room for a task; none
+    /// if what runs there doesn't end by itself or in time, or is kept for others.
     fn frees_in(&self, now: Time, name: task::Name, step: &Step, worker: &Worker) -> Option<u64> {
         let needed = step.room();
         let mut occupied = worker.occupied(|kept| *kept == name);
@@ -191,7 +195,8 @@
             occupied.sub(&room);
             frees_in = ends;
         }
-        worker.room.fits(&occupied, &needed).then_some(frees_in)
+        let is_soon = Duration::from_millis(frees_in) <= LONGEST;
+        (is_soon && worker.room.fits(&occupied, &needed)).then_some(frees_in)
     }
 
     /// In how many milliseconds a run is predicted to end; none if it lasts.
@@ -207,7 +212,10 @@
             return Some(0);
         }
         let takes = Duration::from_millis(self.predict(&entry.queue, step));
-        (!step.lasts).then(|| worker::millis(place.since + takes - now))
+        let so_far = now - place.since;
+        // One that takes longer than predicted is taken to go on for as long again.
+        let left = takes.abs_diff(so_far);
+        (!step.lasts).then(|| worker::millis(left))
     }
 }
 
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -83,11 +83,15 @@
         }
     }
 
-    /// How long what this owner granted holds at most, by worker, for a
-    /// successor.
-    pub fn grants(&self, now: Time) -> BTreeMap<String, u64> {
+    /// How long what this owner granted holds at most, by worker, for a successor.
+    ///
+    /// None before it has planned for the first time: it knows of no workers yet, and
+    /// to name none would be taken for the word that what its predecessor granted is
+    /// over. Tasks of a worker that can't be reached would run a second time.
+    pub fn grants(&self, now: Time) -> Option<BTreeMap<String, u64>> {
+        self.begun?;
         let left = |worker: &Worker| worker::millis(worker.lapses() - now);
-        self.workers.values().map(|worker| (worker.id.clone(), left(worker))).collect()
+        Some(self.workers.values().map(|worker| (worker.id.clone(), left(worker))).collect())
     }
 
     /// Hears that a worker's life is over: its VM was moved or maintained.
--- a/crates/jobs/tests/unloaded.rs
+++ b/crates/jobs/tests/unloaded.rs
@@ -29,7 +29,9 @@
     let grants = owner(FENCE + 1, world.now).grants(at(world.now));
     let mut third = owner(FENCE + 2, world.now);
     third.set_roster(seats);
-    third.set_inherited(at(world.now), &grants);
+    if let Some(grants) = grants {
+        third.set_inherited(at(world.now), &grants);
+    }
     let job = Job::new("run".to_owned(), steps).expect("a job");
     let record = Record { queue: "q".to_owned(), accepted_ms: 0, job };
     third.accept(at(world.now), Duration::ZERO, id, &record, None, 1);
