Leave descriptors for files and lookers out of what callers and peers may take

Now 512 for peers (128 entry VMs, four each), 3,024 for callers, 300 of our own. `job told unknown` is no longer among the lines that are dropped when there are many.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -33,6 +33,9 @@
 /// How long an owner may take over a cancellation.
 const CANCEL: Duration = Duration::from_millis(2_600);
 
+/// The event of a caller that is told that there is no such job.
+const UNKNOWN: &str = "job told unknown";
+
 /// Answers callers.
 pub struct Gateway {
     node: Rc<Node>,
@@ -213,17 +216,21 @@
             }
             sought.push(row);
         }
-        self.log_sought("job told unknown", route, id, &sought);
+        self.log_sought(UNKNOWN, route, id, &sought);
         (Told::new(410, caller::error("no such job")), "unknown job")
     }
 
     /// Tells what an answer rests on that names no state.
     fn log_sought(&self, event: &'static str, route: &Route, id: &str, sought: &[Sought]) {
         self.node.metrics.event(event);
-        self.node.trace.line(
-            event,
-            json!({ "job": id, "queue": route.name, "pool": route.pool, "sought": sought }),
-        );
+        let fields =
+            json!({ "job": id, "queue": route.name, "pool": route.pool, "sought": sought });
+        // Seldom, and not to be lost among lines on what isn't.
+        if event == UNKNOWN {
+            self.node.trace.key(event, fields);
+        } else {
+            self.node.trace.line(event, fields);
+        }
     }
 
     /// Where a job stands by the store: what the owner can't say, or not yet.
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -14,12 +14,14 @@
 
 /// Descriptors kept for calls to the store, workers and peers, and for the log.
 const OWN_FDS: usize = 300;
+/// Descriptors that the platform keeps for files: sockets share the others.
+const FILE_FDS: usize = 200;
 /// The part of the descriptors that peers' connections may take. Each entry VM asks
-/// the owners of pools, and keeps some connections to them (`PEER_KEPT` in `run`): a quarter
-/// of 4,100 is room for 250 entry VMs. The bound is apart from those of the balancer
+/// the owners of pools, and keeps some connections to them (`PEER_KEPT` in `run`): an eighth
+/// of 4,100 is room for 128 entry VMs. The bound is apart from those of the balancer
 /// and of who reads metrics: with one for the three, an owner that many asked was
 /// taken for not ready, and nobody could read why.
-const PEER_SHARE: usize = 4;
+const PEER_SHARE: usize = 8;
 /// Connections of the balancer, and of who reads metrics: a few of each at once.
 const LOOKERS: usize = 32;
 /// The largest body of a peer: an answer of the store on its way.
@@ -44,7 +46,8 @@
     /// Shares `max_fds` descriptors among the addresses.
     pub fn new(max_fds: usize) -> Self {
         let peers = max_fds / PEER_SHARE;
-        let callers = max_fds.saturating_sub(OWN_FDS + peers).max(16);
+        let others = FILE_FDS + OWN_FDS + peers + 2 * LOOKERS;
+        let callers = max_fds.saturating_sub(others).max(16);
         Self {
             callers: Gauge::new("callers", callers),
             peers: Gauge::new("peers", peers),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -268,7 +268,7 @@
             return None;
         }
         self.retire("another holder says so");
-        Some(self.pool.borrow().grants(clock::now()))
+        self.pool.borrow().grants(clock::now())
     }
 }
 
