--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod sought;
+mod state;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -18,24 +19,18 @@
 use crate::admission::Offer;
 use crate::clock;
 use crate::http::Failed;
-use crate::lookup::{Lookup, Next};
 use crate::node::Node;
 use crate::owner::ms;
 use crate::peer::{self, Ask, Reply};
 use crate::places::{Step, Way};
 use crate::server::{Asked, Told};
-use crate::store::Error;
 use accept::{Accepted, Waiting, patience};
-use sought::Sought;
 
 /// When a caller that is refused is told to come back, in seconds.
 const RETRY_AFTER: u64 = 1;
 /// How long an owner may take over a cancellation.
 const CANCEL: Duration = Duration::from_millis(2_600);
 
-/// The event of a caller that is told that there is no such job.
-const UNKNOWN: &str = "job told unknown";
-
 /// Answers callers.
 pub struct Gateway {
     node: Rc<Node>,
@@ -180,76 +175,6 @@
         });
     }
 
-    async fn state(&self, route: &Route, id: &str) -> (Told, &'static str) {
-        let mut search = self.node.search(&route.name, &route.pool);
-        let mut sought = Vec::new();
-        loop {
-            let pool = match search.next() {
-                Step::Pool(pool) => pool,
-                Step::Record => {
-                    self.node.read_record(&route.name, &mut search).await;
-                    continue;
-                }
-                Step::Unclear => {
-                    self.log_sought("state not known", route, id, &sought);
-                    let why = "neither the owner nor the store answers; come back";
-                    return (refuse(why), "no answer");
-                }
-                Step::Absent => break,
-            };
-            let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
-            let begun = clock::now();
-            let answer = self.node.ask_owner(&pool, ask, peer::ANSWER).await;
-            let mut row = Sought::new(&pool, begun, &answer);
-            match answer {
-                Ok(Reply::State { state }) => {
-                    return (Told::new(200, caller::state(state)), "owner");
-                }
-                _ if self.node.store.is_away() => search.unclear(),
-                _ => match self.look_up(&pool, id, &mut row).await {
-                    Ok(Next::Found(state)) => {
-                        return (Told::new(200, caller::state(state)), "store");
-                    }
-                    Ok(Next::Absent) => search.absent(),
-                    Ok(Next::Read(_) | Next::Unreadable) | Err(_) => search.unclear(),
-                },
-            }
-            sought.push(row);
-        }
-        self.log_sought(UNKNOWN, route, id, &sought);
-        (Told::new(410, caller::error("no such job")), "unknown job")
-    }
-
-    /// Tells what an answer rests on that names no state.
-    fn log_sought(&self, event: &'static str, route: &Route, id: &str, sought: &[Sought]) {
-        self.node.metrics.event(event);
-        let fields =
-            json!({ "job": id, "queue": route.name, "pool": route.pool, "sought": sought });
-        // Seldom, and not to be lost among lines on what isn't.
-        if event == UNKNOWN {
-            self.node.trace.key(event, fields);
-        } else {
-            self.node.trace.line(event, fields);
-        }
-    }
-
-    /// Where a job stands by the store: what the owner can't say, or not yet.
-    async fn look_up(&self, pool: &str, id: &str, sought: &mut Sought) -> Result<Next, Error> {
-        let mut lookup = Lookup::new(pool, id);
-        loop {
-            let key = match lookup.next() {
-                Next::Read(key) => key,
-                found => return Ok(found),
-            };
-            let begun = clock::now();
-            let reading = self.node.store.read(&key).await;
-            let there = reading.as_ref().ok().map(|reading| reading.item.is_some());
-            let revision = reading.as_ref().ok().and_then(|reading| reading.revision);
-            sought.note(key, begun, there, revision);
-            lookup.learn(reading?.item.as_ref().map(|item| item.value.as_slice()));
-        }
-    }
-
     async fn cancel(&self, route: &Route, id: &str) -> (Told, &'static str) {
         let mut search = self.node.search(&route.name, &route.pool);
         loop {
