Write what a stopped run saved before its worker may forget it

An owner that ended between made the task begin anew. Change: how far a job is carries what waits to go on (`Progress::saved`), and the end waits for that write. A record without it reads as before. A job whose end is decided and whose record of progress isn't written yet is told running, not queued.

--- a/crates/entry/src/gateway/state.rs
+++ b/crates/entry/src/gateway/state.rs
@@ -3,6 +3,7 @@
 
 use corianderfork_adapter::caller;
 use corianderfork_adapter::config::Route;
+use corianderfork_jobs::record::State;
 use serde_json::json;
 
 use super::sought::Sought;
@@ -39,12 +40,17 @@
             let begun = clock::now();
             let answer = self.node.ask_owner(&pool, ask, peer::ANSWER).await;
             let mut row = Sought::new(&pool, begun, &answer);
+            let has_begun = matches!(answer, Ok(Reply::Ending));
             match answer {
                 Ok(Reply::State { state }) => {
                     return (Told::new(200, caller::state(state)), "owner");
                 }
                 _ if self.node.store.is_away() => search.unclear(),
                 _ => match self.look_up(&pool, id, &mut row).await {
+                    // The record of a job's first tasks is written behind their starts.
+                    Ok(Next::Found(State::Queued)) if has_begun => {
+                        return (Told::new(200, caller::state(State::Running)), "owner");
+                    }
                     Ok(Next::Found(state)) => {
                         return (Told::new(200, caller::state(state)), "store");
                     }
--- a/crates/jobs/src/pool/ends.rs
+++ b/crates/jobs/src/pool/ends.rs
@@ -51,6 +51,7 @@
         match ended.how {
             How::Done => self.task_done(now, key, ended, began),
             How::Failed => self.task_failed(now, key, ended, began.is_some()),
+            _ if began.is_some() => self.keep_saved(now, key, ended),
             _ => {}
         }
     }
@@ -77,6 +78,17 @@
         Some(since)
     }
 
+    /// Has what a run saved written before its worker may forget it: the task goes on
+    /// from there, and until it runs again nobody else has it.
+    fn keep_saved(&mut self, now: Time, key: worker::Key, ended: &Ended) {
+        let job = ended.task.job;
+        let is_open = self.entry(job).is_some_and(|entry| !entry.state.is_final());
+        if is_open && !ended.saved.is_empty() {
+            let version = self.touch(now, job, false);
+            self.set_pending(key, ended.number, Pending::Written { job, version });
+        }
+    }
+
     /// Learns how long a task took, unless it went on from saved progress.
     fn learn(&mut self, now: Time, name: task::Name, began: Option<Time>) {
         let (Some(began), Some(entry)) = (began, self.entry(name.job)) else { return };
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -41,6 +41,13 @@
                 task.failed.clone_from(failed);
             }
         }
+        for (key, saved) in &progress.saved {
+            if let Some(name) = parse_task(self.id, key)
+                && let Some(task) = self.task_mut(name)
+            {
+                task.saved = saved.as_str().into();
+            }
+        }
     }
 
     fn restore_done(&mut self, key: &str, bits: &[u64]) {
@@ -72,9 +79,12 @@
                 if matches!(task.at, At::Done) {
                     bits[index / WORD as usize] |= 1 << (index % WORD as usize);
                 }
+                let key = || format!("{occurrence}.{step}.{index}");
                 if !task.failed.is_empty() {
-                    let key = format!("{occurrence}.{step}.{index}");
-                    progress.failed.insert(key, task.failed.clone());
+                    progress.failed.insert(key(), task.failed.clone());
+                }
+                if matches!(task.at, At::Waiting) && !task.saved.is_empty() {
+                    progress.saved.insert(key(), task.saved.to_string());
                 }
             }
             if bits.iter().any(|word| *word != 0) {
