Trust an owner's word after a freeze only once it has looked after its duties

Cause: a daemon that is frozen hears nothing of the store, and took that for an outage, in which an owner goes on for 8 s since nobody can take over. Woken within these 8 s it told what it knew of before: a job that its successor had completed was told queued. Orders could have gone out in the same moment; the workers' fences bar those. Ruled out: an end that isn't confirmed (it was, 1.4 s before). Change: `Node::may_order` is false where the process hasn't looked after its duties for 0.9 s, and an owner that may not order tells of no job that isn't over.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -23,8 +23,6 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// How often duties are looked through though nothing changed.
 const TICK: Duration = Duration::from_millis(150);
-/// A pause between two ticks that only a freeze of the process explains.
-const FROZEN: Duration = Duration::from_millis(900);
 
 /// Keeps this daemon's record and lease.
 pub async fn keep(node: Rc<Node>) {
@@ -87,16 +85,17 @@
 
 /// Takes duties that nobody holds, and leaves those that another holds.
 pub async fn attend(node: Rc<Node>) {
-    let mut last = clock::now();
+    node.attended.set(clock::now());
     while !node.stopping.get() {
         let now = clock::now();
-        if now - last > FROZEN {
+        if node.is_frozen_since(now) {
             // Frozen or suspended: others may have taken over meanwhile. No
             // order goes out until the lease was renewed once more.
-            node.trace.key("was away", json!({ "for_ms": crate::owner::ms(now - last) }));
+            node.trace
+                .key("was away", json!({ "for_ms": crate::owner::ms(now - node.attended.get()) }));
             node.renewed.set(Time::ZERO);
         }
-        last = now;
+        node.attended.set(now);
         look_through(&node, now);
         let _ = timeout(TICK, node.changed.notified()).await;
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,6 +31,9 @@
 /// nobody: while it is away, nobody else can take over either.
 pub const HOLD_ON: Duration = Duration::from_millis(8_000);
 
+/// A pause between two looks after duties that only a freeze of the process explains.
+pub const FROZEN: Duration = Duration::from_millis(900);
+
 /// The state of one daemon.
 pub struct Node {
     /// What it was told at its start.
@@ -67,6 +70,9 @@
     pub expects_until: Cell<Time>,
     /// When the last renewal of the member's lease that succeeded was sent.
     pub renewed: Cell<Time>,
+    /// When this process last looked after its duties: it does so all the time,
+    /// unless it is frozen.
+    pub attended: Cell<Time>,
     /// Whether the daemon is to end.
     pub stopping: Cell<bool>,
     /// Told when members, duties or the configuration change.
@@ -78,8 +84,15 @@
 impl Node {
     /// Whether orders may go out: this daemon's lease holds, or the store
     /// answers nobody and it has not been away itself.
+    ///
+    /// Asked right after a freeze, the silence of the store looks like that of an
+    /// outage. What another holder did meanwhile would be contradicted: a job that it
+    /// completed is told as waiting.
     pub fn may_order(&self) -> bool {
         let now = clock::now();
+        if self.is_frozen_since(now) {
+            return false;
+        }
         let since = now - self.renewed.get();
         if since < TTL {
             return true;
@@ -88,6 +101,12 @@
         is_store_silent && since < HOLD_ON
     }
 
+    /// Whether more time has passed since this process last looked after its duties
+    /// than only a freeze explains.
+    pub fn is_frozen_since(&self, now: Time) -> bool {
+        now - self.attended.get() > FROZEN
+    }
+
     /// The name under which this daemon holds duties.
     pub fn holder(&self) -> Holder {
         let name = self.settings.name.as_str().to_owned();
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -208,6 +208,9 @@
         let pool = self.pool.borrow();
         match pool.state(id) {
             Some(_) if pool.is_ending(id) => Reply::Ending,
+            // An end that is written stays; of anything else one that may have been
+            // replaced knows only what was.
+            Some(state) if !state.is_final() && !self.node.may_order() => Reply::NotOwner,
             Some(state) => Reply::State { state },
             None => Reply::Unknown,
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -72,6 +72,7 @@
         servers_known: Cell::new(false),
         expects_until: Cell::new(Time::ZERO),
         renewed: Cell::new(Time::ZERO),
+        attended: Cell::new(Time::ZERO),
         stopping: Cell::new(false),
         changed: Notify::new(),
         heard: RefCell::default(),
