--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::duty::{self, DUTIES, MEMBERS};
 use crate::node::Node;
-use crate::places::{self, QUEUES, queue_key};
+use crate::places::{self, QUEUES};
 
 /// How long a watch waits. Its end is what shows that it still works: one whose
 /// connection went silent is noticed after this and the time for an answer, well
@@ -132,12 +132,9 @@
                 let mut table = learner.table.borrow_mut();
                 table.members.retain(|name, _| there(format!("{MEMBERS}{name}")));
                 table.duties.retain(|name, _| there(format!("{DUTIES}{name}")));
-                let gone = |name: &&String| !there(queue_key(name));
-                let gone: Vec<String> = table.queues.keys().filter(gone).cloned().collect();
+                // Queues' records stay: this reading may have been sent before a job
+                // was accepted here, and one that is gone shows in the next write.
                 drop(table);
-                for name in gone {
-                    put(&learner, &queue_key(&name), None, 0);
-                }
                 for item in items {
                     put(&learner, &item.key, Some(&item.value), item.revision);
                 }
