Tell of jobs only while sure of the duty

Ruled out: an end that isn't confirmed (it was); the freeze itself (noticed, and the lease's renewal undid it). Change: `Node::is_sure_of`: after a freeze or a lost lease an owner tells of jobs that go on only after news of duties that was asked for since, and only while the record names it; until then the gateway reads the store. Orders are as before.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -147,7 +147,7 @@
                     json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
                 );
             }
-            News::Upto(_) => return,
+            News::Upto(at) => return learner.duties_known.set(at),
         }
         learner.changed.notify_waiters();
     };
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -51,6 +51,7 @@
 async fn renew(node: &Rc<Node>, lease: u64) -> Result<Option<u64>, Error> {
     if !node.store.keep(lease).await? {
         node.trace.key("lease lost", json!({ "lease": lease }));
+        node.doubted.set(clock::now());
         return Ok(None);
     }
     // The lease may live while its key was taken away.
@@ -94,6 +95,7 @@
             node.trace
                 .key("was away", json!({ "for_ms": crate::owner::ms(now - node.attended.get()) }));
             node.renewed.set(Time::ZERO);
+            node.doubted.set(now);
         }
         node.attended.set(now);
         look_through(&node, now);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -73,6 +73,11 @@
     /// When this process last looked after its duties: it does so all the time,
     /// unless it is frozen.
     pub attended: Cell<Time>,
+    /// When something last happened after which another may hold this daemon's
+    /// duties: it was frozen, or its lease was lost.
+    pub doubted: Cell<Time>,
+    /// All that was written of duties before this is known.
+    pub duties_known: Cell<Time>,
     /// Whether the daemon is to end.
     pub stopping: Cell<bool>,
     /// Told when members, duties or the configuration change.
@@ -107,6 +112,16 @@
         now - self.attended.get() > FROZEN
     }
 
+    /// Whether a duty taken with `fence` is still this daemon's, as far as it knows,
+    /// and nothing has happened since by which it may have lost it unheard.
+    ///
+    /// A lease that is taken anew says nothing of duties: while it was lost another
+    /// may have taken them, and the news of that may come behind it.
+    pub fn is_sure_of(&self, duty: &str, fence: u64) -> bool {
+        let is_named = self.table.borrow().duties.get(duty).is_some_and(|r| r.revision == fence);
+        is_named && self.may_order() && self.duties_known.get() >= self.doubted.get()
+    }
+
     /// The name under which this daemon holds duties.
     pub fn holder(&self) -> Holder {
         let name = self.settings.name.as_str().to_owned();
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -210,7 +210,9 @@
             Some(_) if pool.is_ending(id) => Reply::Ending,
             // An end that is written stays; of anything else one that may have been
             // replaced knows only what was.
-            Some(state) if !state.is_final() && !self.node.may_order() => Reply::NotOwner,
+            Some(state) if !state.is_final() && !self.node.is_sure_of(&self.name, pool.fence()) => {
+                Reply::NotOwner
+            }
             Some(state) => Reply::State { state },
             None => Reply::Unknown,
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -73,6 +73,8 @@
         expects_until: Cell::new(Time::ZERO),
         renewed: Cell::new(Time::ZERO),
         attended: Cell::new(Time::ZERO),
+        doubted: Cell::new(Time::ZERO),
+        duties_known: Cell::new(Time::ZERO),
         stopping: Cell::new(false),
         changed: Notify::new(),
         heard: RefCell::default(),
