Keep the workers without which a waiting step could run nowhere

Cause: which worker leaves a pool that is too large was decided by load alone. The one that may run a step which waits for its turn, by advice, label or size, stands idle and was let go first; so was a worker that had been sent for, before the service had told of it. And a worker that is emptied for its maintenance counted as one that may run a step, so that no other came.

Now steps that are not done and that some workers may not run each hold one worker that may.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -17,6 +17,7 @@
 mod progress;
 mod reserve;
 mod runs;
+mod shrink;
 mod table;
 mod turns;
 mod workers;
--- a/crates/jobs/src/pool/advice.rs
+++ b/crates/jobs/src/pool/advice.rs
@@ -84,6 +84,21 @@
         !self.is_bad(key) && !self.holds(now, key)
     }
 
+    /// Whether anything was told of it.
+    pub fn is_told(&self) -> bool {
+        !self.asked.is_empty()
+    }
+
+    /// Workers that may run the step, whether or not their tickets hold.
+    pub fn good(&self) -> impl Iterator<Item = worker::Key> {
+        self.tickets.keys().copied()
+    }
+
+    /// Whether a worker is known to be among those that may run the step.
+    pub fn is_good(&self, key: worker::Key) -> bool {
+        self.tickets.contains_key(&key)
+    }
+
     /// Whether a worker is known not to be among those that may run the step.
     pub fn is_bad(&self, key: worker::Key) -> bool {
         self.asked.contains(&key) && !self.tickets.contains_key(&key)
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -5,7 +5,7 @@
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 
-use super::table::{Entry, Occurrence, StepState};
+use super::table::{Entry, Occurrence};
 use super::{Pool, advice, evacuate};
 use crate::job::{Room, Step, chain_ms};
 use crate::task;
@@ -47,6 +47,11 @@
     /// worker of the pool may run: there is none that has what one needs, however
     /// much all have together.
     pub unfit: u32,
+    /// Of these, steps that the service which gives advice allows on none of the
+    /// pool's workers: it judges lives of workers, and another life of the same VM
+    /// may be allowed.
+    #[serde(default)]
+    pub refused: u32,
 }
 
 impl Pool {
@@ -66,7 +71,9 @@
         let (mut stock, mut widest) = (Stock::default(), Work::default());
         for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
             entry.add_waiting(&mut load.waiting);
-            load.unfit += entry.unfit(now) + self.barred(now, entry);
+            let (barred, refused) = self.barred(now, entry);
+            load.unfit += entry.unfit(now) + barred;
+            load.refused += refused;
             if entry.lasts {
                 load.lasting.add(&entry.room_left());
                 continue;
@@ -110,17 +117,26 @@
 
     /// Steps of a job that none of the pool's workers may run: all lack a label,
     /// are too small, or are not among those that advice names. Another worker
-    /// may; without one the job would wait for ever.
-    fn barred(&self, now: Time, entry: &Entry) -> u32 {
+    /// may; without one the job would wait for ever. And how many of them there are
+    /// for the last of these reasons alone.
+    fn barred(&self, now: Time, entry: &Entry) -> (u32, u32) {
+        let (mut barred, mut refused) = (0, 0);
         let steps = entry.occurrences.values().flat_map(|row| entry.steps.iter().zip(&row.steps));
-        let is_barred = |(step, state): &(&Step, &StepState)| {
+        for (step, state) in steps {
             let is_stuck = state.stuck.is_some_and(|since| now - since > evacuate::BLOCKED);
-            let may = |(key, worker): (worker::Key, &Worker)| {
-                worker.is_able() && advice::could(worker, step) && !state.advice.is_bad(key)
-            };
-            !entry.lasts && state.waiting > 0 && is_stuck && !self.workers.iter().any(may)
-        };
-        u32::try_from(steps.filter(is_barred).count()).unwrap_or(u32::MAX)
+            if entry.lasts || state.waiting == 0 || !is_stuck {
+                continue;
+            }
+            let could =
+                |worker: &Worker| worker.is_kept_or_surplus(now) && advice::could(worker, step);
+            let may =
+                |(key, worker): (worker::Key, &Worker)| could(worker) && !state.advice.is_bad(key);
+            if !self.workers.iter().any(may) {
+                barred += 1;
+                refused += u32::from(self.workers.values().any(could));
+            }
+        }
+        (barred, refused)
     }
 
     /// Whether lasting tasks run there, or have room kept.
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -171,36 +171,6 @@
         }
     }
 
-    /// Keeps `keep` workers that take work, and vacates the others for `time`:
-    /// those without lasting tasks, the least busy first. Which of them are
-    /// empty, and may leave the pool.
-    ///
-    /// Workers that are vacated for this alone take work again when `keep`
-    /// grows.
-    pub fn shrink(&mut self, now: Time, keep: u32, time: Duration) -> Vec<String> {
-        let mut able: Vec<(bool, bool, u64, worker::Key)> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.is_able() && (!w.is_vacating(now) || w.is_surplus))
-            // What already empties goes on; what lasts stays.
-            .map(|(key, w)| (!self.is_rooted(w), w.is_surplus, w.used.cpu, key))
-            .collect();
-        able.sort_by_key(|(free, surplus, used, key)| {
-            (*free, *surplus, std::cmp::Reverse(*used), *key)
-        });
-        let keep = keep as usize;
-        let mut empty = Vec::new();
-        for (rank, (is_free, _, _, key)) in able.into_iter().enumerate() {
-            let Some(worker) = self.workers.get_mut(key) else { continue };
-            worker.is_surplus = rank >= keep && is_free;
-            worker.vacate_until = if worker.is_surplus { now + time } else { Time::ZERO };
-            if worker.is_surplus && worker.hosted.is_empty() && worker.strays.is_empty() {
-                empty.push(worker.id.clone());
-            }
-        }
-        empty
-    }
-
     /// Asks that a worker take nothing new and be emptied, for `time`. Whether
     /// it is empty; `None` if there is no such worker.
     pub fn vacate(&mut self, now: Time, id: &str, time: Duration) -> Option<bool> {
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -189,3 +189,71 @@
     tell(&mut world, &question, &["w2"]);
     assert_eq!(world.plan().len(), 2);
 }
+
+/// How long workers are emptied that are too many.
+const EMPTIED: Duration = Duration::from_secs(60);
+
+#[test]
+fn shrink_keeps_the_worker_that_alone_may_run_a_step() {
+    // Symptom: an accepted job is not completed, beside workers that stand idle.
+    // Sequence: its next step may run on one worker of the pool, which stands idle
+    //   until then; the pool has one worker more than its load asks for.
+    // Cause: the least busy one is let go, whatever waits for it.
+    let mut world = world(3);
+    world.takes = 5_000;
+    let job = world.submit(1, vec![step(1, 1_000), step(1, 1_000).after(0)]);
+    let first = ask(&mut world).remove(0);
+    tell(&mut world, &first, &["w0"]);
+    world.plan();
+    let second = ask(&mut world).remove(0);
+    tell(&mut world, &second, &["w2"]);
+    let other = world.submit(2, vec![step(1, 1_000)]);
+    let question = ask(&mut world).remove(0);
+    assert_eq!(question.task.job, other);
+    tell(&mut world, &question, &["w1"]);
+    world.plan();
+    let empty = world.pool.shrink(at(world.now), 2, EMPTIED);
+    assert!(empty.is_empty(), "{empty:?} may go, and w2 alone may run the second step");
+    world.run(5_200);
+    for question in ask(&mut world) {
+        tell(&mut world, &question, &["w2"]);
+    }
+    world.plan();
+    assert_eq!(
+        world.where_runs(corianderfork_jobs::task::Name { step: 1, ..common::first(job) }),
+        ["w2"]
+    );
+}
+
+#[test]
+fn shrink_lets_another_one_go_than_the_worker_that_a_step_needs() {
+    let mut world = world(3);
+    world.submit(1, vec![step(1, 1_000), step(1, 1_000).after(0)]);
+    world.takes = 5_000;
+    let first = ask(&mut world).remove(0);
+    tell(&mut world, &first, &["w0"]);
+    world.plan();
+    let second = ask(&mut world).remove(0);
+    tell(&mut world, &second, &["w2"]);
+    assert_eq!(world.pool.shrink(at(world.now), 1, EMPTIED), ["w1"], "w0 is at work");
+}
+
+#[test]
+fn shrink_keeps_a_worker_that_was_sent_for_until_it_was_asked_about() {
+    // Symptom: workers come to a pool and go again, and a job is never completed.
+    // Sequence: no worker of the pool may run a step; one more is sent for; before
+    //   the service has told of it, the pool is as large as its load asks for again.
+    // Cause: the newest worker is the least busy, and is let go.
+    let mut world = world(2);
+    world.submit(1, vec![step(1, 1_000)]);
+    let question = ask(&mut world).remove(0);
+    tell(&mut world, &question, &[]);
+    world.run(3_000);
+    assert_eq!(world.pool.load(at(world.now)).refused, 1);
+    world.entries.push(common::entry("w2", 9_100, "r9"));
+    world.workers.insert("w2".to_owned(), common::Worker::default());
+    world.settle();
+    let empty = world.pool.shrink(at(world.now), 2, EMPTIED);
+    assert_eq!(empty.len(), 1);
+    assert_ne!(empty, ["w2"], "nothing is known of it, and the others may not");
+}
--- a/crates/jobs/tests/feature.rs
+++ b/crates/jobs/tests/feature.rs
@@ -162,3 +162,49 @@
     world.run(3_000);
     assert_eq!(world.pool.load(at(world.now)).unfit, 1, "one is enough for a step");
 }
+
+#[test]
+fn shrink_keeps_the_worker_with_the_label_that_a_step_needs() {
+    // Symptom: a job that needs a label is not completed, beside idle workers.
+    // Sequence: the one worker with the label stands idle until the job's second
+    //   step; the pool has a worker more than its load asks for.
+    // Cause: the least busy one is let go, whatever waits for it.
+    let mut world = World::new(3);
+    world.entries[2].labels.push("ssd".to_owned());
+    world.settle();
+    world.takes = 5_000;
+    world.submit(1, vec![step(2, 8_000), labelled(1, 1_000).after(0)]);
+    world.plan();
+    let empty = world.pool.shrink(at(world.now), 2, Duration::from_secs(60));
+    assert!(!empty.contains(&"w2".to_owned()), "{empty:?} may go");
+}
+
+#[test]
+fn shrink_keeps_a_worker_that_is_large_enough_for_a_step() {
+    let mut world = World::new(3);
+    world.entries[2].room.cpu = 16_000;
+    world.settle();
+    world.submit(1, vec![step(1, 1_000), step(1, 12_000).after(0)]);
+    world.takes = 5_000;
+    world.plan();
+    let empty = world.pool.shrink(at(world.now), 1, Duration::from_secs(60));
+    assert!(!empty.contains(&"w2".to_owned()), "{empty:?} may go, and w2 alone is large enough");
+}
+
+#[test]
+fn load_counts_no_worker_that_is_emptied_for_its_maintenance() {
+    // Symptom: a job that needs a label waits for as long as a wave goes on.
+    // Sequence: the one worker with the label is to be maintained and takes no work,
+    //   while a lasting task there has nowhere to go; the pool asks for no other.
+    // Cause: it counts as one that may run the step.
+    let mut world = world(2);
+    world.takes = 600_000;
+    world.submit(1, vec![lasting(labelled(1, 1_000), 0)]);
+    world.plan();
+    at_work(&mut world);
+    world.pool.vacate(at(world.now), "w0", Duration::from_secs(60));
+    world.submit(2, vec![labelled(1, 1_000)]);
+    world.run(3_000);
+    assert!(world.where_runs(first(JobId(2))).is_empty());
+    assert_eq!(world.pool.load(at(world.now)).unfit, 1);
+}
