Give a worker up for another life where a step is allowed on none

Callers saw an accepted job wait for ever beside idle workers. Cause: the service that gives advice judges lives of workers; a pool none of whose workers it allows asks for one more, and where all VMs are in pools that one never comes. Nothing was sent back for another life.

A VM is no longer ordered to the pool that it is in.

--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,80 @@
+//! Giving a worker up for another life of a VM.
+
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+/// How long a pool is asked to give a worker up: longer than most tasks take, so
+/// that one runs empty.
+const GIVING: Duration = Duration::from_millis(5_000);
+/// The pause after a worker was given up: as long as its VM takes to be sent away,
+/// come back and be asked about.
+const PAUSE: Duration = Duration::from_millis(5_000);
+/// The longest pause.
+const LONGEST: Duration = Duration::from_millis(80_000);
+
+/// Whether a pool gives a worker up so that another one may come. Pure.
+///
+/// A service may allow a step on none of a pool's workers. It judges lives of
+/// workers: where all VMs are in pools already, only another life can help, and
+/// without one an accepted job waits for ever. One sees `pool sized` with `refused`
+/// above 0, and no move to the pool.
+///
+/// One worker goes at a time, each a pause after the one before that doubles: a
+/// service that allows a step nowhere must not have the fleet moved about.
+///
+/// ```
+/// use corianderfork_entry::exchange::Exchange;
+/// use corianderfork_model::Time;
+///
+/// let at = Time::from_millis;
+/// let mut exchange = Exchange::default();
+/// assert!(!exchange.gives(at(0), false));
+/// assert!(exchange.gives(at(100), true));
+/// exchange.gave(at(200));
+/// assert!(!exchange.gives(at(300), true), "another life comes first");
+/// assert!(exchange.gives(at(5_300), true));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Exchange {
+    /// Since when a worker is to be given up.
+    giving: Option<Time>,
+    /// Until when none is.
+    rests_until: Time,
+    /// The pause after the last one that was given up.
+    pause: Duration,
+}
+
+impl Exchange {
+    /// Whether the pool is to give a worker up now. `is_stuck`: whether a step is
+    /// allowed on none of its workers, and it can't have one more.
+    pub fn gives(&mut self, now: Time, is_stuck: bool) -> bool {
+        if self.giving.is_some_and(|since| now - since >= GIVING) {
+            self.rest(now);
+        }
+        if !is_stuck {
+            self.giving = None;
+            if now >= self.rests_until + LONGEST {
+                self.pause = Duration::ZERO;
+            }
+        } else if self.giving.is_none() && now >= self.rests_until {
+            self.giving = Some(now);
+        }
+        self.giving.is_some()
+    }
+
+    /// A worker of the pool was ordered away. Whether it is one that was given up.
+    pub fn gave(&mut self, now: Time) -> bool {
+        let is_given = self.giving.is_some();
+        if is_given {
+            self.rest(now);
+        }
+        is_given
+    }
+
+    fn rest(&mut self, now: Time) {
+        self.giving = None;
+        self.pause = (self.pause * 2).clamp(PAUSE, LONGEST);
+        self.rests_until = now + self.pause;
+    }
+}
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -15,6 +15,7 @@
 use super::{EMPTY, Planner};
 use crate::arrivals::Stock;
 use crate::clock;
+use crate::exchange::Exchange;
 use crate::peer::{Ask, Reply};
 
 /// Orders under way at once.
@@ -30,6 +31,9 @@
     is_shrunk: bool,
     /// What was decided last.
     target: usize,
+    exchange: Exchange,
+    /// Whether it was last given fewer VMs than it asked for.
+    is_short: bool,
 }
 
 /// What a pool's owner told, and what follows.
@@ -71,7 +75,8 @@
         let idle = self.shrink(keeps, vms).await;
         needs.sort_by_key(|need| std::cmp::Reverse(need.missing));
         free.extend(idle.iter().cloned());
-        let moves = moves(&needs, &free, &idle, spares.first());
+        let moves = moves(&needs, &free, &idle, spares.first(), vms);
+        self.note_short(&needs, &moves);
         let most = self.allowance();
         let mut moves: Vec<(String, String)> = moves.into_iter().take(most).collect();
         let names: Vec<String> = moves.iter().map(|(vm, _)| vm.clone()).collect();
@@ -135,7 +140,7 @@
             self.node.trace.line(
                 "pool sized",
                 json!({ "pool": asked.pool, "target": target, "now": want.now, "held": want.held,
-                    "workers": load.workers, "surplus": load.surplus, "coming": asked.stock.coming, "rooted": load.rooted,
+                    "workers": load.workers, "surplus": load.surplus, "coming": asked.stock.coming, "rooted": load.rooted, "unfit": load.unfit, "refused": load.refused,
                     "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
                     "needed": load.needed, "noise": load.noise,
                     "listed_ms_ago": crate::owner::ms(listed) }),
@@ -169,6 +174,9 @@
     /// all until it is told otherwise.
     fn keep(&mut self, asked: &Asked, target: usize) -> Option<Ask> {
         let known = self.sizes.get_mut(&asked.pool)?;
+        let is_stuck = asked.load.refused > 0 && known.is_short;
+        let gives = known.exchange.gives(clock::now(), is_stuck);
+        let target = if gives { target.min(asked.stock.there.saturating_sub(1)) } else { target };
         let keep = asked.stock.keep(target);
         if keep.is_none() && !known.is_shrunk {
             return None;
@@ -178,6 +186,14 @@
         Some(Ask::Shrink { pool: asked.pool.clone(), keep })
     }
 
+    /// Notes which pools got fewer VMs than they asked for.
+    fn note_short(&mut self, needs: &[Need], moves: &[(String, String)]) {
+        for (pool, known) in &mut self.sizes {
+            let missing = needs.iter().find(|need| need.pool == *pool).map_or(0, |n| n.missing);
+            known.is_short = moves.iter().filter(|(_, to)| to == pool).count() < missing;
+        }
+    }
+
     /// Has owners empty what is too much; VMs that may leave now.
     async fn shrink(&self, keeps: Vec<Ask>, vms: &BTreeMap<String, Vm>) -> Vec<String> {
         let mut empty: HashSet<String> = HashSet::new();
@@ -193,6 +209,13 @@
     }
 
     fn transfer(&mut self, vm: &Vm, pool: String) -> JoinHandle<(Vm, Option<Answer>)> {
+        if self.sizes.get_mut(&vm.pool).is_some_and(|known| known.exchange.gave(clock::now())) {
+            self.node.trace.line(
+                "worker given up",
+                json!({ "pool": vm.pool, "vm": vm.name, "worker": vm.worker,
+                    "why": "a step is allowed on none of the pool's workers, and no VM is free" }),
+            );
+        }
         let call = fleet::transfer(&vm.name, &pool, &self.holder);
         self.coming.order(clock::now(), &vm.name, &pool);
         let (node, vm) = (self.node.clone(), vm.clone());
@@ -235,22 +258,26 @@
 }
 
 /// Which VM goes where: the free ones to where most is missing, and what idles
-/// beyond that to the spares.
+/// beyond that to the spares. None goes to the pool that it is in: that is no move,
+/// and a pool that gives one up for another life wants it gone first.
 fn moves(
     needs: &[Need],
     free: &[String],
     idle: &[String],
     spare: Option<&String>,
+    vms: &BTreeMap<String, Vm>,
 ) -> Vec<(String, String)> {
-    let mut free = free.iter();
+    let mut free: Vec<&String> = free.iter().collect();
     let mut moves = Vec::new();
     for need in needs {
-        for vm in free.by_ref().take(need.missing) {
-            moves.push((vm.clone(), need.pool.clone()));
-        }
+        let is_there = |vm: &&String| vms.get(*vm).is_some_and(|vm| vm.pool == need.pool);
+        let (own, mut others): (Vec<_>, Vec<_>) = free.into_iter().partition(is_there);
+        let rest = others.split_off(need.missing.min(others.len()));
+        moves.extend(others.into_iter().map(|vm| (vm.clone(), need.pool.clone())));
+        free = rest.into_iter().chain(own).collect();
     }
     if let Some(spare) = spare {
-        let left = free.filter(|vm| idle.contains(vm));
+        let left = free.into_iter().filter(|vm| idle.contains(*vm));
         moves.extend(left.map(|vm| (vm.clone(), spare.clone())));
     }
     moves
