Wait out what a proxy's earlier process may have left on a VM

Callers could see a request cut off: a proxy sends it and dies, its next process confirms the VM's drain, and a controller that has only ever known that one has the VM rebooted. Cause: that there was an earlier process was known to the barrier of the controller before alone; the word of the present one was taken for both.

Now each incarnation but the first counts as one with another before it until this controller has known it for the request deadline. Directories note since when; a successor that has run for longer waits for nothing.

--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug)]
 struct Row {
     member: Member,
+    /// When this process first knew of it, in this incarnation.
+    since: Time,
     listed: bool,
     acks: BTreeMap<Name, u64>,
     config_revision: u64,
@@ -93,7 +95,7 @@
         }
         let mut known = Vec::new();
         for member in members {
-            let Some(id) = self.learn(member, true) else { continue };
+            let Some(id) = self.learn(now, member, true) else { continue };
             known.push(Known::new(id, member.incarnation));
         }
         self.table.on_store(sent, revision, known);
@@ -106,7 +108,7 @@
         for member in members {
             let Some(id) = id(member.role, &member.name) else { continue };
             known.push(Known::new(id, member.incarnation));
-            let _ = self.learn(member, false);
+            let _ = self.learn(now, member, false);
         }
         self.table.on_snapshot(now, known);
     }
@@ -115,7 +117,7 @@
     /// report answers; `None` if the peer called by itself.
     pub fn on_report(&mut self, now: Time, sent: Option<Time>, report: &peer::Report) {
         let Some(from) = report.from.as_ref().and_then(member) else { return };
-        let Some(known) = self.known(&from) else { return };
+        let Some(known) = self.known(now, &from) else { return };
         match sent {
             Some(sent) => self.table.on_contact(sent, &known, report.store_revision),
             None => self.table.on_call(now, &known, report.store_revision),
@@ -128,7 +130,7 @@
 
     fn on_seen(&mut self, now: Time, seen: &peer::Seen) {
         let Some(about) = seen.member.as_ref().and_then(member) else { return };
-        let Some(known) = self.known(&about) else { return };
+        let Some(known) = self.known(now, &about) else { return };
         let age = Duration::from_millis(seen.age_ms);
         let incarnation = known.incarnation;
         let id = known.name.clone();
@@ -159,12 +161,12 @@
         });
     }
 
-    fn known(&mut self, member: &Member) -> Option<Known> {
-        let id = self.learn(member, false)?;
+    fn known(&mut self, now: Time, member: &Member) -> Option<Known> {
+        let id = self.learn(now, member, false)?;
         Some(Known::new(id, member.incarnation))
     }
 
-    fn learn(&mut self, member: &Member, listed: bool) -> Option<Name> {
+    fn learn(&mut self, now: Time, member: &Member, listed: bool) -> Option<Name> {
         if member.role == self.me.role && member.name == self.me.name {
             return None;
         }
@@ -176,7 +178,8 @@
             _ => {
                 let member = member.clone();
                 let (acks, config_revision, told) = (BTreeMap::new(), 0, None);
-                self.rows.insert(id.clone(), Row { member, listed, acks, config_revision, told });
+                let row = Row { member, since: now, listed, acks, config_revision, told };
+                self.rows.insert(id.clone(), row);
             }
         }
         Some(id)
@@ -210,6 +213,13 @@
         self.table.peers(now).into_iter().filter(is_proxy).collect()
     }
 
+    /// Since when each member has been known in its incarnation.
+    pub fn known_since(&self) -> impl Iterator<Item = (Known, Time)> {
+        let known =
+            |(id, row): (&Name, &Row)| (Known::new(id.clone(), row.member.incarnation), row.since);
+        self.rows.iter().map(known)
+    }
+
     /// Who confirmed the drain `epoch` of `vm`.
     pub fn acked(&self, vm: &Name, epoch: u64) -> Vec<Known> {
         let acked = |(id, row): (&Name, &Row)| {
--- a/crates/controller/src/plan/barriers.rs
+++ b/crates/controller/src/plan/barriers.rs
@@ -33,7 +33,7 @@
         for proxy in directory.acked(vm, epoch) {
             barrier.on_ack(&proxy, epoch);
         }
-        barrier.status(now, &directory.proxies(now))
+        status(barrier, now, directory)
     }
 
     /// Whether nothing is in flight on a copy that the record of its VM no
@@ -56,7 +56,7 @@
                 barrier.on_ack(&proxy, revision);
             }
         }
-        barrier.status(now, &directory.proxies(now))
+        status(barrier, now, directory)
     }
 
     /// Drops the barriers of VMs not in `draining` and copies not in
@@ -66,3 +66,10 @@
         self.stops.retain(|copy, _| stopping(copy));
     }
 }
+
+fn status(barrier: &mut Barrier, now: Time, directory: &Directory) -> Status {
+    for (member, since) in directory.known_since() {
+        barrier.on_known(&member, since);
+    }
+    barrier.status(now, &directory.proxies(now))
+}
--- /dev/null
+++ b/crates/controller/tests/barriers.rs
@@ -0,0 +1,83 @@
+//! What a controller that has just met the proxies may conclude from their word.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use corianderfork_controller::directory::Directory;
+use corianderfork_controller::message::message;
+use corianderfork_controller::plan::barriers::Barriers;
+use corianderfork_coord::drain::{self, Status};
+use corianderfork_coord::member;
+use corianderfork_model::{Name, Time};
+use corianderfork_provider::record::{Member, Role};
+use corianderfork_wire::peer;
+
+const DEADLINE: Duration = Duration::from_secs(30);
+const EPOCH: u64 = 3;
+/// Starts of processes, in milliseconds since the Unix epoch.
+const BEGAN: u64 = 1_760_000_000_000;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn process(role: Role, incarnation: u64) -> Member {
+    Member {
+        name: name("e1"),
+        role,
+        incarnation,
+        data_centre: name("kolkata"),
+        peers: "127.0.0.1:1".parse().unwrap(),
+        callers: None,
+    }
+}
+
+fn directory() -> Directory {
+    Directory::new(member::Config::new(), process(Role::Controller, BEGAN), DEADLINE * 3).unwrap()
+}
+
+/// The proxy, in this incarnation, says that it has nothing in flight on the VM.
+fn confirm(directory: &mut Directory, now: u64, incarnation: u64) {
+    let me = Some(message(&process(Role::Proxy, incarnation)));
+    let acks = vec![peer::Ack { vm: "vm-7".to_owned(), epoch: EPOCH }];
+    let seen = vec![peer::Seen { member: me.clone(), acks, ..Default::default() }];
+    let report = peer::Report { from: me, seen, ..Default::default() };
+    directory.on_report(at(now), Some(at(now)), &report);
+}
+
+fn drain(barriers: &mut Barriers, directory: &Directory, now: u64) -> Status {
+    barriers.drain(at(now), &name("vm-7"), EPOCH, directory)
+}
+
+#[test]
+fn drain_by_a_controller_that_has_just_met_the_proxy() {
+    // Symptom: a VM is rebooted under a request of a proxy's earlier process.
+    // Sequence: a proxy sends work and dies; its next process confirms the drain; a
+    //   controller that has just started, and never knew the earlier one, takes over.
+    // Cause: the word of the present process is taken for that of all before it.
+    let (mut directory, mut barriers) =
+        (directory(), Barriers::new(drain::Config::new().request_deadline(DEADLINE)));
+    confirm(&mut directory, 1_000, BEGAN + 500);
+    assert!(matches!(drain(&mut barriers, &directory, 1_100), Status::Waiting(_)));
+    confirm(&mut directory, 30_900, BEGAN + 500);
+    assert!(matches!(drain(&mut barriers, &directory, 30_900), Status::Waiting(_)));
+    confirm(&mut directory, 31_000, BEGAN + 500);
+    assert_eq!(drain(&mut barriers, &directory, 31_000), Status::Clear);
+}
+
+#[test]
+fn drain_by_a_controller_that_has_known_the_proxy_for_long() {
+    let (mut directory, mut barriers) =
+        (directory(), Barriers::new(drain::Config::new().request_deadline(DEADLINE)));
+    confirm(&mut directory, 1_000, BEGAN);
+    confirm(&mut directory, 31_000, BEGAN);
+    assert_eq!(drain(&mut barriers, &directory, 31_000), Status::Clear, "at its first look");
+    // It restarts just before the next drain.
+    confirm(&mut directory, 40_000, BEGAN + 40_000);
+    let mut later = Barriers::new(drain::Config::new().request_deadline(DEADLINE));
+    assert!(matches!(drain(&mut later, &directory, 40_100), Status::Waiting(_)));
+}
--- a/crates/coord/src/drain.rs
+++ b/crates/coord/src/drain.rs
@@ -19,6 +19,13 @@
 //! an ack can still be running after its death: the request deadline passes
 //! first.
 //!
+//! That there was an earlier one need not have been seen here: a process that
+//! takes a drain over may know the present incarnation alone. Its word says
+//! nothing of what the earlier one sent, and a VM freed on it would be rebooted
+//! under that work. So each incarnation but the first of its name counts as one
+//! that had another before it, until it has been known ([`Barrier::on_known`])
+//! for the request deadline.
+//!
 //! ```
 //! use corianderfork_coord::drain::{Barrier, Config, Status};
 //! use corianderfork_coord::member::{Known, Peer};
@@ -40,6 +47,10 @@
 
 use crate::member::{Known, Peer};
 
+/// The incarnation that none was before. Where incarnations are times, none has
+/// it.
+const FIRST: u64 = 1;
+
 /// What stands in for the word of a silent proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -89,7 +100,7 @@
     },
     /// It is silent for long enough, but may be in touch with others.
     MaybeInTouch,
-    /// Its earlier incarnation did not ack before it ended.
+    /// Its earlier incarnation did not ack before it ended, as far as is known.
     Earlier {
         /// When what that one sent has ended.
         until: Time,
@@ -133,6 +144,8 @@
     proxies: BTreeMap<Name, Seen>,
     /// Acks of incarnations not yet listed.
     early: BTreeMap<Name, u64>,
+    /// Since when incarnations have been known.
+    known: BTreeMap<Known, Time>,
 }
 
 impl Barrier {
@@ -140,8 +153,8 @@
     /// process knew that the drain was written; a successor that takes the
     /// drain over starts anew, which only waits longer.
     pub fn new(config: Config, vm: Name, epoch: u64, started: Time) -> Self {
-        let (proxies, early) = (BTreeMap::new(), BTreeMap::new());
-        Self { config, vm, epoch, started, proxies, early }
+        let (proxies, early, known) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { config, vm, epoch, started, proxies, early, known }
     }
 
     /// The VM.
@@ -165,6 +178,31 @@
         *early = proxy.incarnation.max(*early);
     }
 
+    /// This process has known `proxy` since `since`: one before it had ended by
+    /// then. To be told before the first [`Barrier::status`] with that proxy; without
+    /// it, the proxy counts as known since then.
+    ///
+    /// ```
+    /// use corianderfork_coord::drain::{Barrier, Config, Status};
+    /// use corianderfork_coord::member::{Known, Peer};
+    /// use corianderfork_model::{Name, Time};
+    ///
+    /// // Started at this time, in milliseconds since the Unix epoch.
+    /// let proxy = Known::new(Name::new("entry-1")?, 1_760_000_000_000);
+    /// let now = Time::from_millis(31_000);
+    /// let peer = Peer { member: proxy.clone(), last_contact: now, cut_off: false };
+    /// let mut barrier = Barrier::new(Config::new(), Name::new("vm-7")?, 3, now);
+    /// barrier.on_ack(&proxy, 3);
+    /// let mut informed = barrier.clone();
+    /// informed.on_known(&proxy, Time::from_millis(1_000));
+    /// assert!(matches!(barrier.status(now, &[peer.clone()]), Status::Waiting(_)));
+    /// assert_eq!(informed.status(now, &[peer]), Status::Clear);
+    /// # Ok::<(), corianderfork_model::name::Error>(())
+    /// ```
+    pub fn on_known(&mut self, proxy: &Known, since: Time) {
+        self.known.entry(proxy.clone()).or_insert(since);
+    }
+
     /// Whether the VM may be released, the live proxies being `proxies`. Those
     /// that went for good are no longer among them.
     pub fn status(&mut self, now: Time, proxies: &[Peer]) -> Status {
@@ -182,7 +220,10 @@
         let incarnation = member.incarnation;
         let acked = self.early.get(&member.name) == Some(&incarnation);
         let new = Seen { incarnation, acked, earlier_until: None };
-        let seen = self.proxies.entry(member.name.clone()).or_insert(new);
+        let since = self.known.get(member).copied().unwrap_or(now);
+        let earlier_until = (incarnation > FIRST).then(|| since + self.config.request_deadline);
+        let unseen = Seen { earlier_until, ..new };
+        let seen = self.proxies.entry(member.name.clone()).or_insert(unseen);
         if incarnation > seen.incarnation {
             let ended = now + self.config.request_deadline;
             let earlier_until = if seen.acked { seen.earlier_until } else { Some(ended) };
--- a/crates/e2e/src/system.rs
+++ b/crates/e2e/src/system.rs
@@ -19,6 +19,10 @@
 use crate::entry::{Entry, Settings};
 use crate::{http, wait};
 
+/// The longest time of a request, as short as the proxies' time-out lets it be: a
+/// controller waits for so long before it relies on proxies that it has just met.
+const DEADLINE: &str = "request_deadline_ms = 10000\n";
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -45,7 +49,7 @@
             run_ms: 5,
             warm_ms: 100,
             proxy: String::new(),
-            controller: String::new(),
+            controller: DEADLINE.to_owned(),
             faults: false,
         }
     }
