Say that a change is accepted once a controller has heard of it

An operator read that a drain was accepted, and the VM got requests for the whole outage. Cause: the store goes down before the watches that wait there have shown the write; all hear of it by these alone.

The controller that decides writes up to which revision it has heard operators, and drain and apply wait for that. The fake store of the command line's tests answers as a controller that has heard all, unless told not to.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -14,6 +14,7 @@
 use crate::check;
 use crate::context::Context;
 use crate::error::{Error, Kind};
+use crate::heard;
 use crate::ini::{self, Difference, Mistake};
 use crate::record::{self, Done};
 use crate::report::Report;
@@ -61,7 +62,7 @@
 /// # Errors
 ///
 /// Rejected with all mistakes at once, in conflict with another operator's
-/// change, not possible now, or unknown: [`Error::code`] tells them apart.
+/// change, not possible now, pending, or unknown: [`Error::code`] tells them apart.
 pub fn run(context: &Context<'_>, request: &Request<'_>) -> Result<Report, Error> {
     let file = ini::read(request.path)?;
     let warnings = ini::check(request.path, &file)?.warnings;
@@ -87,11 +88,14 @@
     };
     let warned = check::warnings(request.path, &file, warnings);
     if base.text == text {
+        heard::wait(context, store::Revision(base.revision))?;
         let said = format!("unchanged: revision {} is the same already\n", json.revision);
         return Ok(Report::new(said, &json).note(warned));
     }
     let Written { revision, replaced } = write(context, request, &base, text)?;
+    let heard = heard::wait(context, revision);
     let missing = audit(context, request, &base, revision, &changes);
+    heard?;
     json.outcome = "accepted";
     json.revision = revision.0;
     json.replaced = replaced;
--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -12,6 +12,7 @@
 
 use crate::context::Context;
 use crate::error::{Error, Kind};
+use crate::heard;
 use crate::record::{self, Done};
 use crate::report::Report;
 use crate::settle::{self, End, Failure, Write};
@@ -32,24 +33,27 @@
 ///
 /// # Errors
 ///
-/// Rejected if there is no such VM; else as the store fails.
+/// Rejected if there is no such VM; pending if no controller is known to have
+/// heard of it in time; else as the store fails.
 pub fn drain(context: &Context<'_>, vm: &Name, reason: &str) -> Result<Report, Error> {
     known(context, vm)?;
     let key = key::drain(vm);
     let base = read(context, &key)?;
     if base.entry.is_some() {
-        return already_drained(vm, &base);
+        return already_drained(context, vm, &base);
     }
     let wish = Drain { by: context.by.to_owned(), reason: reason.to_owned() };
     let value = serde_json::to_string(&wish).expect("strings are always JSON");
     match settle::write(context, &Write { key: &key, value: Some(&value), base: &base }) {
         Ok(End::Applied { revision, .. }) => {
             let to = format!("{DRAINED}: {reason}");
-            Ok(changed(context, vm, FREE, &to, revision, Some(wish)))
+            let heard = heard::wait(context, revision);
+            let report = changed(context, vm, FREE, &to, revision, Some(wish));
+            heard.map(|()| report)
         }
         // Another operator was first, with the same wish.
         Ok(End::Conflict(entry)) if entry.is_some() => {
-            already_drained(vm, &Found { revision: base.revision, entry })
+            already_drained(context, vm, &Found { revision: base.revision, entry })
         }
         end => Err(failed(vm, end)),
     }
@@ -110,7 +114,10 @@
     Report::new(format!("accepted: {vm} is {to}\n"), &json).note(missing)
 }
 
-fn already_drained(vm: &Name, found: &Found) -> Result<Report, Error> {
+fn already_drained(context: &Context<'_>, vm: &Name, found: &Found) -> Result<Report, Error> {
+    if let Some(entry) = &found.entry {
+        heard::wait(context, entry.revision)?;
+    }
     let drain: Option<Drain> = found.entry.as_ref().map(record::parse).transpose()?;
     let by = drain.as_ref().map_or_else(String::new, |d| format!(" by {}: {}", d.by, d.reason));
     let revision = found.entry.as_ref().map(|entry| entry.revision.0);
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -100,6 +100,9 @@
     /// A write's end can't be told.
     #[error("the change may have taken effect: {0}")]
     Unknown(String),
+    /// A change was written, and no controller is known to have heard of it.
+    #[error("written as revision {0}, and not yet in force: no controller has said that it knows")]
+    Pending(u64),
     /// The output can't be written.
     #[error("the output cannot be written: {0}")]
     Output(io::Error),
@@ -191,6 +194,7 @@
             }
             Kind::Record { .. } | Kind::Store(_) => Code::Unavailable,
             Kind::Unknown(_) => Code::Unknown,
+            Kind::Pending(_) => Code::Pending,
             Kind::Output(_) => Code::Output,
         }
     }
@@ -226,6 +230,10 @@
             Kind::Record { .. } => "apply the configuration again, or mend the record",
             Kind::Store(_) => "try again later, or check `--platform`",
             Kind::Unknown(_) => "look with `show` and `history` before asking again",
+            Kind::Pending(_) => {
+                "it comes into force once the store answers and a controller runs; ask the same \
+                 again to wait for it, and rely on nothing until then"
+            }
             Kind::Output(_) => "make room; what the command did stands",
         }
     }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -17,6 +17,8 @@
     Unknown,
     /// The command is done, but what it printed could not be written.
     Output,
+    /// The change was written, and nobody is known to act on it yet.
+    Pending,
 }
 
 /// The lines about exit codes in `--help`.
@@ -28,7 +30,8 @@
   3  conflict: someone else changed it first, nothing was changed
   4  unavailable: the platform could not be reached, nothing was changed
   5  unknown: the change may have taken effect; look with `show` and `history`
-  6  done, but the output could not be written";
+  6  done, but the output could not be written
+  7  pending: the change was written, and is not yet known to be in force";
 
 impl Code {
     /// The number that the process ends with.
@@ -48,6 +51,7 @@
             Self::Unavailable => 4,
             Self::Unknown => 5,
             Self::Output => 6,
+            Self::Pending => 7,
         }
     }
 
@@ -61,6 +65,7 @@
             Self::Unavailable => "unavailable",
             Self::Unknown => "unknown",
             Self::Output => "output",
+            Self::Pending => "pending",
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -21,6 +21,7 @@
 //! | 4 | `unavailable` | the platform could not be reached; nothing was changed |
 //! | 5 | `unknown` | the change may have taken effect |
 //! | 6 | `output` | done, but the output could not be written |
+//! | 7 | `pending` | the change was written, and is not yet known to be in force |
 //!
 //! With `--output json`, answers and errors alike are one line of JSON on the
 //! standard output.
@@ -42,6 +43,7 @@
 pub mod drain;
 pub mod error;
 pub mod exit;
+pub mod heard;
 pub mod ini;
 pub mod record;
 pub mod report;
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -260,3 +260,18 @@
     let again = json(&store, &["apply", &path]);
     assert_eq!((again.code, again.json()["outcome"].as_str()), (0, Some("unchanged")));
 }
+
+#[test]
+fn apply_that_no_controller_has_heard_of_is_pending() {
+    // Symptom: a configuration that was told to be accepted is in force nowhere for a
+    //   whole outage.
+    // Sequence: it is written; the store goes down before any watch has shown it.
+    // Cause: the store's answer is taken for the word that somebody acts on it.
+    let store = Arc::new(Fake::default());
+    store.hear_nothing();
+    let path = file(sample(12, 8));
+    let ran = json(&store, &["apply", &path]);
+    assert_eq!((ran.code, ran.json()["outcome"].as_str()), (7, Some("pending")));
+    assert_eq!((store.writes(CONFIG), audited(&store).len()), (1, 1), "it stands, and is audited");
+    assert_eq!(json(&store, &["apply", &path]).code, 7, "the same is pending still");
+}
--- a/crates/cli/tests/drain.rs
+++ b/crates/cli/tests/drain.rs
@@ -112,3 +112,21 @@
     assert_eq!(json(&store, &["undrain", "v01"]).code, 0);
     assert!(changes(&store).is_empty());
 }
+
+#[test]
+fn drain_that_no_controller_has_heard_of_is_pending() {
+    // Symptom: an operator is told that a drain is accepted, and the VM gets requests
+    //   for a whole outage.
+    // Sequence: the drain is written; the store goes down before any watch has shown
+    //   it.
+    // Cause: the store's answer is taken for the word that somebody acts on it.
+    let store = fleet();
+    store.hear_nothing();
+    let ran = json(&store, &["drain", "v01"]);
+    assert_eq!((ran.code, ran.json()["outcome"].as_str()), (7, Some("pending")));
+    assert_eq!((store.writes(KEY), changes(&store).len()), (1, 1), "it stands, and is audited");
+    assert!(ran.took_ms >= 1_000, "it waits for a controller: {} ms", ran.took_ms);
+    // Asked again, it waits again; an answer is none before it is in force.
+    assert_eq!(json(&store, &["drain", "v01"]).code, 7);
+    assert_eq!(store.writes(KEY), 1);
+}
--- a/crates/cli/tests/fake/mod.rs
+++ b/crates/cli/tests/fake/mod.rs
@@ -11,6 +11,7 @@
 use corianderfork_cli::context::Clock;
 use corianderfork_cli::run::{Setup, run};
 use corianderfork_model::Time;
+use corianderfork_provider::key::HEARD;
 use corianderfork_provider::store::{
     Change, Changes, Entry, Error, Expect, Found, LeaseId, Range, Revision, Store,
 };
@@ -37,6 +38,8 @@
     down: bool,
     forgetful: bool,
     cut_watch: Option<String>,
+    /// Whether no controller hears what is written.
+    unheard: bool,
     reads: u64,
 }
 
@@ -66,6 +69,13 @@
         if self.down { Err(Error::Unavailable("down".to_owned())) } else { Ok(()) }
     }
 
+    /// What a controller says that has heard all, unless there is none.
+    fn heard(&self) -> Option<Entry> {
+        let (key, revision) = (HEARD.to_owned(), Revision(self.revision));
+        let value = format!("{{\"revision\":{}}}", self.revision);
+        (!self.unheard).then_some(Entry { key, value, revision, lease: None })
+    }
+
     fn swap(&mut self, key: &str, value: Option<&str>, expect: Expect) -> Result<Revision, Error> {
         let current = self.entries.get(key);
         let fits = match expect {
@@ -151,6 +161,11 @@
         self.with(|inner| inner.entries.get(key).map_or(0, |entry| entry.revision.0))
     }
 
+    /// From now on no controller hears what is written.
+    pub fn hear_nothing(&self) {
+        self.with(|inner| inner.unheard = true);
+    }
+
     /// How often the key was written.
     pub fn writes(&self, key: &str) -> usize {
         self.with(|inner| inner.history.iter().filter(|change| change.key == key).count())
@@ -166,7 +181,7 @@
         self.with(|inner| {
             inner.reads += 1;
             inner.up()?;
-            let entry = inner.entries.get(key).cloned();
+            let entry = if key == HEARD { inner.heard() } else { inner.entries.get(key).cloned() };
             Ok(Found { revision: Revision(inner.revision), entry })
         })
     }
--- a/crates/controller/src/actor/planner/mod.rs
+++ b/crates/controller/src/actor/planner/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::facts::Facts;
 use crate::gauges::Gauges;
-use crate::ledger::{Lines, Told};
+use crate::ledger::{Heard, Lines, Told};
 use crate::perform::Written;
 use crate::plan::action::{Action, Write};
 use crate::plan::{Inputs, Planner as Plan};
@@ -43,6 +43,7 @@
     Called(Action, Result<(), Error>),
     Audited(Result<(), Error>),
     Explained(Box<Explain>, Written),
+    Heard(u64, Written),
 }
 
 /// The threads and the platform behind them.
@@ -75,6 +76,8 @@
     unknown: Vec<(Box<Write>, String)>,
     lines: Lines,
     told: Told,
+    /// What operators were told to have been heard.
+    heard: Heard,
     writer: Arc<Mutex<Writer>>,
     gauges: Gauges,
     port: Port<Incoming>,
@@ -138,6 +141,7 @@
             unknown: Vec::new(),
             lines: Lines::default(),
             told: Told::default(),
+            heard: Heard::default(),
             writer: Arc::default(),
             gauges,
             port,
@@ -153,6 +157,9 @@
         self.event(cx, Event::Tick);
         let held = self.tenure.token(tick.now).is_some();
         self.gauges.on_tick(held);
+        if held {
+            self.tell_heard(cx);
+        }
         // With or without the lease: the last changes made under it are in
         // here, and no other process knows them.
         self.audit(tick.now);
@@ -266,6 +273,9 @@
                 }
                 self.lines.on_end(end.is_ok());
             }
+            Incoming::Heard(revision, end) => {
+                self.heard.on_end(matches!(end, Written::Applied(_)).then_some(revision));
+            }
             Incoming::Explained(explain, end) => match end {
                 Written::Applied(revision) => self.told.on_end(Some(*explain), Some(revision)),
                 Written::Conflict(entry) => {
--- a/crates/controller/src/actor/planner/submit.rs
+++ b/crates/controller/src/actor/planner/submit.rs
@@ -4,8 +4,9 @@
 
 use corianderfork_model::Time;
 use corianderfork_provider::key;
-use corianderfork_provider::record::{Explain, Wave};
+use corianderfork_provider::record::{self, Explain, Wave};
 use corianderfork_provider::store::{Expect, Revision};
+use stakker::CX;
 
 use super::{Incoming, Planner};
 use crate::facts::Change;
@@ -106,6 +107,22 @@
         }
     }
 
+    /// Tells operators that what they wrote has been heard.
+    pub(super) fn tell_heard(&mut self, cx: CX![]) {
+        let newest = self.world.ro(cx).view.operators_revision();
+        let Some(fence) = self.tenure.fence().filter(|_| self.heard.is_due(newest)) else { return };
+        let Ok(value) = serde_json::to_string(&record::Heard { revision: newest }) else { return };
+        let (store, port) = (Arc::clone(&self.outside.store), self.port.clone());
+        let job = move || {
+            let holds = || fence.holds();
+            let end = perform::put(&*store, holds, key::HEARD, &value, Expect::Anything);
+            let _ = port.send_wait(Incoming::Heard(newest, end));
+        };
+        if self.outside.writes.submit(job).is_ok() {
+            self.heard.begin();
+        }
+    }
+
     pub(super) fn audit(&mut self, now: Time) {
         let Some(lines) = self.lines.take(now) else { return };
         let (store, port) = (Arc::clone(&self.outside.store), self.port.clone());
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -93,3 +93,28 @@
         }
     }
 }
+
+/// Up to which revision operators were told that their writes have been heard.
+#[derive(Debug, Default)]
+pub struct Heard {
+    told: u64,
+    is_writing: bool,
+}
+
+impl Heard {
+    /// Whether `newest` is to be told now.
+    pub fn is_due(&self, newest: u64) -> bool {
+        newest > self.told && !self.is_writing
+    }
+
+    /// The write begins.
+    pub fn begin(&mut self) {
+        self.is_writing = true;
+    }
+
+    /// The write has ended; `told` is what it told, if it was applied.
+    pub fn on_end(&mut self, told: Option<u64>) {
+        self.is_writing = false;
+        self.told = self.told.max(told.unwrap_or(0));
+    }
+}
--- a/crates/controller/src/view.rs
+++ b/crates/controller/src/view.rs
@@ -187,6 +187,13 @@
         self.drains.get(name)?.get()?.as_ref()
     }
 
+    /// The revision of the newest write of operators that is known: of a drain, of
+    /// the end of one, or of a configuration.
+    pub fn operators_revision(&self) -> u64 {
+        let drains = self.drains.values().map(Register::revision);
+        drains.chain([self.config.revision()]).max().unwrap_or(0)
+    }
+
     /// The members the store lists.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter_map(|register| register.get()?.as_ref())
--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -183,6 +183,84 @@
     delays.check("store down once accepted", DRAINS * ROUNDS);
 }
 
+/// The exit code of a command that is done.
+const DONE: i32 = 0;
+/// The exit code of a command whose change is written, and not known to be in force.
+const PENDING: i32 = 7;
+
+/// Drains as operators do; the exit code, and when it was told.
+fn command(system: &System, vm: &str) -> (i32, u64) {
+    let (code, out) = system.operator(&["drain", vm, "--reason", "test", "--timeout", "3"]);
+    assert!(code == DONE || code == PENDING, "{code}: {out}");
+    (code, unix_ms())
+}
+
+fn last_run_after(system: &System, vm: &str, from: u64) -> u64 {
+    let runs = system.runs().runs;
+    let later = runs.iter().filter(|run| run.vm == vm && run.at_ms > from);
+    later.map(|run| run.at_ms - from).max().unwrap_or_default()
+}
+
+#[test]
+fn leaving_asked_for_as_the_store_goes_down_with_the_wish() {
+    // Symptom: an operator is told that a drain is accepted, and the VM gets requests
+    //   for the whole outage.
+    // Sequence: the store carries the write out and answers it; it goes down before
+    //   any watch has shown the write.
+    // Cause: nobody but the store and the asker knows of the wish, and its answer is
+    //   taken for the word that somebody acts on it.
+    let system = System::converged(config());
+    wait_copies(&system);
+    let calling = Callers::new(&SERVICES).start(&system);
+    let vm = carriers(&system).remove(0);
+    system.platform_fault(&json!({ "down_with": key::DRAINS }));
+    let (code, told) = command(&system, &vm);
+    watch_on(&calling, unix_ms());
+    let late = last_run_after(&system, &vm, told);
+    println!("leaving, down with the wish: code {code}, last run {late} ms later");
+    assert!(code == PENDING || late <= PROMISED, "told to be accepted, and sent to {late} ms on");
+    // Once the store is back, the same is done.
+    system.store_down(false);
+    let done = wait::until("the drain to be accepted", || {
+        let (code, told) = command(&system, &vm);
+        (code == DONE).then_some(told)
+    });
+    watch_on(&calling, unix_ms());
+    assert!(last_run_after(&system, &vm, done.0) <= PROMISED);
+    calling.finish();
+}
+
+#[test]
+fn leaving_asked_for_twice_though_the_store_goes_down_once_it_is_accepted() {
+    // Symptom: a VM whose drain was accepted gets requests for a whole outage.
+    // Sequence: an operator is told that the drain is accepted; the store goes down at
+    //   once. It comes back, the drain is taken back, the VM gets requests again, and
+    //   all that happens once more.
+    // Cause: as above; the second time, what was heard of the first one's end.
+    let system = System::converged(config());
+    wait_copies(&system);
+    let calling = Callers::new(&SERVICES).start(&system);
+    let mut delays = Delays::default();
+    let vms: Vec<String> = carriers(&system).into_iter().take(3).collect();
+    for vm in &vms {
+        for _ in 0..ROUNDS {
+            let since = unix_ms();
+            wait::until("the VM to get requests", || {
+                (last_run_after(&system, vm, since) > 0).then_some(())
+            });
+            let (code, told) = command(&system, vm);
+            system.store_down(true);
+            assert_eq!(code, DONE);
+            watch_on(&calling, unix_ms());
+            delays.0.push(last_run_after(&system, vm, told));
+            system.store_down(false);
+            undrain(&system, std::slice::from_ref(vm));
+        }
+    }
+    calling.finish();
+    delays.check("store down once it is told to be accepted", vms.len() * ROUNDS);
+}
+
 #[test]
 fn leaving_by_the_backend_servers_own_refusal() {
     // Symptom: a backend server that says it is leaving is asked on and on.
--- a/crates/provider/src/record.rs
+++ b/crates/provider/src/record.rs
@@ -106,6 +106,17 @@
     pub reason: String,
 }
 
+/// What a controller has heard of what operators wrote.
+///
+/// A write that is answered is known to the store alone until a watch has shown it. If
+/// the store goes down first nobody acts on it, for the whole outage; what a
+/// controller has heard it passes on to all others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The revision of the newest drain or configuration that it has heard of.
+    pub revision: u64,
+}
+
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -176,7 +176,11 @@
         let response = match path {
             "/kv/put" => {
                 let put: Put = serde_json::from_slice(body)?;
-                written(inner.store.put(&put.key, &put.value, put.expect, put.lease))
+                let end = inner.store.put(&put.key, &put.value, put.expect, put.lease);
+                if end.is_ok() {
+                    inner.faults.written(&put.key);
+                }
+                written(end)
             }
             "/kv/delete" => {
                 let delete: Delete = serde_json::from_slice(body)?;
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -11,6 +11,9 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct Switches {
     pub(crate) down: Option<bool>,
+    /// The next write of a key with this prefix is done and answered, and the store
+    /// goes down with it, before any watch has shown it.
+    pub(crate) down_with: Option<String>,
     pub(crate) slow_ms: Option<u64>,
     pub(crate) lose_answers: Option<u64>,
     pub(crate) lose_prefix: Option<String>,
@@ -19,8 +22,16 @@
 }
 
 impl Switches {
+    /// A key was written.
+    pub(crate) fn written(&mut self, key: &str) {
+        if self.down_with.take_if(|prefix| key.starts_with(prefix.as_str())).is_some() {
+            self.down = Some(true);
+        }
+    }
+
     pub(crate) fn change(&mut self, to: Switches) {
         self.down = to.down.or(self.down);
+        self.down_with = to.down_with.or(self.down_with.take());
         self.slow_ms = to.slow_ms.or(self.slow_ms);
         self.lose_answers = to.lose_answers.or(self.lose_answers);
         self.lose_prefix = to.lose_prefix.or(self.lose_prefix.take());
