Refuse no job of which another try may have it stored

A caller was told 503, which says that its job never runs, and it ran: its earlier try's write was on the way (handed_in_twice.rs, red with the daemon of: 504, then 503, then completed). Cause: a try that is refused unwritten was judged alone, and tries that wait were told apart by the job's id.

Tries and writes of a job are now counted while they go on; beside another one, a try that isn't stored is told 504.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -5,7 +5,7 @@
 mod state;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
 use crate::peer::{self, Ask, Reply};
 use crate::places::{Step, Way};
 use crate::server::{Asked, Told};
+use crate::tries::Tries;
 use accept::{Accepted, Waiting, patience};
 
 /// When a caller that is refused is told to come back, in seconds.
@@ -36,9 +37,9 @@
     node: Rc<Node>,
     waiting: RefCell<VecDeque<Waiting>>,
     writing: Cell<usize>,
-    /// Jobs of which it was told that nobody knows whether they were stored, and
-    /// when.
-    unsure: RefCell<HashMap<String, Time>>,
+    tries: Rc<RefCell<Tries>>,
+    /// Jobs handed in so far.
+    offers: Cell<u64>,
 }
 
 impl Gateway {
@@ -48,7 +49,8 @@
             node,
             waiting: RefCell::default(),
             writing: Cell::new(0),
-            unsure: RefCell::default(),
+            tries: Rc::default(),
+            offers: Cell::new(0),
         })
     }
 
@@ -127,11 +129,11 @@
                 (Told::new(200, b"{}".to_vec()), "stored")
             }
             Accepted::Known => (Told::new(200, b"{}".to_vec()), "known"),
-            Accepted::NotStored if !self.is_unsure(id) => {
+            Accepted::NotStored if !self.may_be_stored(id) => {
                 (refuse("the store took no job; come back"), "not stored")
             }
             Accepted::NotStored | Accepted::Unknown => {
-                self.note_unsure(id);
+                self.tries.borrow_mut().note_unsure(clock::now(), id);
                 unknown()
             }
         }
@@ -147,7 +149,7 @@
                 return (Told::new(200, b"{}".to_vec()), "known");
             }
         }
-        if self.is_unsure(id) { unknown() } else { (self.refuse_away(id), "store away") }
+        if self.may_be_stored(id) { unknown() } else { (self.refuse_away(id), "store away") }
     }
 
     /// Refuses what the store is needed for while it is away: nothing was written.
--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -1,5 +1,6 @@
 //! Jobs on their way into the store.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::places::Entry;
 use crate::server::Asked;
 use crate::store::Error;
+use crate::tries::Tries;
 
 /// How long the store is asked to take a job before the caller is told that it
 /// did not. Within a quarter of the time that callers wait.
@@ -28,12 +30,6 @@
 /// Writes of jobs under way at once: a second one goes out while the first
 /// waits for its answer.
 const WRITES: usize = 4;
-/// How long a write without an answer may yet be carried out: the platform names
-/// some seconds, and callers ask again within as many.
-const UNSURE: Duration = Duration::from_secs(15);
-/// Jobs of which that is remembered: a bound on memory.
-const MOST_UNSURE: usize = 4_096;
-
 /// What became of a job handed in.
 pub(super) enum Accepted {
     /// It is stored in this pool, at this revision.
@@ -48,49 +44,65 @@
 
 /// A job that waits for its write.
 pub(super) struct Waiting {
+    /// Tells tries of one job apart.
+    number: u64,
     offer: Offer,
     until: Time,
     /// Whether a write of it may have been done though nobody said so.
     maybe: bool,
     told: oneshot::Sender<Accepted>,
+    /// Kept while a write holds it.
+    under_way: Option<UnderWay>,
 }
 
-impl Gateway {
-    /// Notes that a write of a job may yet be carried out.
-    pub(super) fn note_unsure(&self, id: &str) {
-        let now = clock::now();
-        let mut unsure = self.unsure.borrow_mut();
-        unsure.retain(|_, at| now - *at < UNSURE);
-        if unsure.len() < MOST_UNSURE {
-            unsure.insert(id.to_owned(), now);
-        }
+/// Counts a try of a job, or a write that holds it, until it is dropped: a write goes
+/// on when its caller's time is over.
+struct UnderWay {
+    tries: Rc<RefCell<Tries>>,
+    id: String,
+}
+
+impl UnderWay {
+    fn new(tries: &Rc<RefCell<Tries>>, id: &str) -> Self {
+        tries.borrow_mut().begins(id);
+        Self { tries: tries.clone(), id: id.to_owned() }
     }
+}
 
-    /// Whether a write of a job may yet be carried out. To a later try of the same
-    /// job 503 would promise that it never runs.
-    pub(super) fn is_unsure(&self, id: &str) -> bool {
-        let now = clock::now();
-        self.unsure.borrow().get(id).is_some_and(|at| now - *at < UNSURE)
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.tries.borrow_mut().ends(&self.id);
+    }
+}
+
+impl Gateway {
+    /// Whether another try of a job is under way, or may yet be carried out. To this
+    /// one 503 would promise that it never runs.
+    pub(super) fn may_be_stored(&self, id: &str) -> bool {
+        self.tries.borrow().may_be_stored(clock::now(), id)
     }
 
     /// Has a job stored, within a part of the time that its caller waits.
     pub(super) async fn store(self: &Rc<Self>, offer: Offer, within: Duration) -> Accepted {
         let (told, accepted) = oneshot::channel();
-        let (id, until) = (offer.id.clone(), clock::now() + within);
-        self.waiting.borrow_mut().push_back(Waiting { offer, until, maybe: false, told });
+        let (number, until) = (self.offers.get(), clock::now() + within);
+        self.offers.set(number + 1);
+        let _trying = UnderWay::new(&self.tries, &offer.id);
+        let job = Waiting { number, offer, until, maybe: false, told, under_way: None };
+        self.waiting.borrow_mut().push_back(job);
         self.write_some();
         match timeout(within, accepted).await {
             Ok(accepted) => accepted.unwrap_or(Accepted::Unknown),
-            Err(_) => self.withdraw(&id),
+            Err(_) => self.withdraw(number),
         }
     }
 
     /// Gives a job up whose time is over. One that still waits for its write is
     /// certainly not stored; a write that is under way may yet be carried out.
-    fn withdraw(&self, id: &str) -> Accepted {
+    fn withdraw(&self, number: u64) -> Accepted {
         let mut waiting = self.waiting.borrow_mut();
         let before = waiting.len();
-        waiting.retain(|job| job.offer.id != id || job.maybe);
+        waiting.retain(|job| job.number != number || job.maybe);
         if waiting.len() < before { Accepted::NotStored } else { Accepted::Unknown }
     }
 
@@ -101,7 +113,10 @@
             return;
         }
         let count = self.admission(self.waiting.borrow().iter()).count();
-        let jobs: Vec<Waiting> = self.waiting.borrow_mut().drain(..count).collect();
+        let mut jobs: Vec<Waiting> = self.waiting.borrow_mut().drain(..count).collect();
+        for job in &mut jobs {
+            job.under_way = Some(UnderWay::new(&self.tries, &job.offer.id));
+        }
         self.writing.set(self.writing.get() + 1);
         let gateway = self.clone();
         spawn_local(async move {
@@ -132,7 +147,8 @@
         while !jobs.is_empty() {
             let admission = self.admission(jobs.iter());
             // A queue that has just come to another pool takes more of a write.
-            for job in jobs.drain(admission.count()..).rev() {
+            for mut job in jobs.drain(admission.count()..).rev() {
+                job.under_way = None;
                 self.waiting.borrow_mut().push_front(job);
             }
             jobs = self.sift(&admission, jobs).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outage;
 pub mod places;
 pub mod settings;
+pub mod tries;
 
 mod clock;
 mod explain;
