Wait for all holders of a duty that may go on, not for the last alone

An owner that is cut off goes on for 8 s on workers that it alone reaches; a second one takes over and starts anew at once; the third one took it that nothing was granted any more, since the one before it had ended. Cause: a record named its holder alone.

Now it names those before it that were not known to have ended, and who takes the duty waits for them too, counted from when it first saw that record; one that has started anew is left out. A takeover waits longer only where such a one lives and a worker can't be looked at. duty.rs: three tests.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -11,6 +11,7 @@
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::node::{HOLD_ON, TTL};
 use crate::places::Entry;
 
 /// The prefix of members' records; the name follows.
@@ -30,6 +31,12 @@
 /// How much later the next in line tries, when those before it don't.
 const NEXT: Duration = Duration::from_millis(700);
 
+/// How long a holder grants leases that may have been replaced: as long as it holds on
+/// while the store answers nobody, and as long as its lease of before.
+const GOES_ON: Duration = HOLD_ON.saturating_add(TTL);
+/// Holders of before that a record names at most.
+const FORMERS: usize = 4;
+
 /// How long after a restart others are expected to be restarted too.
 const ROLLING: Duration = Duration::from_secs(10);
 /// Duties for a whole core, in millionths, above which a young member is passed
@@ -64,6 +71,18 @@
     pub boot: u64,
     /// Where peers reach it.
     pub peers: Option<SocketAddr>,
+    /// Those before it that were not known to have ended when it took over.
+    #[serde(default)]
+    pub before: Vec<Former>,
+}
+
+/// One that held a duty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// Its name.
+    pub name: String,
+    /// Its start.
+    pub boot: u64,
 }
 
 /// A duty's record.
@@ -86,6 +105,8 @@
     pub queues: BTreeMap<String, Entry>,
     /// Since when a duty has no live holder, by duty.
     vacant: HashMap<String, (Time, Duration)>,
+    /// When a duty's record was first seen here, and its revision.
+    seen: HashMap<String, (u64, Time)>,
 }
 
 impl Table {
@@ -105,6 +126,51 @@
         self.duties.keys().map(String::as_str).filter(|duty| *duty != FLEET)
     }
 
+    /// Takes in a duty's record.
+    pub fn put_duty(&mut self, now: Time, duty: &str, record: Record) {
+        if self.seen.get(duty).is_none_or(|(revision, _)| *revision != record.revision) {
+            self.seen.insert(duty.to_owned(), (record.revision, now));
+        }
+        self.duties.insert(duty.to_owned(), record);
+    }
+
+    /// Whether a process is known to have ended: another start of it has registered.
+    pub fn has_restarted(&self, name: &str, boot: u64) -> bool {
+        self.members.get(name).is_some_and(|member| member.boot != boot)
+    }
+
+    /// How much longer those that held a duty up to now may grant leases on its
+    /// workers, if none of them answers.
+    ///
+    /// One that has started anew grants nothing more. But it may have held the duty
+    /// for a moment only, and the one before it, which was cut off, goes on without
+    /// the store for as long as it may hold on: what that one grants meanwhile was
+    /// taken to be over, and tasks on workers that it alone reaches ran twice.
+    pub fn may_grant(&self, now: Time, duty: &str) -> Duration {
+        let record = self.duties.get(duty).cloned().unwrap_or_default();
+        let Record { holder, revision } = record;
+        if !self.has_restarted(&holder.name, holder.boot) {
+            return GOES_ON;
+        }
+        let is_alive = |former: &Former| !self.has_restarted(&former.name, former.boot);
+        if !holder.before.iter().any(is_alive) {
+            return Duration::ZERO;
+        }
+        let seen = self.seen.get(duty).filter(|(seen, _)| *seen == revision);
+        seen.map_or(GOES_ON, |(_, at)| GOES_ON.saturating_sub(now - *at))
+    }
+
+    /// Those whom the next holder of a duty names as before it.
+    pub fn formers(&self, duty: &str) -> Vec<Former> {
+        let Some(Record { holder, .. }) = self.duties.get(duty) else { return Vec::new() };
+        let last = Former { name: holder.name.clone(), boot: holder.boot };
+        let all = std::iter::once(last).chain(holder.before.iter().cloned());
+        let is_meant = |former: &Former| {
+            !former.name.is_empty() && !self.has_restarted(&former.name, former.boot)
+        };
+        all.filter(is_meant).take(FORMERS).collect()
+    }
+
     /// Whether the holder of a record is known to live.
     pub fn is_live(&self, holder: &Holder) -> bool {
         self.members.get(&holder.name).is_some_and(|member| member.boot == holder.boot)
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -172,7 +172,7 @@
         let holder = value.and_then(|value| readable(node, key, value, revision));
         let revision = if value.is_some() { revision } else { 0 };
         let record = duty::Record { holder: holder.unwrap_or_default(), revision };
-        table.duties.insert(name.to_owned(), record);
+        table.put_duty(clock::now(), name, record);
     } else if let Some(name) = key.strip_prefix(QUEUES) {
         // No daemon removes one: without it, nobody knows where the jobs are.
         let removed = places::Entry::Damaged { revision: 0 };
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -167,7 +167,8 @@
         let Some(record) = record else { continue };
         let is_taking = node.taking.borrow().contains(duty);
         if node.is_me(&record.holder) && !is_taking && !is_held(node, duty) {
-            begin(node, duty, record.revision, Holder::default());
+            let may_grant = node.table.borrow().may_grant(clock::now(), duty);
+            begin(node, duty, record.revision, (Holder::default(), may_grant));
         }
     }
 }
@@ -183,7 +184,9 @@
 async fn take_duty(node: Rc<Node>, duty: String) {
     let record = node.table.borrow().duties.get(&duty).cloned().unwrap_or_default();
     let key = format!("{DUTIES}{duty}");
-    let value = serde_json::to_vec(&node.holder()).unwrap_or_default();
+    let holder = Holder { before: node.table.borrow().formers(&duty), ..node.holder() };
+    let may_grant = node.table.borrow().may_grant(clock::now(), &duty);
+    let value = serde_json::to_vec(&holder).unwrap_or_default();
     let txn = Txn {
         expect: vec![(key.clone(), record.revision)],
         set: vec![(key, value, 0)],
@@ -196,10 +199,9 @@
             "outcome": format!("{outcome:?}") }),
     );
     if let Ok(Outcome::Written(fence)) = outcome {
-        let holder = node.holder();
         let taken = Record { holder, revision: fence };
-        node.table.borrow_mut().duties.insert(duty.clone(), taken);
-        begin(&node, &duty, fence, record.holder);
+        node.table.borrow_mut().put_duty(clock::now(), &duty, taken);
+        begin(&node, &duty, fence, (record.holder, may_grant));
     } else {
         // The watch tells who holds it now.
         tokio::time::sleep(TICK * 2).await;
@@ -207,7 +209,7 @@
     node.taking.borrow_mut().remove(&duty);
 }
 
-fn begin(node: &Rc<Node>, duty: &str, fence: u64, before: Holder) {
+fn begin(node: &Rc<Node>, duty: &str, fence: u64, before: (Holder, Duration)) {
     if duty == FLEET {
         node.planner.set(Some(fence));
         spawn_local(planner::plan(node.clone(), fence));
@@ -243,7 +245,9 @@
 pub async fn vacate(node: Rc<Node>, (duty, fence): (String, u64)) {
     let key = format!("{DUTIES}{duty}");
     // The address stays, for the successor to ask what was granted.
-    let holder = Holder { name: String::new(), ..node.holder() };
+    let before = node.table.borrow().formers(&duty);
+    let before = before.into_iter().filter(|former| former.boot != node.boot).collect();
+    let holder = Holder { name: String::new(), before, ..node.holder() };
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let txn =
         Txn { expect: vec![(key.clone(), fence)], set: vec![(key, value, 0)], remove: Vec::new() };
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -125,7 +125,7 @@
     /// The name under which this daemon holds duties.
     pub fn holder(&self) -> Holder {
         let name = self.settings.name.as_str().to_owned();
-        Holder { name, boot: self.boot, peers: Some(self.settings.peers) }
+        Holder { name, boot: self.boot, peers: Some(self.settings.peers), before: Vec::new() }
     }
 
     /// Whether a record names this start of this daemon.
@@ -133,13 +133,6 @@
         holder.boot == self.boot && holder.name == self.settings.name.as_str()
     }
 
-    /// Whether a holder's process is known to have ended: another start of it
-    /// has registered.
-    pub fn has_restarted(&self, holder: &Holder) -> bool {
-        let table = self.table.borrow();
-        table.members.get(&holder.name).is_some_and(|member| member.boot != holder.boot)
-    }
-
     /// The owner of a pool, if it is this daemon.
     pub fn own(&self, pool: &str) -> Option<Rc<Owner>> {
         self.owners.borrow().get(pool).filter(|owner| owner.is_loaded()).cloned()
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -22,7 +22,7 @@
 use crate::clock;
 use crate::duty::Holder;
 use crate::lookup::{job_key, run_key};
-use crate::node::{HOLD_ON, Node, TTL};
+use crate::node::Node;
 use crate::peer::{Ask, Reply};
 
 /// The prefix of where a pool's workers are.
@@ -74,14 +74,16 @@
 }
 
 impl Owner {
-    /// Begins to own the work of `pool`, with `fence`.
-    pub fn start(node: &Rc<Node>, name: &str, fence: u64, before: Holder) -> Rc<Self> {
+    /// Begins to own the work of `pool`, with `fence`; `before` is who held it, and how
+    /// long those before may go on granting.
+    pub fn start(
+        node: &Rc<Node>,
+        name: &str,
+        fence: u64,
+        (before, may_grant): (Holder, Duration),
+    ) -> Rc<Self> {
         let lease = LEASE.min(node.settings.max_lease);
         let remember = node.settings.remember + Duration::from_secs(5);
-        // A holder that has started anew grants nothing more; one that is only
-        // silent may go on for as long as it may hold on.
-        let is_dead = node.has_restarted(&before);
-        let may_grant = if is_dead { Duration::ZERO } else { HOLD_ON + TTL };
         let bound = may_grant + lease.mul_f64(1.03);
         let config = Config::new(fence, clock::now() + bound)
             .lease(lease)
--- a/crates/entry/tests/duty.rs
+++ b/crates/entry/tests/duty.rs
@@ -2,8 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use corianderfork_entry::duty::{Holder, Member, Record, Table};
+use corianderfork_entry::duty::{Former, Holder, Member, Record, Table};
 use corianderfork_model::Time;
 
 fn at(millis: u64) -> Time {
@@ -26,7 +27,7 @@
 }
 
 fn holder(name: &str, boot: u64) -> Holder {
-    Holder { name: name.to_owned(), boot, peers: Some(peers(1)) }
+    Holder { name: name.to_owned(), boot, peers: Some(peers(1)), before: Vec::new() }
 }
 
 fn table(capacities: &[u64]) -> Table {
@@ -112,3 +113,47 @@
     let takers = takers(&mut table, 20_000, &duties(&["a", "b"]));
     assert!(takers.iter().all(|(_, name)| name == "e1"), "{takers:?}");
 }
+
+/// A duty that `e1` took from `e0`, and `e1` has started anew since.
+fn taken_from_a_silent_one() -> Table {
+    let mut table = table(&[250, 250, 250]);
+    table.put_duty(at(1_000), "a", Record { holder: holder("e0", 1), revision: 7 });
+    let before = table.formers("a");
+    assert_eq!(before, [Former { name: "e0".to_owned(), boot: 1 }]);
+    let taken = Holder { before, ..holder("e1", 1) };
+    table.put_duty(at(5_000), "a", Record { holder: taken, revision: 9 });
+    table.members.insert("e1".to_owned(), member(1, 2, 250));
+    table
+}
+
+#[test]
+fn may_grant_behind_a_holder_that_started_anew() {
+    // Symptom: a task runs twice at once.
+    // Sequence: a pool's owner is cut off from the store and goes on, on a worker that
+    //   it alone reaches; a second one takes over and starts anew at once; a third
+    //   one takes over, can't reach the worker, and starts its task elsewhere.
+    // Cause: the second one has ended, so nothing was taken to be granted any more.
+    let table = taken_from_a_silent_one();
+    assert!(table.may_grant(at(5_500), "a") > Duration::from_millis(8_000));
+    assert_eq!(table.may_grant(at(15_500), "a"), Duration::ZERO, "long over");
+}
+
+#[test]
+fn may_grant_nothing_where_all_before_have_ended() {
+    let mut table = taken_from_a_silent_one();
+    table.members.insert("e0".to_owned(), member(0, 2, 250));
+    assert_eq!(table.may_grant(at(5_500), "a"), Duration::ZERO);
+    assert!(table.formers("a").is_empty());
+}
+
+#[test]
+fn formers_by_one_that_began_later() {
+    let table = taken_from_a_silent_one();
+    assert_eq!(table.formers("a").len(), 1, "e0 may go on; e1 has ended");
+    // What it hasn't seen begin may have begun just now.
+    let record = table.duties["a"].clone();
+    let mut fresh = Table::default();
+    fresh.members = table.members;
+    fresh.put_duty(at(60_000), "a", record);
+    assert!(fresh.may_grant(at(60_100), "a") > Duration::from_millis(8_000));
+}
