Begin a duty no second time that was given up to a successor

A daemon that was frozen is told by its successor that it is replaced, tells until when its grants hold, and began anew with the same fence 0.15 s later, since the record that it knew still named it: it could grant beyond its word, and a task run twice. Seen in the log of frozen.rs on its way to another test. Now what a successor says is remembered, and a record older than that is over.

--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -151,10 +151,7 @@
 
 async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
     match ask {
-        Ask::Retire { duty, fence } => {
-            let owner = node.owners.borrow().get(&duty).cloned();
-            Reply::Retired { grants: owner.and_then(|owner| owner.give_way(fence)) }
-        }
+        Ask::Retire { duty, fence } => Reply::Retired { grants: node.give_way(&duty, fence) },
         Ask::Store { method, target, body, within_ms } => {
             relay::relayed(node, &method, target, body, within_ms).await
         }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -166,7 +166,8 @@
         let record = node.table.borrow().duties.get(duty).cloned();
         let Some(record) = record else { continue };
         let is_taking = node.taking.borrow().contains(duty);
-        if node.is_me(&record.holder) && !is_taking && !is_held(node, duty) {
+        let is_over = node.has_given_up(duty, record.revision);
+        if node.is_me(&record.holder) && !is_taking && !is_held(node, duty) && !is_over {
             let may_grant = node.table.borrow().may_grant(clock::now(), duty);
             begin(node, duty, record.revision, (Holder::default(), may_grant));
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -58,6 +58,8 @@
     pub table: RefCell<Table>,
     /// The pools whose work this daemon owns.
     pub owners: RefCell<HashMap<String, Rc<Owner>>>,
+    /// Duties that another one said it has taken, with its fence.
+    pub given_up: RefCell<HashMap<String, u64>>,
     /// Duties that are being taken.
     pub taking: RefCell<HashSet<String>>,
     /// The fence of the fleet's planner, while this daemon is it.
@@ -133,6 +135,23 @@
         holder.boot == self.boot && holder.name == self.settings.name.as_str()
     }
 
+    /// Gives a duty up to one that says it has taken it, and tells what was granted.
+    ///
+    /// It is remembered, since the store's record may name this daemon a while yet: it
+    /// would begin anew with the fence of before, and grant beyond what it told here.
+    pub fn give_way(&self, duty: &str, fence: u64) -> Option<BTreeMap<String, u64>> {
+        let mut given_up = self.given_up.borrow_mut();
+        let known = given_up.entry(duty.to_owned()).or_default();
+        *known = fence.max(*known);
+        let owner = self.owners.borrow().get(duty).cloned();
+        owner.and_then(|owner| owner.give_way(fence))
+    }
+
+    /// Whether a duty's record of this revision is over: a later holder said so.
+    pub fn has_given_up(&self, duty: &str, revision: u64) -> bool {
+        self.given_up.borrow().get(duty).is_some_and(|fence| *fence > revision)
+    }
+
     /// The owner of a pool, if it is this daemon.
     pub fn own(&self, pool: &str) -> Option<Rc<Owner>> {
         self.owners.borrow().get(pool).filter(|owner| owner.is_loaded()).cloned()
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -66,6 +66,7 @@
         waves: RefCell::default(),
         table: RefCell::default(),
         owners: RefCell::default(),
+        given_up: RefCell::default(),
         taking: RefCell::default(),
         planner: Cell::new(None),
         servers: RefCell::default(),
