Count a silent pool's last want, and a wave's time over its holders

Both suspected by reading. A pool whose owner didn't answer for a moment counted as one that wants nothing, and its VMs were shared among the others; now what it wanted last counts for 5 s. A wave's time was counted from the start of its holder's process, so that one that restarted put work off which had to be done; now how long it has gone on is written with how far it is. Tests of the pure parts (flow.rs, elapsed.rs); neither was brought about with real daemons.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod arrivals;
 pub mod duty;
+pub mod elapsed;
 pub mod exchange;
 pub mod heard;
 pub mod lookup;
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -22,6 +22,7 @@
 use crate::arrivals::Arrivals;
 use crate::clock;
 use crate::duty::FLEET;
+use crate::elapsed::Elapsed;
 use crate::member;
 use crate::node::Node;
 use crate::peer::{self, Ask, Reply};
@@ -57,12 +58,16 @@
     done: BTreeSet<String>,
     /// Whether all are.
     completed: bool,
+    /// How long the wave had gone on when this was written, in milliseconds.
+    #[serde(default)]
+    elapsed_ms: u64,
 }
 
 struct Planner {
     node: Rc<Node>,
     holder: Holder,
     waves: BTreeMap<u64, Progress>,
+    elapsed: Elapsed,
     /// VMs whose maintenance was ordered, and when.
     away: HashMap<String, Time>,
     /// Waves that operators were told to be under way.
@@ -105,6 +110,7 @@
         node: node.clone(),
         holder,
         waves,
+        elapsed: Elapsed::default(),
         away,
         told,
         coming,
@@ -151,6 +157,9 @@
                     let number = item.key.strip_prefix(WAVES).and_then(|n| n.parse().ok());
                     let progress = serde_json::from_slice(&item.value).ok();
                     if let (Some(number), Some(progress)) = (number, progress) {
+                        let progress: Progress = progress;
+                        let written = Duration::from_millis(progress.elapsed_ms);
+                        self.elapsed.learn(clock::now(), number, written);
                         self.waves.insert(number, progress);
                     }
                 }
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -57,7 +57,9 @@
         let Some(each) = usual_room(vms) else { return };
         let mut free = self.spare_vms(vms, &spares);
         let asked = self.ask_loads(&pools, &each).await;
-        let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
+        let mut wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
+        // Behind those that told, whose shares are used.
+        wants.extend(self.recalled(&pools, &asked));
         let total = there(vms);
         self.is_scarce = wants.iter().map(|want| want.now).sum::<u32>() > total;
         let mut needs = Vec::new();
@@ -133,6 +135,14 @@
         asked
     }
 
+    /// What pools want whose owners don't tell.
+    fn recalled(&self, pools: &[String], asked: &[Asked]) -> Vec<Want> {
+        let now = clock::now();
+        let is_silent = |pool: &&String| !asked.iter().any(|asked| asked.pool == **pool);
+        let silent = pools.iter().filter(is_silent);
+        silent.filter_map(|pool| self.sizes.get(pool)?.size.recall(now)).collect()
+    }
+
     fn log_size(&mut self, asked: &Asked, target: usize, listed: Duration) {
         let Some(known) = self.sizes.get_mut(&asked.pool) else { return };
         if std::mem::replace(&mut known.target, target) != target {
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -12,6 +12,7 @@
 use super::{AHEAD, EMPTY, Planner, Progress, WAVES};
 use crate::clock;
 use crate::duty::{DUTIES, FLEET};
+use crate::owner::ms;
 use crate::peer::{Ask, Reply};
 
 /// How long one round of a wave takes: a VM is emptied, which takes as long as
@@ -32,7 +33,7 @@
         let is_left = |name: &&String| !done.contains(*name) && !self.absence.is_gone(now, name);
         let names: Vec<&String> = wave.vms.iter().filter(is_left).collect();
         if names.is_empty() {
-            let progress = Progress { done, completed: true };
+            let progress = Progress { done, completed: true, ..Progress::default() };
             self.write(wave.number, progress).await;
             return;
         }
@@ -75,11 +76,14 @@
 
     /// Whether there is time enough to maintain the VMs that are left later.
     fn may_wait(&self, wave: &Wave, left: usize) -> bool {
-        let waves = self.node.waves.borrow();
-        let Some((_, since)) = waves.get(&wave.number) else { return false };
         let rounds = u32::try_from(left.div_ceil(wave.most)).unwrap_or(u32::MAX);
         let needed = ROUND.saturating_mul(rounds).saturating_add(RESERVE);
-        clock::now() - *since + needed < wave.within
+        self.elapsed_of(wave.number).is_some_and(|elapsed| elapsed + needed < wave.within)
+    }
+
+    fn elapsed_of(&self, number: u64) -> Option<Duration> {
+        let since = self.node.waves.borrow().get(&number).map(|(_, since)| *since)?;
+        Some(self.elapsed.of(clock::now(), number, since))
     }
 
     /// Those on which nothing runs, after asking the owners of their pools to
@@ -156,7 +160,8 @@
     }
 
     /// Writes how far a wave is, for a successor and for operators.
-    async fn write(&mut self, number: u64, progress: Progress) {
+    async fn write(&mut self, number: u64, mut progress: Progress) {
+        progress.elapsed_ms = self.elapsed_of(number).map_or(progress.elapsed_ms, ms);
         let value = serde_json::to_vec(&progress).unwrap_or_default();
         let status = config::wave_status(progress.completed);
         let txn = Txn {
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -21,6 +21,9 @@
 const SLOPE: Duration = Duration::from_millis(1_000);
 /// How far ahead of the demand workers are ordered: as long as a move takes.
 const LEAD: Duration = Duration::from_millis(1_500);
+/// How long a pool is taken to want what it wanted last: longer than its owner is
+/// replaced in.
+const RECALL: Duration = Duration::from_millis(5_000);
 /// Workers that a pool keeps whatever it is asked for: work that comes finds one
 /// at once, and the loss of one is not the loss of all.
 const LEAST: u32 = 2;
@@ -44,6 +47,8 @@
     wants: VecDeque<(Time, u32)>,
     /// Demands of late, in workers.
     demands: VecDeque<(Time, f64)>,
+    /// What was wanted last.
+    last: Option<(Time, Want)>,
 }
 
 /// What a pool asks for.
@@ -127,7 +132,31 @@
             self.wants.pop_front();
         }
         let held = self.wants.front().map_or(want, |(_, want)| *want);
-        Want { least, now: whole(demand * HEADROOM).max(least), held }
+        let want = Want { least, now: whole(demand * HEADROOM).max(least), held };
+        self.last = Some((now, want));
+        want
+    }
+
+    /// What a pool wants whose owner doesn't tell: what it wanted last, for a while.
+    ///
+    /// An owner that is busy or being replaced is silent for a moment. Left out, its
+    /// pool would count as one that wants nothing: the VMs that it asked for went to
+    /// the others, and it had to wait until they came back.
+    ///
+    /// ```
+    /// use corianderfork_jobs::job::Room;
+    /// use corianderfork_jobs::pool::Load;
+    /// use corianderfork_jobs::size::Size;
+    /// use corianderfork_model::Time;
+    ///
+    /// let mut size = Size::default();
+    /// let each = Room { cpu: 1_000, memory_mb: 1_000, gpu: 0 };
+    /// let want = size.want(Time::ZERO, &Load::default(), &each);
+    /// assert_eq!(size.recall(Time::from_millis(2_000)), Some(want));
+    /// assert_eq!(size.recall(Time::from_millis(60_000)), None);
+    /// ```
+    pub fn recall(&self, now: Time) -> Option<Want> {
+        self.last.filter(|(at, _)| now - *at <= RECALL).map(|(_, want)| want)
     }
 }
 
--- a/crates/jobs/tests/flow.rs
+++ b/crates/jobs/tests/flow.rs
@@ -8,7 +8,7 @@
 use corianderfork_jobs::flow::Flow;
 use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::Load;
-use corianderfork_jobs::size::Size;
+use corianderfork_jobs::size::{Size, Want, share};
 use corianderfork_jobs::work::Work;
 use corianderfork_model::Time;
 
@@ -99,3 +99,21 @@
     let by_chance = |ms: u64| (if (ms / 500).is_multiple_of(2) { 250.0 } else { 330.0 }, 140.0);
     assert!(largest_want(by_chance) <= 27, "{}", largest_want(by_chance));
 }
+
+#[test]
+fn recall_of_a_pool_whose_owner_is_silent() {
+    // Symptom: a pool in its busy time waits for VMs that it had asked for.
+    // Sequence: its owner doesn't answer for a moment; all VMs are shared among the
+    //   pools whose owners do; a moment later it asks again, and they have to come back.
+    // Cause: a pool that says nothing counted as one that wants nothing.
+    let mut busy = Size::default();
+    let needed = Room { cpu: 400_000, memory_mb: 0, gpu: 0 };
+    let load = Load { needed, ..Load::default() };
+    let wanted = busy.want(at(1_000), &load, &EACH);
+    let other = Want { least: 2, now: 30, held: 30 };
+    let heard = share(&[other, wanted], 40);
+    let recalled = busy.recall(at(1_250)).expect("it told a moment before");
+    assert_eq!(share(&[other, recalled], 40), heard, "as if it had told");
+    assert!(share(&[other], 40)[0] > heard[0], "left out, the other gets its VMs");
+    assert_eq!(busy.recall(at(10_000)), None, "nobody owns it for long");
+}
