Ask a job's owner before a job is refused, also before the store is known to be away

A caller that asked again was told 503, which says that its job never runs, though it had been accepted: the store had begun to turn calls away, and owners were asked only once that was known. handed_in_twice.rs: 503 at both entry VMs before, 200 since.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -129,6 +129,10 @@
                 (Told::new(200, b"{}".to_vec()), "stored")
             }
             Accepted::Known => (Told::new(200, b"{}".to_vec()), "known"),
+            // The store may have begun to turn calls away after it took the job.
+            Accepted::NotStored if self.is_owned(route, id).await => {
+                (Told::new(200, b"{}".to_vec()), "known")
+            }
             Accepted::NotStored if !self.may_be_stored(id) => {
                 (refuse("the store took no job; come back"), "not stored")
             }
@@ -142,14 +146,22 @@
     /// What a job gets while the store is away: it can't be accepted, but it may
     /// have been before.
     async fn submit_while_away(&self, route: &Route, id: &str) -> (Told, &'static str) {
+        if self.is_owned(route, id).await {
+            return (Told::new(200, b"{}".to_vec()), "known");
+        }
+        if self.may_be_stored(id) { unknown() } else { (self.refuse_away(id), "store away") }
+    }
+
+    /// Whether an owner of a queue's pools knows a job.
+    async fn is_owned(&self, route: &Route, id: &str) -> bool {
         for pool in self.node.pools_of(&route.name, &route.pool) {
             let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
             let answer = self.node.ask_owner(&pool, ask, peer::PROMPT).await;
             if let Ok(Reply::State { .. } | Reply::Ending) = answer {
-                return (Told::new(200, b"{}".to_vec()), "known");
+                return true;
             }
         }
-        if self.may_be_stored(id) { unknown() } else { (self.refuse_away(id), "store away") }
+        false
     }
 
     /// Refuses what the store is needed for while it is away: nothing was written.
