Have an owner that isn't sure where a job stands say that it knows the job

A caller that asked again was told 503, which says that its job never runs, 20 of 20 times, though it had been accepted: its owner had been frozen for 1.2 s while the store went away, and one that isn't sure of its duty answered as if it didn't own the job. frozen.rs shows it, red before. Where the job stands is still told by the store alone.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -157,7 +157,7 @@
         for pool in self.node.pools_of(&route.name, &route.pool) {
             let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
             let answer = self.node.ask_owner(&pool, ask, peer::PROMPT).await;
-            if let Ok(Reply::State { .. } | Reply::Ending) = answer {
+            if let Ok(Reply::State { .. } | Reply::Ending | Reply::Known) = answer {
                 return true;
             }
         }
--- a/crates/entry/src/gateway/sought.rs
+++ b/crates/entry/src/gateway/sought.rs
@@ -55,6 +55,7 @@
         Ok(Reply::Ending) => "over, perhaps not written",
         Ok(Reply::Unknown) => "no such job",
         Ok(Reply::NotOwner) => "not the owner",
+        Ok(Reply::Known) => "known, not sure where it stands",
         Ok(_) => "something else",
         Err(Failed::Unsent) => "not reached",
         Err(Failed::Lost) => "no answer",
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -211,9 +211,9 @@
         match pool.state(id) {
             Some(_) if pool.is_ending(id) => Reply::Ending,
             // An end that is written stays; of anything else one that may have been
-            // replaced knows only what was.
+            // replaced knows only what was. That the job was accepted stays true.
             Some(state) if !state.is_final() && !self.node.is_sure_of(&self.name, pool.fence()) => {
-                Reply::NotOwner
+                Reply::Known
             }
             Some(state) => Reply::State { state },
             None => Reply::Unknown,
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -157,6 +157,8 @@
     /// The job is over, and whether that is written isn't known: the store says
     /// where it stands.
     Ending,
+    /// The job was accepted; where it stands another one may know better.
+    Known,
     /// It could not be written in time; ask again.
     Later,
     /// How many jobs have not begun.
