--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -1,5 +1,7 @@
 //! The platform's store, as the daemon calls it.
 
+mod way;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,18 +17,13 @@
 use crate::metrics::Metrics;
 use crate::outage::Outage;
 use crate::trace::Trace;
+use way::WATCH;
 
 /// How long an answer of the store may take. It answers in milliseconds; when it
 /// is slow, in some hundreds.
 const ANSWER: Duration = Duration::from_millis(800);
 /// How much longer than it was asked to wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
-/// The kind of calls that wait for changes.
-const WATCH: &str = "watch";
-/// The pause between two probes while the store is away.
-const PROBE: Duration = Duration::from_millis(200);
-/// A key that is read to see whether the store answers; it need not be there.
-const PROBE_KEY: &str = "entry/probe";
 /// Pages of one read: a bound on a read that never ends.
 const MAX_PAGES: usize = 2_000;
 
@@ -63,9 +60,6 @@
     outage: RefCell<Outage>,
 }
 
-/// How long a VM that was turned away uses its peers before it tries again.
-const DETOUR: Duration = Duration::from_millis(700);
-
 impl Store {
     /// The store at `address`.
     pub fn new(address: SocketAddr, client: Rc<Client>, trace: Trace, metrics: Metrics) -> Self {
@@ -103,120 +97,6 @@
         self.outage.borrow().evidence(clock::now())
     }
 
-    /// Asks the store now and then while it is away, so that its return is noticed
-    /// by one small call and not by those of callers.
-    pub async fn probe(&self) {
-        loop {
-            tokio::time::sleep(PROBE).await;
-            if self.is_away() {
-                let answer = self.direct(&store::get(PROBE_KEY), "probe", ANSWER).await;
-                if matches!(&answer, Ok((status, _)) if *status != 429 && *status != 503) {
-                    self.outage.borrow_mut().heard(clock::now());
-                    // Connections of the time before may be silent for good.
-                    self.retry_direct.set(Time::ZERO);
-                }
-            }
-        }
-    }
-
-    /// Makes a call for a peer: once, and without a detour.
-    pub async fn relayed(&self, call: &Call, within: Duration) -> Result<(u16, Bytes), Failed> {
-        self.direct(call, "relayed", within).await
-    }
-
-    async fn direct(
-        &self,
-        call: &Call,
-        kind: &'static str,
-        within: Duration,
-    ) -> Result<(u16, Bytes), Failed> {
-        let begun = clock::now();
-        let answer = self.client.call(self.address, call, within).await;
-        let outcome = match &answer {
-            Ok((429 | 503, _)) => "refused",
-            Ok(_) => "answered",
-            Err(_) => "failed",
-        };
-        self.metrics.store(kind, outcome, clock::now() - begun);
-        let is_answered = outcome == "answered";
-        if is_answered {
-            self.answered.set(clock::now());
-        }
-        if self.is_direct.replace(is_answered) != is_answered {
-            let event = if is_answered { "store regained" } else { "store lost" };
-            self.trace.key(event, serde_json::json!({ "call": kind, "outcome": outcome }));
-        }
-        answer
-    }
-
-    /// Makes a call, by way of a peer if this VM is turned away.
-    ///
-    /// A call that may have been done is made again by the peer: all calls here
-    /// are reads or are bound to revisions, so that a second one does nothing.
-    async fn call(
-        &self,
-        call: &Call,
-        kind: &'static str,
-        within: Duration,
-    ) -> Result<(u16, Bytes), Failed> {
-        // A watch is answered when something changes, and tells nothing by waiting.
-        if kind == WATCH {
-            let answer = self.call_any_way(call, kind, within).await;
-            if is_answer(&answer) {
-                self.outage.borrow_mut().heard(clock::now());
-            }
-            return answer;
-        }
-        let sent = self.outage.borrow_mut().sent(clock::now());
-        let answer = self.call_any_way(call, kind, within).await;
-        if is_answer(&answer) {
-            self.outage.borrow_mut().answered(clock::now(), sent);
-        } else {
-            self.outage.borrow_mut().failed(sent);
-        }
-        answer
-    }
-
-    async fn call_any_way(
-        &self,
-        call: &Call,
-        kind: &'static str,
-        within: Duration,
-    ) -> Result<(u16, Bytes), Failed> {
-        let mut is_lost = false;
-        let now = clock::now();
-        if now >= self.retry_direct.get() {
-            if !self.is_direct.get() {
-                // One call tries; the others go on by way of peers, rather than
-                // wait for a store that still doesn't answer this VM.
-                self.retry_direct.set(now + ANSWER + DETOUR);
-            }
-            match self.direct(call, kind, within).await {
-                Ok((status, body)) if status != 429 && status != 503 => {
-                    self.retry_direct.set(Time::ZERO);
-                    return Ok((status, body));
-                }
-                Ok(_) => {}
-                Err(failed) => is_lost = failed == Failed::Lost,
-            }
-            self.retry_direct.set(clock::now() + DETOUR);
-        }
-        let relay = self.relay.borrow().clone();
-        let answer = match relay {
-            Some(relay) => relay(call.clone(), within).await,
-            None => Err(Failed::Unsent),
-        };
-        match answer {
-            Ok((status, body)) if status != 429 && status != 503 => {
-                self.answered.set(clock::now());
-                Ok((status, body))
-            }
-            Ok(answer) if !is_lost => Ok(answer),
-            Err(Failed::Unsent) if !is_lost => Err(Failed::Unsent),
-            _ => Err(Failed::Lost),
-        }
-    }
-
     /// Reads a key.
     ///
     /// # Errors
@@ -311,11 +191,6 @@
     }
 }
 
-/// Whether the store itself answered, rather than turned the call away.
-fn is_answer(answer: &Result<(u16, Bytes), Failed>) -> bool {
-    matches!(answer, Ok((status, _)) if *status != 429 && *status != 503)
-}
-
 fn failed(failed: Failed) -> Error {
     match failed {
         Failed::Unsent => Error::NotDone("the store can't be reached".to_owned()),
--- a/crates/jobs/src/pool/reserve.rs
+++ b/crates/jobs/src/pool/reserve.rs
@@ -107,26 +107,6 @@
         (!is_fit).then_some("the worker can't carry it")
     }
 
-    /// A task whose room is there on a worker, and that has no other place.
-    ///
-    /// It starts as soon as its stop elsewhere has ended. Were the worker emptied
-    /// within that moment, the task would have been stopped for nothing, and wait
-    /// until another worker comes.
-    pub(super) fn awaited(&self, now: Time, key: worker::Key) -> Option<task::Name> {
-        let worker = self.workers.get(key)?;
-        worker.kept.iter().find_map(|(name, room)| {
-            let step = self.entry(name.job)?.step(*name)?;
-            let is_elsewhere = |(other, worker): (worker::Key, &Worker)| {
-                other != key
-                    && self.may_keep(now, *name, step, (other, worker))
-                    && worker.holds(*name, room)
-                    && self.is_advised(now, *name, other)
-            };
-            let has_place = self.workers.iter().any(is_elsewhere);
-            (worker.holds(*name, room) && !has_place).then_some(*name)
-        })
-    }
-
     /// Keeps room for lasting tasks that have waited for long, or were stopped
     /// and have nowhere to go, those first that have waited for longest.
     pub(super) fn keep_room(&mut self, now: Time) {
@@ -183,7 +163,7 @@
     }
 
     /// Whether a worker may carry a task once it has room.
-    fn may_keep(
+    pub(super) fn may_keep(
         &self,
         now: Time,
         name: task::Name,
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -197,4 +197,24 @@
         }
         Some(is_empty)
     }
+
+    /// A task whose room is there on a worker, and that has no other place.
+    ///
+    /// It starts as soon as its stop elsewhere has ended. Were the worker emptied
+    /// within that moment, the task would have been stopped for nothing, and wait
+    /// until another worker comes.
+    fn awaited(&self, now: Time, key: worker::Key) -> Option<task::Name> {
+        let worker = self.workers.get(key)?;
+        worker.kept.iter().find_map(|(name, room)| {
+            let step = self.entry(name.job)?.step(*name)?;
+            let is_elsewhere = |(other, worker): (worker::Key, &Worker)| {
+                other != key
+                    && self.may_keep(now, *name, step, (other, worker))
+                    && worker.holds(*name, room)
+                    && self.is_advised(now, *name, other)
+            };
+            let has_place = self.workers.iter().any(is_elsewhere);
+            (worker.holds(*name, room) && !has_place).then_some(*name)
+        })
+    }
 }
