--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -85,6 +85,15 @@
     pub boot: u64,
 }
 
+/// What one that takes a duty has to know of those before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Past {
+    /// The last holder.
+    pub holder: Holder,
+    /// How much longer it, or one before it, may grant leases if it doesn't answer.
+    pub may_grant: Duration,
+}
+
 /// A duty's record.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
@@ -139,6 +148,12 @@
         self.members.get(name).is_some_and(|member| member.boot != boot)
     }
 
+    /// What is known of those that hold a duty up to now.
+    pub fn past(&self, now: Time, duty: &str) -> Past {
+        let holder = self.duties.get(duty).map(|record| record.holder.clone());
+        Past { holder: holder.unwrap_or_default(), may_grant: self.may_grant(now, duty) }
+    }
+
     /// How much longer those that held a duty up to now may grant leases on its
     /// workers, if none of them answers.
     ///
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::duty::{DUTIES, FLEET, Holder, MEMBERS, Member, Record};
+use crate::duty::{DUTIES, FLEET, Holder, MEMBERS, Member, Past, Record};
 use crate::node::{Node, TTL};
 use crate::owner::Owner;
 use crate::places::Entry;
@@ -168,8 +168,9 @@
         let is_taking = node.taking.borrow().contains(duty);
         let is_over = node.has_given_up(duty, record.revision);
         if node.is_me(&record.holder) && !is_taking && !is_held(node, duty) && !is_over {
-            let may_grant = node.table.borrow().may_grant(clock::now(), duty);
-            begin(node, duty, record.revision, (Holder::default(), may_grant));
+            // It is its own: whom it took the duty from isn't known any more.
+            let past = node.table.borrow().past(clock::now(), duty);
+            begin(node, duty, record.revision, Past { holder: Holder::default(), ..past });
         }
     }
 }
@@ -186,7 +187,7 @@
     let record = node.table.borrow().duties.get(&duty).cloned().unwrap_or_default();
     let key = format!("{DUTIES}{duty}");
     let holder = Holder { before: node.table.borrow().formers(&duty), ..node.holder() };
-    let may_grant = node.table.borrow().may_grant(clock::now(), &duty);
+    let past = node.table.borrow().past(clock::now(), &duty);
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let txn = Txn {
         expect: vec![(key.clone(), record.revision)],
@@ -202,7 +203,7 @@
     if let Ok(Outcome::Written(fence)) = outcome {
         let taken = Record { holder, revision: fence };
         node.table.borrow_mut().put_duty(clock::now(), &duty, taken);
-        begin(&node, &duty, fence, (record.holder, may_grant));
+        begin(&node, &duty, fence, past);
     } else {
         // The watch tells who holds it now.
         tokio::time::sleep(TICK * 2).await;
@@ -210,13 +211,13 @@
     node.taking.borrow_mut().remove(&duty);
 }
 
-fn begin(node: &Rc<Node>, duty: &str, fence: u64, before: (Holder, Duration)) {
+fn begin(node: &Rc<Node>, duty: &str, fence: u64, past: Past) {
     if duty == FLEET {
         node.planner.set(Some(fence));
         spawn_local(planner::plan(node.clone(), fence));
         return;
     }
-    let owner = Owner::start(node, duty, fence, before);
+    let owner = Owner::start(node, duty, fence, past);
     node.owners.borrow_mut().insert(duty.to_owned(), owner);
     node.changed.notify_waiters();
 }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::duty::Holder;
+use crate::duty::{Holder, Past};
 use crate::lookup::{job_key, run_key};
 use crate::node::Node;
 use crate::peer::{Ask, Reply};
@@ -74,17 +74,11 @@
 }
 
 impl Owner {
-    /// Begins to own the work of `pool`, with `fence`; `before` is who held it, and how
-    /// long those before may go on granting.
-    pub fn start(
-        node: &Rc<Node>,
-        name: &str,
-        fence: u64,
-        (before, may_grant): (Holder, Duration),
-    ) -> Rc<Self> {
+    /// Begins to own the work of the pool `name`, with `fence`.
+    pub fn start(node: &Rc<Node>, name: &str, fence: u64, past: Past) -> Rc<Self> {
         let lease = LEASE.min(node.settings.max_lease);
         let remember = node.settings.remember + Duration::from_secs(5);
-        let bound = may_grant + lease.mul_f64(1.03);
+        let bound = past.may_grant + lease.mul_f64(1.03);
         let config = Config::new(fence, clock::now() + bound)
             .lease(lease)
             .remember(remember)
@@ -108,7 +102,7 @@
             writes: Cell::new(0),
             taken: Cell::new(0),
         });
-        spawn_local(owner.clone().run(before));
+        spawn_local(owner.clone().run(past.holder));
         owner
     }
 
