--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -213,11 +213,10 @@
         self.table.peers(now).into_iter().filter(is_proxy).collect()
     }
 
-    /// Since when each member has been known in its incarnation.
-    pub fn known_since(&self) -> impl Iterator<Item = (Known, Time)> {
-        let known =
-            |(id, row): (&Name, &Row)| (Known::new(id.clone(), row.member.incarnation), row.since);
-        self.rows.iter().map(known)
+    /// Since when each proxy has been known in its incarnation.
+    pub fn proxies_since(&self) -> impl Iterator<Item = (Known, Time)> {
+        let proxies = self.rows.iter().filter(|(_, row)| row.member.role == Role::Proxy);
+        proxies.map(|(id, row)| (Known::new(id.clone(), row.member.incarnation), row.since))
     }
 
     /// Who confirmed the drain `epoch` of `vm`.
--- a/crates/controller/src/plan/barriers.rs
+++ b/crates/controller/src/plan/barriers.rs
@@ -68,8 +68,8 @@
 }
 
 fn status(barrier: &mut Barrier, now: Time, directory: &Directory) -> Status {
-    for (member, since) in directory.known_since() {
-        barrier.on_known(&member, since);
+    for (proxy, since) in directory.proxies_since() {
+        barrier.on_known(&proxy, since);
     }
     barrier.status(now, &directory.proxies(now))
 }
