--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -42,6 +42,8 @@
     load: Load,
     stock: Stock,
     want: Want,
+    /// Whether the owner told; else this is what it told last.
+    is_told: bool,
 }
 
 struct Need {
@@ -56,10 +58,9 @@
         let (pools, spares) = self.pools();
         let Some(each) = usual_room(vms) else { return };
         let mut free = self.spare_vms(vms, &spares);
-        let asked = self.ask_loads(&pools, &each).await;
-        let mut wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
-        // Behind those that told, whose shares are used.
-        wants.extend(self.recalled(&pools, &asked));
+        let mut asked = self.ask_loads(&pools, &each).await;
+        asked.extend(self.recalled(&pools, &asked, vms));
+        let wants: Vec<Want> = asked.iter().map(|asked| asked.want).collect();
         let total = there(vms);
         self.is_scarce = wants.iter().map(|want| want.now).sum::<u32>() > total;
         let mut needs = Vec::new();
@@ -71,7 +72,9 @@
             if missing > 0 {
                 needs.push(Need { pool: asked.pool.clone(), missing });
             }
-            keeps.extend(self.keep(asked, target));
+            if asked.is_told {
+                keeps.extend(self.keep(asked, target));
+            }
         }
         let asked_at = clock::now();
         let idle = self.shrink(keeps, vms).await;
@@ -130,17 +133,31 @@
             let stock = Stock::new(&load, self.coming.number(pool));
             let known = self.sizes.entry(pool.clone()).or_default();
             let want = known.size.want(clock::now(), &load, each);
-            asked.push(Asked { pool: pool.clone(), load, stock, want });
+            asked.push(Asked { pool: pool.clone(), load, stock, want, is_told: true });
         }
         asked
     }
 
-    /// What pools want whose owners don't tell.
-    fn recalled(&self, pools: &[String], asked: &[Asked]) -> Vec<Want> {
+    /// What pools want whose owners don't tell: VMs go on being sent to them, by the
+    /// list of what they have.
+    fn recalled(
+        &self,
+        pools: &[String],
+        asked: &[Asked],
+        vms: &BTreeMap<String, Vm>,
+    ) -> Vec<Asked> {
         let now = clock::now();
         let is_silent = |pool: &&String| !asked.iter().any(|asked| asked.pool == **pool);
-        let silent = pools.iter().filter(is_silent);
-        silent.filter_map(|pool| self.sizes.get(pool)?.size.recall(now)).collect()
+        let recall = |pool: &String| {
+            let want = self.sizes.get(pool)?.size.recall(now)?;
+            let is_there =
+                |vm: &&Vm| vm.pool == *pool && vm.state == State::Up && !self.coming.has(&vm.name);
+            let there = vms.values().filter(is_there).count();
+            let stock = Stock { there, coming: self.coming.number(pool) };
+            let (pool, load) = (pool.clone(), Load::default());
+            Some(Asked { pool, load, stock, want, is_told: false })
+        };
+        pools.iter().filter(is_silent).filter_map(recall).collect()
     }
 
     fn log_size(&mut self, asked: &Asked, target: usize, listed: Duration) {
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -21,9 +21,9 @@
 const SLOPE: Duration = Duration::from_millis(1_000);
 /// How far ahead of the demand workers are ordered: as long as a move takes.
 const LEAD: Duration = Duration::from_millis(1_500);
-/// How long a pool is taken to want what it wanted last: longer than its owner is
-/// replaced in.
-const RECALL: Duration = Duration::from_millis(5_000);
+/// How long a pool is taken to want what it wanted last: a few rounds in which its
+/// owner is too busy to answer. Loads change within seconds.
+const RECALL: Duration = Duration::from_millis(2_000);
 /// Workers that a pool keeps whatever it is asked for: work that comes finds one
 /// at once, and the loss of one is not the loss of all.
 const LEAST: u32 = 2;
