Count no worker for a step beside whose lasting tasks it has no room

Its log: the service tells of one worker of two that may run a step, that one is full of lasting tasks, a third one may not, and nothing follows: the full one counted as a worker that may run it, so that no other was sent for. Now it counts as none, and a worker that is sent for stays until it is asked about. The new test is red before.

--- a/crates/jobs/src/pool/advice.rs
+++ b/crates/jobs/src/pool/advice.rs
@@ -89,11 +89,6 @@
         !self.asked.is_empty()
     }
 
-    /// Workers that may run the step, whether or not their tickets hold.
-    pub fn good(&self) -> impl Iterator<Item = worker::Key> {
-        self.tickets.keys().copied()
-    }
-
     /// Whether a worker is known to be among those that may run the step.
     pub fn is_good(&self, key: worker::Key) -> bool {
         self.tickets.contains_key(&key)
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -116,8 +116,9 @@
     }
 
     /// Steps of a job that none of the pool's workers may run: all lack a label,
-    /// are too small, or are not among those that advice names. Another worker
-    /// may; without one the job would wait for ever. And how many of them there are
+    /// are too small, are not among those that advice names, or have no room beside
+    /// what lasts there. Another worker may; without one the job would wait for ever.
+    /// And how many of them there are
     /// for the last of these reasons alone.
     fn barred(&self, now: Time, entry: &Entry) -> (u32, u32) {
         let (mut barred, mut refused) = (0, 0);
@@ -129,8 +130,10 @@
             }
             let could =
                 |worker: &Worker| worker.is_kept_or_surplus(now) && advice::could(worker, step);
-            let may =
-                |(key, worker): (worker::Key, &Worker)| could(worker) && !state.advice.is_bad(key);
+            let may = |(key, worker): (worker::Key, &Worker)| {
+                let has_room = worker.room.fits(&self.lasting_on(worker), &step.room());
+                could(worker) && !state.advice.is_bad(key) && has_room
+            };
             if !self.workers.iter().any(may) {
                 barred += 1;
                 refused += u32::from(self.workers.values().any(could));
@@ -139,6 +142,20 @@
         (barred, refused)
     }
 
+    /// What lasting tasks take there, and what is kept for some: it doesn't come free
+    /// by itself.
+    pub(super) fn lasting_on(&self, worker: &Worker) -> Room {
+        let is_lasting = |name: &task::Name| {
+            let step = self.entry(name.job).and_then(|entry| entry.step(*name));
+            step.is_some_and(|step| step.lasts)
+        };
+        let mut room = Room::default();
+        let hosted = worker.hosted.iter().filter(|(name, _)| is_lasting(name));
+        hosted.for_each(|(_, hosted)| room.add(&hosted.room));
+        worker.kept.values().for_each(|kept| room.add(kept));
+        room
+    }
+
     /// Whether lasting tasks run there, or have room kept.
     pub(crate) fn is_rooted(&self, worker: &Worker) -> bool {
         let is_lasting = |name: &task::Name| {
--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -18,6 +18,8 @@
     key: worker::Key,
     /// Whether nothing that lasts holds it.
     is_free: bool,
+    /// What lasts there takes.
+    lasting: Room,
     is_surplus: bool,
     used: u64,
 }
@@ -60,6 +62,7 @@
         let candidate = |(key, worker): (worker::Key, &Worker)| Candidate {
             key,
             is_free: !self.is_rooted(worker),
+            lasting: self.lasting_on(worker),
             is_surplus: worker.is_surplus,
             used: worker.used.cpu,
         };
@@ -75,31 +78,46 @@
     fn needed(&self, candidates: &[Candidate]) -> HashSet<worker::Key> {
         let least = self.least_room(candidates);
         let mut needed: HashSet<worker::Key> = HashSet::new();
-        let held: Vec<worker::Key> =
-            candidates.iter().filter(|one| !one.is_free).map(|one| one.key).collect();
         for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
             for row in entry.occurrences.values() {
                 let open = entry.steps.iter().zip(&row.steps).filter(|(_, state)| state.left > 0);
                 for (step, state) in open.filter(|(s, state)| is_selective(s, state, &least)) {
-                    let may = |key: &worker::Key| self.may_run(*key, step, state);
-                    if needed.iter().chain(&held).any(may) {
-                        continue;
-                    }
-                    needed.extend(candidates.iter().map(|one| one.key).find(may));
+                    let stays = |one: &&Candidate| !one.is_free || needed.contains(&one.key);
+                    let found = self.keeper(candidates, step, state, stays);
+                    needed.extend(found.map(|one| one.key));
                 }
             }
         }
         needed
     }
 
-    /// Whether a worker may run a step: one that is known to, or one of which
-    /// nothing is known where none is known to.
-    fn may_run(&self, key: worker::Key, step: &Step, state: &StepState) -> bool {
-        let Some(worker) = self.workers.get(key) else { return false };
-        let is_there = |key: worker::Key| self.workers.get(key).is_some_and(Worker::is_able);
-        let has_good = state.advice.good().any(is_there);
-        let is_told = if has_good { state.advice.is_good(key) } else { !state.advice.is_bad(key) };
-        advice::could(worker, step) && is_told
+    /// The worker that is to stay for a step; none if one that `stays` may run it, or
+    /// none may. One that is known to be allowed to, or one of which nothing is known
+    /// where none is.
+    fn keeper<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        step: &Step,
+        state: &StepState,
+        stays: impl Fn(&&Candidate) -> bool,
+    ) -> Option<&'a Candidate> {
+        let could = |one: &&Candidate| self.could_run(one, step);
+        let is_good = |one: &&Candidate| state.advice.is_good(one.key) && could(one);
+        let is_open = |one: &&Candidate| !state.advice.is_bad(one.key) && could(one);
+        if candidates.iter().any(|one| is_good(&one)) {
+            let is_held = candidates.iter().any(|one| stays(&one) && is_good(&one));
+            return candidates.iter().find(is_good).filter(|_| !is_held);
+        }
+        let is_held = candidates.iter().any(|one| stays(&one) && is_open(&one));
+        candidates.iter().find(is_open).filter(|_| !is_held)
+    }
+
+    /// Whether a worker has what a step needs, and room for it beside what lasts there.
+    fn could_run(&self, one: &Candidate, step: &Step) -> bool {
+        let worker = self.workers.get(one.key);
+        worker.is_some_and(|worker| {
+            advice::could(worker, step) && worker.room.fits(&one.lasting, &step.room())
+        })
     }
 
     /// What each of some workers has at least.
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -257,3 +257,29 @@
     assert_eq!(empty.len(), 1);
     assert_ne!(empty, ["w2"], "nothing is known of it, and the others may not");
 }
+
+#[test]
+fn load_asks_for_a_worker_where_what_lasts_fills_the_one_that_may() {
+    // Symptom: an accepted job is not completed, beside workers that stand idle.
+    // Sequence: the one worker of the pool that may run its step is full of lasting
+    //   tasks, which are packed.
+    // Cause: it counted as a worker that may run the step, and that will have room. In
+    //   the log the service tells of `1 of 2 workers`, and nothing follows.
+    let mut world = world(2);
+    world.takes = 600_000;
+    let lasting = corianderfork_jobs::Step { lasts: true, ..step(1, 8_000) };
+    world.submit(1, vec![lasting]);
+    let question = ask(&mut world).remove(0);
+    tell(&mut world, &question, &["w0"]);
+    assert_eq!(world.plan().len(), 1);
+    world.submit(2, vec![step(1, 1_000)]);
+    let question = ask(&mut world).remove(0);
+    tell(&mut world, &question, &["w0"]);
+    world.run(3_000);
+    assert_eq!(world.pool.load(at(world.now)).refused, 1);
+    world.entries.push(common::entry("w2", 9_100, "r9"));
+    world.workers.insert("w2".to_owned(), common::Worker::default());
+    world.settle();
+    let empty = world.pool.shrink(at(world.now), 2, EMPTIED);
+    assert_eq!(empty, ["w1"], "nothing is known of w2, and w1 may not");
+}
