--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -18,8 +18,6 @@
     key: worker::Key,
     /// Whether nothing that lasts holds it.
     is_free: bool,
-    /// What lasts there takes.
-    lasting: Room,
     is_surplus: bool,
     used: u64,
 }
@@ -62,7 +60,6 @@
         let candidate = |(key, worker): (worker::Key, &Worker)| Candidate {
             key,
             is_free: !self.is_rooted(worker),
-            lasting: self.lasting_on(worker),
             is_surplus: worker.is_surplus,
             used: worker.used.cpu,
         };
@@ -116,7 +113,7 @@
     fn could_run(&self, one: &Candidate, step: &Step) -> bool {
         let worker = self.workers.get(one.key);
         worker.is_some_and(|worker| {
-            advice::could(worker, step) && worker.room.fits(&one.lasting, &step.room())
+            advice::could(worker, step) && worker.room.fits(&self.lasting_on(worker), &step.room())
         })
     }
 
