Show that a drain that was taken back empties its VM

The pure test brings it about and is red: the proxies' confirmation and the operator's change of mind lie between two decisions.

--- a/crates/controller/tests/phases.rs
+++ b/crates/controller/tests/phases.rs
@@ -6,6 +6,9 @@
 use corianderfork_provider::record::Phase;
 use support::{FLEET, World, moved, name};
 
+/// Rounds after which proxies have been known for longer than a request may take.
+const LONG_KNOWN: usize = 20;
+
 fn serving() -> World {
     let mut world = World::new(2, 2);
     world.until(0, "serving", |w| {
@@ -51,6 +54,33 @@
     assert!(world.reboots.is_empty());
 }
 
+// Symptom: a VM whose drain was taken back is emptied all the same, and serves nobody
+//   until copies happen to be placed there again.
+// Sequence: a drain waits for its proxies; they confirm it, and the operator takes it
+//   back, between two decisions.
+// Cause: that the proxies had confirmed was followed without a look at the wish.
+#[test]
+fn undrain_of_a_vm_whose_proxies_have_just_confirmed() {
+    let mut world = serving();
+    let vm = carrier(&world, "transfer");
+    let carried = world.store.vm(&vm).runners;
+    // No proxy is waited for on account of an earlier process of it.
+    for _ in 0..LONG_KNOWN {
+        world.round(0);
+    }
+    world.drain(&vm);
+    let is_begun = (0..LONG_KNOWN).any(|_| {
+        world.round(0);
+        world.store.vm(&vm).phase == Phase::Draining
+    });
+    assert!(is_begun);
+    world.settle_proxies();
+    world.undrain(&vm);
+    world.until(0, "back", |w| w.store.vm(&vm).phase != Phase::Draining);
+    assert_eq!(world.store.vm(&vm).phase, Phase::Serving);
+    assert_eq!(world.store.vm(&vm).runners, carried, "it was emptied");
+}
+
 #[test]
 fn wave_reboots_each_vm_once_and_ends() {
     let mut world = serving();
