Take a VM back whose drain was taken back, also once its proxies have confirmed

A VM that an operator gave back stayed without copies: the controller that decided found the drain confirmed by all proxies and wrote "drained" in the same turn in which the policy took the VM back, and one record is written once a turn. Its copies were then stopped and had gone elsewhere, two moves for nothing, and callers who waited for that VM waited in vain.

What the policy takes back is now left to it: a VM that drains and is to be admitted isn't followed to drained. That is safe, since nothing of a draining VM has been stopped. Ruled out: to admit one that is drained already, too: a stop may be on its way that a successor doesn't know of, and would cut off requests.

phases.rs, undrain_of_a_vm_whose_proxies_have_just_confirmed: red before, green since.

--- a/crates/controller/src/plan/follow.rs
+++ b/crates/controller/src/plan/follow.rs
@@ -7,6 +7,7 @@
 use corianderfork_coord::drain::{Reason, Status, Wait};
 use corianderfork_model::place::VmId;
 use corianderfork_model::{Fleet, Name};
+use corianderfork_policy::{Act, Step};
 use corianderfork_provider::fleet::TaskState;
 use corianderfork_provider::record::{Phase, Runner, Vm};
 use corianderfork_provider::store::Expect;
@@ -71,6 +72,9 @@
                 turn.write(name, held, change::runners(record, runners), "tasks");
             }
         }
+        // Its drain was taken back. That its proxies have confirmed it meanwhile changes
+        // nothing: emptied, it would lose its copies to other VMs, and come back with none.
+        Phase::Draining if turn.admitted.contains(&id) => {}
         Phase::Draining => drained(planner, inputs, turn, name, held),
         Phase::Rebooting => reboot(planner, fleet, inputs, turn, id, held),
         Phase::Out => {
@@ -200,6 +204,15 @@
 }
 
 impl Turn {
+    /// A turn that carries out `steps`.
+    pub(crate) fn new(steps: &[Step]) -> Self {
+        let admitted = |step: &Step| match step.act {
+            Act::Admit { vm } => Some(vm),
+            _ => None,
+        };
+        Self { admitted: steps.iter().filter_map(admitted).collect(), ..Self::default() }
+    }
+
     /// Writes the first record of a VM.
     pub(crate) fn create(&mut self, vm: &Name, record: Vm) {
         let (vm, who) = (vm.clone(), "config".to_owned());
--- a/crates/controller/src/plan/mod.rs
+++ b/crates/controller/src/plan/mod.rs
@@ -35,6 +35,7 @@
 use std::rc::Rc;
 
 use corianderfork_config::Parsed;
+use corianderfork_model::place::VmId;
 use corianderfork_model::{Fleet, Name, Time};
 use corianderfork_policy::State;
 use corianderfork_policy::sizing::{Sizer, Usage};
@@ -83,6 +84,8 @@
 /// What one decision gathers.
 #[derive(Debug, Default)]
 pub(crate) struct Turn {
+    /// VMs that the policy takes back into service.
+    admitted: BTreeSet<VmId>,
     writes: Vec<Write>,
     written: BTreeSet<Name>,
     calls: Vec<Action>,
@@ -234,7 +237,7 @@
         let config = &self.settings.policy;
         let decision =
             corianderfork_policy::decide(fleet, &self.state, &directive, config, inputs.unix);
-        let mut turn = Turn::default();
+        let mut turn = Turn::new(&decision.steps);
         follow::follow(self, fleet, inputs, &mut turn);
         let rule = explanation.decision().name().to_string();
         carry::carry(self, fleet, inputs, &mut turn, &decision.steps, &rule);
