Refuse no job whose write at another entry VM has no answer

A caller that was told 504 and asked again at another entry VM was told 503, which promises that its job never runs, and it ran: an entry VM that takes the store to be away refuses unwritten, by what it knows of its own tries. Two entry VMs, drawn for each job by a hash (rendezvous, the one that duties are drawn by), now remember a write without an answer for all: they are told before a 504 is, and asked before a 503 is, for 0.1 s at most, beside the job's owner. If one says so, or none of them answers, the caller is told 504 and when to come back. A write that is given up when its caller has left is passed on too; a try that is refused beside a doubt no longer renews it.

Weighed: asking all peers (43 questions a refusal on 44 entry VMs, while refusals come by the hundred); writing the doubt into the store, which is what doesn't answer. Left: an entry VM that dies with a write on its way.

--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -23,6 +23,8 @@
 const ROUNDS: usize = 2;
 /// VMs with copies that are left.
 const SPARE: usize = 4;
+/// Copies of a service with which each of the three times eight VMs has one.
+const ALL: usize = 24;
 const SERVICES: [&str; 2] = ["lookup", "transfer"];
 
 fn config() -> Config {
@@ -238,7 +240,11 @@
     //   once. It comes back, the drain is taken back, the VM gets requests again, and
     //   all that happens once more.
     // Cause: as above; the second time, what was heard of the first one's end.
-    let system = System::converged(config());
+    //
+    // Each VM carries a copy of each service, so that one that is given back is the only
+    // place for what it lost. With fewer copies than VMs it may well stay without any: its
+    // record came back from the drain with `copies []`, and nothing was ever sent there.
+    let system = System::converged(Config::new(&wide(1, 8, ALL)));
     wait_copies(&system);
     let calling = Callers::new(&SERVICES).start(&system);
     let mut delays = Delays::default();
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -13,6 +13,7 @@
 
 use crate::node::{HOLD_ON, TTL};
 use crate::places::Entry;
+use crate::rendezvous::score;
 
 /// The prefix of members' records; the name follows.
 pub const MEMBERS: &str = "entry/member/";
@@ -258,20 +259,10 @@
                 if is_rolling && member.capacity * 2 >= most {
                     return (load / CROWDED, u64::MAX - member.revision, name);
                 }
-                (load, hash(duty, name), name)
+                (load, score(duty, name), name)
             })
             .collect();
         line.sort();
         line.into_iter().map(|(.., name)| name.clone()).collect()
     }
 }
-
-/// FNV-1a over both names: the same in every process and version, unlike the
-/// standard library's hasher.
-fn hash(duty: &str, name: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = duty.bytes().chain([0]).chain(name.bytes());
-    let mixed = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
-    mixed ^ (mixed >> 29)
-}
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Callers: jobs handed in, asked for and taken back, at any entry VM.
 
 mod accept;
+mod doubt;
 mod sought;
 mod state;
 
@@ -24,7 +25,6 @@
 use crate::peer::{self, Ask, Reply};
 use crate::places::{Step, Way};
 use crate::server::{Asked, Told};
-use crate::tries::Tries;
 use accept::{Accepted, Waiting, patience};
 
 /// When a caller that is refused is told to come back, in seconds.
@@ -37,7 +37,6 @@
     node: Rc<Node>,
     waiting: RefCell<VecDeque<Waiting>>,
     writing: Cell<usize>,
-    tries: Rc<RefCell<Tries>>,
     /// Jobs handed in so far.
     offers: Cell<u64>,
 }
@@ -49,7 +48,6 @@
             node,
             waiting: RefCell::default(),
             writing: Cell::new(0),
-            tries: Rc::default(),
             offers: Cell::new(0),
         })
     }
@@ -133,11 +131,13 @@
             Accepted::NotStored if self.is_owned(route, id).await => {
                 (Told::new(200, b"{}".to_vec()), "known")
             }
-            Accepted::NotStored if !self.may_be_stored(id) => {
+            Accepted::NotStored if !self.may_be_stored(id).await => {
                 (refuse("the store took no job; come back"), "not stored")
             }
-            Accepted::NotStored | Accepted::Unknown => {
-                self.tries.borrow_mut().note_unsure(clock::now(), id);
+            // By another try, whose end was noted or is to be: this one adds no doubt.
+            Accepted::NotStored => unknown(),
+            Accepted::Unknown => {
+                self.note_unsure(id).await;
                 unknown()
             }
         }
@@ -146,10 +146,16 @@
     /// What a job gets while the store is away: it can't be accepted, but it may
     /// have been before.
     async fn submit_while_away(&self, route: &Route, id: &str) -> (Told, &'static str) {
-        if self.is_owned(route, id).await {
-            return (Told::new(200, b"{}".to_vec()), "known");
+        let (is_owned, may_be_stored) =
+            tokio::join!(self.is_owned(route, id), self.may_be_stored(id));
+        match (is_owned, may_be_stored) {
+            (true, _) => (Told::new(200, b"{}".to_vec()), "known"),
+            (false, true) => {
+                let (told, why) = unknown();
+                (Told { retry_after: Some(RETRY_AFTER), ..told }, why)
+            }
+            (false, false) => (self.refuse_away(id), "store away"),
         }
-        if self.may_be_stored(id) { unknown() } else { (self.refuse_away(id), "store away") }
     }
 
     /// Whether an owner of a queue's pools knows a job.
--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -76,18 +76,12 @@
 }
 
 impl Gateway {
-    /// Whether another try of a job is under way, or may yet be carried out. To this
-    /// one 503 would promise that it never runs.
-    pub(super) fn may_be_stored(&self, id: &str) -> bool {
-        self.tries.borrow().may_be_stored(clock::now(), id)
-    }
-
     /// Has a job stored, within a part of the time that its caller waits.
     pub(super) async fn store(self: &Rc<Self>, offer: Offer, within: Duration) -> Accepted {
         let (told, accepted) = oneshot::channel();
         let (number, until) = (self.offers.get(), clock::now() + within);
         self.offers.set(number + 1);
-        let _trying = UnderWay::new(&self.tries, &offer.id);
+        let _trying = UnderWay::new(&self.node.tries, &offer.id);
         let job = Waiting { number, offer, until, maybe: false, told, under_way: None };
         self.waiting.borrow_mut().push_back(job);
         self.write_some();
@@ -115,7 +109,7 @@
         let count = self.admission(self.waiting.borrow().iter()).count();
         let mut jobs: Vec<Waiting> = self.waiting.borrow_mut().drain(..count).collect();
         for job in &mut jobs {
-            job.under_way = Some(UnderWay::new(&self.tries, &job.offer.id));
+            job.under_way = Some(UnderWay::new(&self.node.tries, &job.offer.id));
         }
         self.writing.set(self.writing.get() + 1);
         let gateway = self.clone();
@@ -143,7 +137,7 @@
     }
 
     /// Writes jobs until each is known to be stored or its time is over.
-    async fn write(&self, mut jobs: Vec<Waiting>) {
+    async fn write(self: &Rc<Self>, mut jobs: Vec<Waiting>) {
         while !jobs.is_empty() {
             let admission = self.admission(jobs.iter());
             // A queue that has just come to another pool takes more of a write.
@@ -180,7 +174,7 @@
                 }
                 Err(Error::NotDone(_)) => {}
             }
-            jobs = give_up(jobs, self.node.store.is_away());
+            jobs = self.give_up(jobs, self.node.store.is_away());
             if !is_news {
                 tokio::time::sleep(PAUSE).await;
             }
@@ -189,7 +183,7 @@
 
     /// Tells those that are known in a pool for which their write has no room, and
     /// keeps the others. Where that can't be read, a caller is told to come back.
-    async fn sift(&self, admission: &Admission, jobs: Vec<Waiting>) -> Vec<Waiting> {
+    async fn sift(self: &Rc<Self>, admission: &Admission, jobs: Vec<Waiting>) -> Vec<Waiting> {
         let mut rest = Vec::new();
         'jobs: for job in jobs {
             for pool in admission.unchecked(&job.offer) {
@@ -201,7 +195,7 @@
                         continue 'jobs;
                     }
                     Err(_) => {
-                        give_up(vec![job], true);
+                        self.give_up(vec![job], true);
                         continue 'jobs;
                     }
                 }
@@ -210,6 +204,24 @@
         }
         rest
     }
+
+    /// Answers those whose time is over, or all if the store is away, and keeps the
+    /// others.
+    fn give_up(self: &Rc<Self>, jobs: Vec<Waiting>, is_away: bool) -> Vec<Waiting> {
+        let now = clock::now();
+        let is_over = |job: &Waiting| is_away || now >= job.until;
+        let (over, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(is_over);
+        for job in over {
+            let accepted = if job.maybe { Accepted::Unknown } else { Accepted::NotStored };
+            let is_heard = job.told.send(accepted).is_ok();
+            // Its caller left, and asks again elsewhere.
+            if job.maybe && !is_heard {
+                let gateway = self.clone();
+                spawn_local(async move { gateway.note_unsure(&job.offer.id).await });
+            }
+        }
+        rest
+    }
 }
 
 fn tell_known(jobs: Vec<Waiting>) {
@@ -219,19 +231,6 @@
     }
 }
 
-/// Answers those whose time is over, or all if the store is away, and keeps the
-/// others.
-fn give_up(jobs: Vec<Waiting>, is_away: bool) -> Vec<Waiting> {
-    let now = clock::now();
-    let is_over = |job: &Waiting| is_away || now >= job.until;
-    let (over, rest): (Vec<_>, Vec<_>) = jobs.into_iter().partition(is_over);
-    for job in over {
-        let accepted = if job.maybe { Accepted::Unknown } else { Accepted::NotStored };
-        let _ = job.told.send(accepted);
-    }
-    rest
-}
-
 /// How long a caller's job may wait to be stored: a part of the time that the
 /// caller waits. One that is close to its deadline is told before it.
 pub(super) fn patience(asked: &Asked) -> Duration {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lookup;
 pub mod outage;
 pub mod places;
+pub mod rendezvous;
 pub mod settings;
 pub mod tries;
 
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::peer::{Ask, Reply};
 use crate::server::{self, Asked, Gauge, Handler, Told};
-use crate::{explain, relay};
+use crate::{clock, explain, relay};
 
 /// Descriptors kept for calls to the store, workers and peers, and for the log.
 const OWN_FDS: usize = 300;
@@ -159,6 +159,14 @@
             let within = Duration::from_millis(within_ms);
             node.advise_peer((&job, occurrence, step), &workers, within).await
         }
+        Ask::Unsure { id } => {
+            node.tries.borrow_mut().note_unsure(clock::now(), &id);
+            Reply::Done
+        }
+        Ask::Tried { id } => {
+            let is_unsure = node.tries.borrow().may_be_stored(clock::now(), &id);
+            Reply::Tried { is_unsure }
+        }
         ask => match node.own(ask.pool()) {
             Some(owner) => owner.answer(ask).await,
             None => Reply::NotOwner,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::trace::Trace;
+use crate::tries::Tries;
 
 /// How long a member's lease is. After it a holder that died is replaced;
 /// renewals and their answers must fit into it several times.
@@ -86,6 +87,8 @@
     pub changed: Notify,
     /// Jobs that have not begun, as last heard.
     pub heard: RefCell<Heard>,
+    /// Tries to have jobs stored.
+    pub tries: Rc<RefCell<Tries>>,
 }
 
 impl Node {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -192,7 +192,11 @@
                 self.wake.notify_one();
                 Reply::Done
             }
-            Ask::Retire { .. } | Ask::Advise { .. } | Ask::Store { .. } => Reply::NotOwner,
+            Ask::Retire { .. }
+            | Ask::Advise { .. }
+            | Ask::Unsure { .. }
+            | Ask::Tried { .. }
+            | Ask::Store { .. } => Reply::NotOwner,
         }
     }
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -109,6 +109,16 @@
         /// How long it may take, in milliseconds.
         within_ms: u64,
     },
+    /// A write of a job has no answer: remember that it may be stored.
+    Unsure {
+        /// The job's id.
+        id: String,
+    },
+    /// May a job be stored by a try of it that nobody knows the end of?
+    Tried {
+        /// The job's id.
+        id: String,
+    },
     /// Call the store for me, which turns me away.
     Store {
         /// The method.
@@ -134,7 +144,11 @@
             | Self::Shrink { pool, .. }
             | Self::Gone { pool, .. }
             | Self::Load { pool, .. } => pool,
-            Self::Retire { .. } | Self::Advise { .. } | Self::Store { .. } => "",
+            Self::Retire { .. }
+            | Self::Advise { .. }
+            | Self::Unsure { .. }
+            | Self::Tried { .. }
+            | Self::Store { .. } => "",
         }
     }
 }
@@ -195,6 +209,11 @@
         /// How long the tickets hold, in milliseconds.
         valid_ms: u64,
     },
+    /// Whether a job may be stored though nobody was told so.
+    Tried {
+        /// Whether it may.
+        is_unsure: bool,
+    },
     /// What the store said.
     Store {
         /// The status; 0 for no answer.
--- /dev/null
+++ b/crates/entry/src/rendezvous.rs
@@ -0,0 +1,35 @@
+//! Drawing some of the members for a thing by a hash, so that all of them draw the
+//! same without talking.
+
+/// The score of a member for a key; those with the least are drawn.
+///
+/// FNV-1a over both names: the same in every process and version, unlike the
+/// standard library's hasher.
+pub(crate) fn score(key: &str, member: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let bytes = key.bytes().chain([0]).chain(member.bytes());
+    let mixed = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    mixed ^ (mixed >> 29)
+}
+
+/// The `count` members drawn for a key, or all where there are fewer.
+///
+/// When a member comes or goes, only the keys drawn for it go to others.
+///
+/// ```
+/// use corianderfork_entry::rendezvous::draw;
+///
+/// let members = ["e1", "e2", "e3", "e4"];
+/// let drawn = draw(members.into_iter(), "5c0e7a21d94b36f8", 2);
+/// assert_eq!(drawn.len(), 2);
+/// // One that isn't drawn goes: the same two are drawn.
+/// let others = members.into_iter().filter(|name| drawn.contains(name));
+/// assert_eq!(draw(others, "5c0e7a21d94b36f8", 2), drawn);
+/// ```
+pub fn draw<'a>(members: impl Iterator<Item = &'a str>, key: &str, count: usize) -> Vec<&'a str> {
+    let mut members: Vec<&str> = members.collect();
+    members.sort_by_key(|member| (score(key, member), *member));
+    members.truncate(count);
+    members
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -79,6 +79,7 @@
         stopping: Cell::new(false),
         changed: Notify::new(),
         heard: RefCell::default(),
+        tries: Rc::default(),
     })
 }
 
