--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -283,3 +283,24 @@
     let empty = world.pool.shrink(at(world.now), 2, EMPTIED);
     assert_eq!(empty, ["w1"], "nothing is known of w2, and w1 may not");
 }
+
+#[test]
+fn shrink_keeps_no_worker_for_a_lasting_step_that_runs() {
+    // Symptom: a pool holds one worker more than it needs, for as long as a job lasts.
+    // Sequence: a lasting step that two workers may run fills one of them; the other one
+    //   stands idle, and the pool is to be smaller.
+    // Cause: where it runs has no room for it once more, so that it seemed to need the
+    //   other one.
+    let mut world = world(3);
+    world.takes = 600_000;
+    let lasting = corianderfork_jobs::Step { lasts: true, ..step(1, 8_000) };
+    let job = world.submit(1, vec![lasting]);
+    let question = ask(&mut world).remove(0);
+    tell(&mut world, &question, &["w0", "w2"]);
+    assert_eq!(world.plan().len(), 1);
+    world.settle();
+    let host = world.where_runs(common::first(job)).remove(0).to_owned();
+    let empty = world.pool.shrink(at(world.now), 1, EMPTIED);
+    assert_eq!(empty.len(), 2, "only {empty:?} may go; it runs on {host}");
+    assert!(!empty.contains(&host));
+}
