Keep no worker for a lasting step all of which runs

A pool with a lasting step that only some workers may run, and that fills the one where it runs, held one idle worker more for as long as the job lasts: where a step runs was asked for room for it once more. A lasting step needs a worker only while a task of it waits; where it runs nothing is let go anyway. One that is stopped to move waits, and has its keeper again. advice.rs, shrink_keeps_no_worker_for_a_lasting_step_that_runs: red before; all tests of jobs green.

--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -77,7 +77,8 @@
         let mut needed: HashSet<worker::Key> = HashSet::new();
         for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
             for row in entry.occurrences.values() {
-                let open = entry.steps.iter().zip(&row.steps).filter(|(_, state)| state.left > 0);
+                let open =
+                    entry.steps.iter().zip(&row.steps).filter(|(s, state)| is_open(s, state));
                 for (step, state) in open.filter(|(s, state)| is_selective(s, state, &least)) {
                     let stays = |one: &&Candidate| !one.is_free || needed.contains(&one.key);
                     let found = self.keeper(candidates, step, state, stays);
@@ -129,6 +130,13 @@
     }
 }
 
+/// Whether a step still needs a worker. What lasts stays where all of it runs: these
+/// workers aren't let go, and where it fills them they would not be taken for ones that
+/// can run it.
+fn is_open(step: &Step, state: &StepState) -> bool {
+    if step.lasts { state.waiting > 0 } else { state.left > 0 }
+}
+
 /// Whether some workers may not run a step, as far as can be told at once.
 fn is_selective(step: &Step, state: &StepState, least: &Room) -> bool {
     let is_large = !least.fits(&Room::default(), &step.room());
