--- a/crates/policy/src/tally.rs
+++ b/crates/policy/src/tally.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Tally {
     pub(crate) under_way: u32,
+    /// Those that went out of sight while they were maintained, and may be back yet.
+    pub(crate) lost: u32,
     pub(crate) well: u32,
     /// Those of the well ones on which copies answer.
     pub(crate) proven: u32,
@@ -38,6 +40,8 @@
             // wave; without this it would take up its width, and halt it.
             if view.hosts[vm.index()] != Host::Lost {
                 tally.see(view, since, resumed, vm);
+            } else {
+                tally.lost += u32::from(may_be_back(view, vm));
             }
         }
         tally
@@ -64,6 +68,7 @@
     pub(crate) fn plus(self, other: Self) -> Self {
         Self {
             under_way: self.under_way + other.under_way,
+            lost: self.lost + other.lost,
             well: self.well + other.well,
             proven: self.proven + other.proven,
             failing: self.failing + other.failing,
@@ -75,6 +80,12 @@
     }
 }
 
+/// Whether a lost VM that is being maintained may still be back from that.
+fn may_be_back(view: &View<'_>, id: VmId) -> bool {
+    let vm = view.state.vm(id);
+    under_way(vm) && view.age(vm.since) <= view.config.reboot_limit
+}
+
 /// Whether `vm` isn't back from its reboot although it should be.
 pub(crate) fn is_late(view: &View<'_>, id: VmId) -> bool {
     let vm = view.state.vm(id);
--- a/crates/policy/src/wave.rs
+++ b/crates/policy/src/wave.rs
@@ -111,7 +111,9 @@
     }
     let mut left = match view.directive.pace {
         Pace::Paused => return,
-        Pace::AtMost(most) => most.saturating_sub(all.under_way),
+        // What operators allow bounds what is away by the wave's doing. One that went out
+        // of sight in its reboot is: uncounted, another one would be taken beside it.
+        Pace::AtMost(most) => most.saturating_sub(all.under_way + all.lost),
         Pace::Measured => u32::MAX,
     };
     for pool in view.fleet.pool_ids() {
