--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -8,11 +8,12 @@
 /// How long a write without an answer may yet be carried out: the platform names
 /// some seconds, and callers ask again within as many.
 const UNSURE: Duration = Duration::from_secs(15);
-/// Jobs that are remembered as unsure at most: some hundreds of kilobytes. Past
-/// them a later try may be told 503, as by any other entry VM.
+/// Jobs that are remembered as unsure at most, this entry VM's and those that it
+/// remembers for others: some hundreds of kilobytes. Past them a later try may be told
+/// 503.
 const MOST_UNSURE: usize = 4_096;
 
-/// Tries to have jobs stored, by one entry VM. Pure.
+/// Tries to have jobs stored, by one entry VM, and what it remembers of others'. Pure.
 ///
 /// A refusal promises that the job never runs. One try of a job may be refused
 /// unwritten while the write of another one is on its way, or was given up on: the
