Tell no caller that there is no job whose write has no answer

A caller that was told 504 and takes its job back, or asks for it, at another entry VM was told 410, which says that there is no such job; its write was carried out a moment later, and it ran. Before a 410 the two entry VMs that remember a write without an answer are asked now, as before a 503; if one says so, the caller is told 503, to ask again: then the job is there, and is taken back, or its write is past what it may take. A 410 costs two questions to peers; it is told seldom.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -29,6 +29,8 @@
 
 /// When a caller that is refused is told to come back, in seconds.
 const RETRY_AFTER: u64 = 1;
+/// What a caller is told of a job that isn't there yet, and may be in a moment.
+const UNANSWERED: &str = "a write of the job has no answer yet; ask again";
 /// How long an owner may take over a cancellation.
 const CANCEL: Duration = Duration::from_millis(2_600);
 
@@ -212,6 +214,10 @@
                     let why = "the cancellation could not be written; ask again";
                     return (refuse(why), "not written");
                 }
+                // Its write may be carried out yet: then it would run, taken back.
+                Step::Absent if self.may_be_stored(id).await => {
+                    return (refuse(UNANSWERED), "unanswered");
+                }
                 Step::Absent => {
                     return (Told::new(410, caller::error("no such job")), "unknown job");
                 }
--- a/crates/entry/src/gateway/doubt.rs
+++ b/crates/entry/src/gateway/doubt.rs
@@ -44,8 +44,8 @@
         }
     }
 
-    /// Whether a job that is refused here may be stored by another try of it, under
-    /// way here or without an answer anywhere.
+    /// Whether a job that is refused here, or isn't found, may be stored by another try
+    /// of it, under way here or without an answer anywhere.
     ///
     /// Where none of the entry VMs that would know answers, it may.
     pub(super) async fn may_be_stored(&self, id: &str) -> bool {
@@ -66,7 +66,7 @@
         let may_be = is_unsure || answers == 0;
         if may_be {
             self.node.trace.line(
-                "not refused, since it may be stored",
+                "may be stored, unanswered",
                 json!({ "job": id, "a_peer_says_so": is_unsure, "answers": answers }),
             );
         }
--- a/crates/entry/src/gateway/state.rs
+++ b/crates/entry/src/gateway/state.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use super::sought::Sought;
-use super::{Gateway, refuse};
+use super::{Gateway, UNANSWERED, refuse};
 use crate::clock;
 use crate::lookup::{Lookup, Next};
 use crate::peer::{self, Ask, Reply};
@@ -34,6 +34,9 @@
                     let why = "neither the owner nor the store answers; come back";
                     return (refuse(why), "no answer");
                 }
+                Step::Absent if self.may_be_stored(id).await => {
+                    return (refuse(UNANSWERED), "unanswered");
+                }
                 Step::Absent => break,
             };
             let ask = Ask::State { pool: pool.clone(), id: id.to_owned() };
