--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -2,12 +2,14 @@
 //! platform that runs tasks, and proxies that send work by what they know.
 #![allow(dead_code, clippy::unwrap_used)]
 
-use std::collections::{BTreeMap, BTreeSet};
+mod proxy;
+mod store;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use corianderfork_controller::directory::Directory;
 use corianderfork_controller::facts::{Change, Copy, Facts, Listed};
-use corianderfork_controller::message::message;
 use corianderfork_controller::plan::action::Action;
 use corianderfork_controller::plan::{Inputs, Limits, Planner};
 use corianderfork_controller::view::View;
@@ -16,9 +18,11 @@
 use corianderfork_model::{Name, Time};
 use corianderfork_provider::fleet::{self, Task, TaskState, VmState};
 use corianderfork_provider::key;
-use corianderfork_provider::record::{Config, Member, Phase, Role, Vm, Wave};
-use corianderfork_provider::store::{Entry, Expect, Range, Revision};
-use corianderfork_wire::peer;
+use corianderfork_provider::record::{Config, Member, Role, Wave};
+use corianderfork_provider::store::Expect;
+
+pub use proxy::Proxy;
+pub use store::Store;
 
 pub fn name(text: &str) -> Name {
     Name::new(text).unwrap()
@@ -89,114 +93,6 @@
     FLEET.replace(&FLEET[from.unwrap()..to.unwrap()], "")
 }
 
-/// A store with revisions.
-#[derive(Default)]
-pub struct Store {
-    pub revision: u64,
-    pub entries: BTreeMap<String, (u64, String)>,
-}
-
-impl Store {
-    pub fn put(&mut self, key: &str, value: String, expect: Expect) -> Result<u64, Option<Entry>> {
-        let current = self.entries.get(key).map_or(0, |(revision, _)| *revision);
-        let fits = match expect {
-            Expect::Absent => current == 0,
-            Expect::Revision(revision) => revision.0 == current,
-            Expect::Anything => true,
-        };
-        if !fits {
-            return Err(self.entry(key));
-        }
-        self.revision += 1;
-        self.entries.insert(key.to_owned(), (self.revision, value));
-        Ok(self.revision)
-    }
-
-    pub fn entry(&self, key: &str) -> Option<Entry> {
-        let (revision, value) = self.entries.get(key)?;
-        let (key, value) = (key.to_owned(), value.clone());
-        Some(Entry { key, value, revision: Revision(*revision), lease: None })
-    }
-
-    pub fn delete(&mut self, key: &str) {
-        self.revision += u64::from(self.entries.remove(key).is_some());
-    }
-
-    pub fn range(&self) -> Range {
-        let keys = self.entries.keys().filter(|key| key.starts_with(key::SHARED));
-        let entries = keys.filter_map(|key| self.entry(key)).collect();
-        Range { revision: Revision(self.revision), entries }
-    }
-
-    pub fn vm(&self, vm: &str) -> Vm {
-        serde_json::from_str(&self.entries[&key::vm(&name(vm))].1).unwrap()
-    }
-
-    pub fn wave(&self) -> Wave {
-        serde_json::from_str(&self.entries[key::WAVE].1).unwrap()
-    }
-}
-
-/// A proxy: what it knows, and its work in flight.
-pub struct Proxy {
-    pub me: Member,
-    known: BTreeMap<Name, Vm>,
-    revision: u64,
-    pub in_flight: BTreeSet<Copy>,
-}
-
-impl Proxy {
-    /// Reads all records.
-    pub fn sync(&mut self, store: &Store) {
-        self.revision = store.revision;
-        let vms = store.entries.iter().filter_map(|(key, (_, value))| {
-            Some((Name::new(key.strip_prefix(key::VMS)?).ok()?, serde_json::from_str(value).ok()?))
-        });
-        self.known = vms.collect();
-    }
-
-    /// Sends a request to `copy`, if it knows that to serve.
-    pub fn send_to(&mut self, copy: &Copy) {
-        let vm = self.known.get(&copy.0).filter(|vm| vm.phase == Phase::Serving);
-        if vm.is_some_and(|vm| vm.runners.iter().any(|runner| runner.service == copy.1)) {
-            self.in_flight.insert(copy.clone());
-        }
-    }
-
-    /// Sends a request to some runner, by what it knows.
-    pub fn send(&mut self, pick: usize) {
-        let serving = self.known.iter().filter(|(_, vm)| vm.phase == Phase::Serving);
-        let copies: Vec<Copy> = serving
-            .flat_map(|(name, vm)| vm.runners.iter().map(|r| (name.clone(), r.service.clone())))
-            .collect();
-        if let Some(copy) = copies.get(pick % copies.len().max(1)) {
-            self.in_flight.insert(copy.clone());
-        }
-    }
-
-    fn report(&self) -> peer::Report {
-        let draining = self.known.iter().filter(|(_, vm)| vm.phase == Phase::Draining);
-        let clear =
-            draining.filter(|(name, _)| !self.in_flight.iter().any(|copy| copy.0 == **name));
-        let acks = clear.map(|(name, vm)| peer::Ack { vm: name.to_string(), epoch: vm.epoch });
-        let me = Some(message(&self.me));
-        let own = peer::Seen { member: me.clone(), acks: acks.collect(), ..Default::default() };
-        let load = |copy: &Copy| peer::Load {
-            vm: copy.0.to_string(),
-            service: copy.1.to_string(),
-            in_flight: 1,
-            waiting: 0,
-        };
-        peer::Report {
-            from: me,
-            store_revision: self.revision,
-            seen: vec![own],
-            loads: self.in_flight.iter().map(load).collect(),
-            ..peer::Report::default()
-        }
-    }
-}
-
 /// A controller: a planner and what it knows.
 pub struct Controller {
     pub planner: Planner,
@@ -226,8 +122,7 @@
 }
 
 fn proxy(i: usize) -> Proxy {
-    let me = member(Role::Proxy, &format!("p{i}"));
-    Proxy { me, known: BTreeMap::new(), revision: 0, in_flight: BTreeSet::new() }
+    Proxy::new(member(Role::Proxy, &format!("p{i}")))
 }
 
 /// The whole fleet.
