Log failed reads of followed keys, and count answers that were cut off

A configuration came into force late on two entry VMs. The log recorded when a configuration came into force but not its size, and nothing about a watch or a page that failed. The metrics count failed watches but don't show whether any part of the answer had arrived.

The `configuration in force` line now has the size in bytes. The new `read failed` line and event have the prefix, the call, how long the read took and the reason. The new gauges `answers cut off` and `peers' answers cut off` count answers that had begun to arrive when they timed out, which distinguishes a slow link from a silent one.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -14,7 +14,9 @@
 use crate::clock;
 use crate::duty::{self, DUTIES, MEMBERS};
 use crate::node::Node;
+use crate::owner::ms;
 use crate::places::{self, QUEUES};
+use crate::store::Error;
 
 /// How long a watch waits. Its end is what shows that it still works: one whose
 /// connection went silent is noticed after this and the time for an answer, well
@@ -51,9 +53,13 @@
 ) {
     while is_wanted() {
         let asked = clock::now();
-        let Ok((items, mut after)) = node.store.range(&prefix).await else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
+        let (items, mut after) = match node.store.range(&prefix).await {
+            Ok(read) => read,
+            Err(error) => {
+                log_failed_read(&node, &prefix, "range", asked, &error);
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
         };
         learn(News::All(items));
         learn(News::Upto(asked));
@@ -75,12 +81,25 @@
                     node.trace.line("history lost", json!({ "prefix": prefix, "after": after }));
                     break;
                 }
-                Err(_) => tokio::time::sleep(PAUSE).await,
+                Err(error) => {
+                    log_failed_read(&node, &prefix, "watch", asked, &error);
+                    tokio::time::sleep(PAUSE).await;
+                }
             }
         }
     }
 }
 
+/// Counts and logs a failed read of the followed keys, with the time since it started.
+fn log_failed_read(node: &Node, prefix: &str, call: &'static str, asked: Time, error: &Error) {
+    node.metrics.event("read failed");
+    node.trace.line(
+        "read failed",
+        json!({ "prefix": prefix, "call": call, "took_ms": ms(clock::now() - asked),
+            "why": error.to_string() }),
+    );
+}
+
 /// Follows what operators write.
 pub async fn operators(node: Rc<Node>) {
     let learner = node.clone();
@@ -103,7 +122,7 @@
 fn operators_key(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
     if key == config::KEY {
         match config::parse(value) {
-            Ok(config) => node.set_config(config),
+            Ok(config) => node.set_config(config, value.len()),
             Err(error) => unreadable(node, key, revision, &error.to_string()),
         }
     } else if key.starts_with(config::WAVES) {
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,13 +1,13 @@
 //! Calls over HTTP/1.1, on connections that are kept.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use corianderfork_adapter::Call;
 use corianderfork_model::Time;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, header};
@@ -48,6 +48,8 @@
     idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Time)>>>,
     /// Unused connections kept for one address.
     kept: usize,
+    /// Answers that timed out after part of their body had arrived.
+    answers_cut_off: Cell<usize>,
 }
 
 impl Default for Client {
@@ -59,7 +61,12 @@
 impl Client {
     /// A client that keeps `kept` unused connections for each address.
     pub fn keeping(kept: usize) -> Self {
-        Self { idle: RefCell::default(), kept }
+        Self { idle: RefCell::default(), kept, answers_cut_off: Cell::new(0) }
+    }
+
+    /// The number of answers that timed out after part of their body had arrived.
+    pub fn answers_cut_off(&self) -> usize {
+        self.answers_cut_off.get()
     }
 
     /// Sends `call` to `address` and waits for the whole answer.
@@ -80,13 +87,17 @@
             None => connect(address, within.min(CONNECT)).await?,
         };
         let request = request(address, call).ok_or(Failed::Unsent)?;
-        match timeout(within, exchange(&mut sender, request)).await {
+        let received = Cell::new(0);
+        match timeout(within, exchange(&mut sender, request, &received)).await {
             Ok(Ok(answer)) => {
                 self.put_idle(address, sender);
                 Ok(answer)
             }
             Ok(Err(failed)) => Err(failed),
             Err(_) => {
+                if received.get() > 0 {
+                    self.answers_cut_off.set(self.answers_cut_off.get() + 1);
+                }
                 // Connections to the same place that were idle may have gone
                 // silent together with this one.
                 self.forget(address);
@@ -148,9 +159,12 @@
     request.body(Full::new(Bytes::from(call.body.clone()))).ok()
 }
 
+/// Sends a request and reads the answer. `received` holds the number of body bytes
+/// read so far, so that the caller can tell a partial answer from none on a timeout.
 async fn exchange(
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
+    received: &Cell<usize>,
 ) -> Result<(u16, Bytes), Failed> {
     sender.ready().await.map_err(|_| Failed::Unsent)?;
     let response = sender
@@ -158,6 +172,15 @@
         .await
         .map_err(|error| if error.is_canceled() { Failed::Unsent } else { Failed::Lost })?;
     let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
-    Ok((status, body.map_err(|_| Failed::Lost)?.to_bytes()))
+    let mut body = response.into_body();
+    let mut content = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Failed::Lost)?.into_data() else { continue };
+        if content.len() + data.len() > MAX_ANSWER {
+            return Err(Failed::Lost);
+        }
+        content.extend_from_slice(&data);
+        received.set(content.len());
+    }
+    Ok((status, Bytes::from(content)))
 }
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -111,6 +111,8 @@
         node.metrics.set("peers' connections", gauges.peers.connections.get());
         node.metrics.set("callers closed unheard", gauges.callers.closed.get());
         node.metrics.set("peers closed unheard", gauges.peers.closed.get());
+        node.metrics.set("answers cut off", node.client.answers_cut_off());
+        node.metrics.set("peers' answers cut off", node.peers.answers_cut_off());
         node.metrics.set("duties", node.owners.borrow().len());
         let text = node.metrics.text();
         Box::pin(async move { Told::new(200, text.into_bytes()) })
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -183,15 +183,17 @@
         peer::ask(&self.peers, peers, &ask, within).await
     }
 
-    /// Takes in a configuration, unless a newer one is known.
-    pub fn set_config(&self, config: Config) {
+    /// Applies a configuration unless its version or a newer one is known. `encoded_len`
+    /// is its size in bytes as stored, for the log.
+    pub fn set_config(&self, config: Config, encoded_len: usize) {
         let known = self.config.borrow().as_ref().map_or(0, |config| config.version);
         if config.version <= known {
             return;
         }
         self.trace.key(
             "configuration in force",
-            json!({ "version": config.version, "before": known, "routes": config.routes.len() }),
+            json!({ "version": config.version, "before": known, "routes": config.routes.len(),
+                "bytes": encoded_len }),
         );
         let queues = self.queues(&config);
         *self.config.borrow_mut() = Some(Rc::new(config));
