Read an answer while it makes progress, whatever its size

Cause: a call to the store had a single timeout for the whole answer, 1.5 s for a watch and 0.8 s for a page. An incomplete answer was dropped and requested again from its first byte, but first through two peers, each with the same timeout. This left 4.7 s between two attempts, while the answers through peers loaded the same links. Such a call also counted as silence of the store, so that jobs would be refused in the meantime.

The timeout of a call to the store now applies until the head of the answer arrives. The body is then read while it makes progress: at most 800 ms without a byte, and at most 10 s in all. The head counts as a sign that the store answers. An answer relayed by a peer is read in the same way.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -29,6 +29,11 @@
 const KEPT: usize = 24;
 /// How long opening a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
+/// The longest gap between two chunks of a body that may be large.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest transfer of a body that may be large: [`MAX_ANSWER`] takes 7 s over a
+/// link of 10 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,6 +48,31 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Timeouts of one request and its answer.
+#[derive(Clone, Copy)]
+struct Timeouts {
+    /// From sending the request to receiving the head of the answer.
+    head: Duration,
+    /// Between two chunks of the body.
+    stall: Duration,
+    /// From sending the request to the end of the body.
+    total: Duration,
+}
+
+/// Why an exchange has no answer.
+enum ExchangeError {
+    /// The connection failed, or the answer is larger than [`MAX_ANSWER`].
+    Failed(Failed),
+    /// One of the [`Timeouts`] expired.
+    TimedOut,
+}
+
+impl From<Failed> for ExchangeError {
+    fn from(failed: Failed) -> Self {
+        Self::Failed(failed)
+    }
+}
+
 /// Makes calls.
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Time)>>>,
@@ -81,20 +111,55 @@
         address: SocketAddr,
         call: &Call,
         within: Duration,
+    ) -> Result<(u16, Bytes), Failed> {
+        let timeouts = Timeouts { head: within, stall: within, total: within };
+        self.call_with_timeouts(address, call, timeouts, |_| {}).await
+    }
+
+    /// Like [`Client::call`], for an answer that may be large: `within` bounds the time
+    /// until its head arrives; the body is then read while it makes progress. The whole
+    /// exchange may take `within` and `BODY_TIMEOUT`. `on_head` is called with the status
+    /// when the head arrives.
+    ///
+    /// With a single timeout for the whole answer, one that takes longer to transfer
+    /// would never be received: each retry starts from its first byte.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`]; also if the body stalls or takes too long.
+    pub async fn call_large(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        within: Duration,
+        on_head: impl FnOnce(u16),
+    ) -> Result<(u16, Bytes), Failed> {
+        let timeouts =
+            Timeouts { head: within, stall: STALL_TIMEOUT, total: within + BODY_TIMEOUT };
+        self.call_with_timeouts(address, call, timeouts, on_head).await
+    }
+
+    async fn call_with_timeouts(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        timeouts: Timeouts,
+        on_head: impl FnOnce(u16),
     ) -> Result<(u16, Bytes), Failed> {
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, within.min(CONNECT)).await?,
+            None => connect(address, timeouts.head.min(CONNECT)).await?,
         };
         let request = request(address, call).ok_or(Failed::Unsent)?;
         let received = Cell::new(0);
-        match timeout(within, exchange(&mut sender, request, &received)).await {
-            Ok(Ok(answer)) => {
+        let answer = exchange(&mut sender, request, timeouts, on_head, &received);
+        match timeout(timeouts.total, answer).await.unwrap_or(Err(ExchangeError::TimedOut)) {
+            Ok(answer) => {
                 self.put_idle(address, sender);
                 Ok(answer)
             }
-            Ok(Err(failed)) => Err(failed),
-            Err(_) => {
+            Err(ExchangeError::Failed(failed)) => Err(failed),
+            Err(ExchangeError::TimedOut) => {
                 if received.get() > 0 {
                     self.answers_cut_off.set(self.answers_cut_off.get() + 1);
                 }
@@ -164,20 +229,26 @@
 async fn exchange(
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
+    timeouts: Timeouts,
+    on_head: impl FnOnce(u16),
     received: &Cell<usize>,
-) -> Result<(u16, Bytes), Failed> {
-    sender.ready().await.map_err(|_| Failed::Unsent)?;
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|error| if error.is_canceled() { Failed::Unsent } else { Failed::Lost })?;
+) -> Result<(u16, Bytes), ExchangeError> {
+    let head = async {
+        sender.ready().await.map_err(|_| Failed::Unsent)?;
+        let response = sender.send_request(request).await;
+        response.map_err(|error| if error.is_canceled() { Failed::Unsent } else { Failed::Lost })
+    };
+    let response = timeout(timeouts.head, head).await.map_err(|_| ExchangeError::TimedOut)??;
     let status = response.status().as_u16();
+    on_head(status);
     let mut body = response.into_body();
     let mut content = Vec::new();
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) =
+        timeout(timeouts.stall, body.frame()).await.map_err(|_| ExchangeError::TimedOut)?
+    {
         let Ok(data) = frame.map_err(|_| Failed::Lost)?.into_data() else { continue };
         if content.len() + data.len() > MAX_ANSWER {
-            return Err(Failed::Lost);
+            return Err(ExchangeError::Failed(Failed::Lost));
         }
         content.extend_from_slice(&data);
         received.set(content.len());
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -12,6 +12,7 @@
 use corianderfork_jobs::Record;
 use corianderfork_jobs::pool::Load;
 use corianderfork_jobs::record::State;
+use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::http::{Client, Failed};
@@ -236,9 +237,30 @@
     ask: &Ask,
     within: Duration,
 ) -> Result<Reply, Failed> {
+    parse_reply(client.call(peer, &build_call(ask), within).await?)
+}
+
+/// Asks a peer for something whose reply may be large: `within` bounds the time until
+/// the head of the answer arrives; see [`Client::call_large`].
+///
+/// # Errors
+///
+/// Fails if there is no answer that can be read.
+pub async fn ask_large(
+    client: &Rc<Client>,
+    peer: SocketAddr,
+    ask: &Ask,
+    within: Duration,
+) -> Result<Reply, Failed> {
+    parse_reply(client.call_large(peer, &build_call(ask), within, |_| {}).await?)
+}
+
+fn build_call(ask: &Ask) -> Call {
     let body = serde_json::to_vec(ask).unwrap_or_default();
-    let call = Call { method: "POST", target: "/peer".to_owned(), headers: Vec::new(), body };
-    let (status, body) = client.call(peer, &call, within).await?;
+    Call { method: "POST", target: "/peer".to_owned(), headers: Vec::new(), body }
+}
+
+fn parse_reply((status, body): (u16, Bytes)) -> Result<Reply, Failed> {
     if status != 200 {
         return Err(Failed::Lost);
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -70,7 +70,7 @@
             within_ms: crate::owner::ms(within),
         };
         let slack = Duration::from_millis(100);
-        match peer::ask(&node.peers, peer, &ask, within + slack).await {
+        match peer::ask_large(&node.peers, peer, &ask, within + slack).await {
             Ok(Reply::Store { status, body, .. })
                 if status != 0 && status != 429 && status != 503 =>
             {
--- a/crates/entry/src/store/way.rs
+++ b/crates/entry/src/store/way.rs
@@ -76,9 +76,16 @@
         within: Duration,
     ) -> Result<(u16, Bytes), Failed> {
         let begun = clock::now();
-        let answer = self.client.call(self.address, call, within).await;
+        let on_head = |status: u16| {
+            if !is_refusal(status) {
+                // The head shows that the store is up: a slow body must not count as an outage.
+                self.answered.set(clock::now());
+                self.outage.borrow_mut().heard(clock::now());
+            }
+        };
+        let answer = self.client.call_large(self.address, call, within, on_head).await;
         let outcome = match &answer {
-            Ok((429 | 503, _)) => "refused",
+            Ok((status, _)) if is_refusal(*status) => "refused",
             Ok(_) => "answered",
             Err(_) => "failed",
         };
@@ -142,7 +149,7 @@
             None => Err(Failed::Unsent),
         };
         match answer {
-            Ok((status, body)) if status != 429 && status != 503 => {
+            Ok((status, body)) if !is_refusal(status) => {
                 self.answered.set(clock::now());
                 Ok((status, body))
             }
@@ -155,5 +162,9 @@
 
 /// Whether the store itself answered, rather than turned the call away.
 fn is_answer(answer: &Result<(u16, Bytes), Failed>) -> bool {
-    matches!(answer, Ok((status, _)) if *status != 429 && *status != 503)
+    matches!(answer, Ok((status, _)) if !is_refusal(*status))
+}
+
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 429 | 503)
 }
