Log the run and the reason when a task is lost with its worker

A task was restarted repeatedly on workers that crashed while running it. For each lost task the log said only "its worker ended or lapsed". It did not say which run was lost, how long it had run, or whether another life of the worker had answered, the worker had been dropped from the list, its VM had been moved or its lease had expired. The log therefore could not distinguish a crash that is not counted from one that is not detected.

`task lost` now names the worker, the run, how long the run had been on that worker as far as its owner knows, and the reason.

--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -104,24 +104,25 @@
     /// A worker's life is over: nothing of it runs any more.
     pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
         self.note("worker gone", None, Some(key), why.to_owned());
+        let Some(worker) = self.workers.get(key) else { return };
+        let names = worker.hosted.keys().copied().collect();
+        // Must precede the removal, or the "task lost" notes lack the worker's ID.
+        self.free_tasks(now, key, names, why);
         let Some(worker) = self.workers.remove(key) else { return };
         self.by_id.remove(&worker.id);
-        self.over.end(now, worker.id.clone());
-        self.free_tasks(now, key, worker.hosted.keys().copied().collect());
+        self.over.end(now, worker.id);
     }
 
-    fn free_tasks(&mut self, now: Time, key: worker::Key, names: Vec<task::Name>) {
+    fn free_tasks(&mut self, now: Time, key: worker::Key, names: Vec<task::Name>, why: &str) {
         for name in names {
             let Some(entry) = self.entry(name.job) else { continue };
-            if entry.place(name).is_some_and(|place| place.worker == key) {
-                self.requeue(name, now);
-                self.note(
-                    "task lost",
-                    Some(name),
-                    Some(key),
-                    "its worker ended or lapsed".to_owned(),
-                );
-            }
+            let Some(place) = entry.place(name).filter(|place| place.worker == key) else {
+                continue;
+            };
+            let elapsed_ms = worker::millis(now - place.since);
+            let why = format!("run {}, on its worker for {elapsed_ms} ms: {why}", place.run);
+            self.requeue(name, now);
+            self.note("task lost", Some(name), Some(key), why);
         }
     }
 
@@ -140,7 +141,7 @@
             worker.hosted.clear();
             worker.strays.clear();
             worker.used = crate::job::Room::default();
-            self.free_tasks(now, key, names);
+            self.free_tasks(now, key, names, "silent past its lease");
         }
     }
 
