Fail jobs whose task repeatedly crashes its workers, and isolate suspects

The tasks running on the same worker were lost each time and restarted together with it: ten of them moved with it from worker to worker.

Cause: a run that was lost with its worker left no trace on its task. Only runs that a worker lists as failed were counted, and a crashed worker lists nothing.

The end of a worker that was neither draining nor vacated now counts as a crash against its runs that had been running for less than 0.3 s when it last answered or, if there are none, against those that had been running for less than 10 s. The count is written at once, so that a successor knows it. A task with a counted crash isn't started on a worker where another such task is starting. After two crashes, no other task is started on its worker until it has started up. The job fails (`task given up`) after three crashes if the task was the only one starting at the last of them, and after four in any case.

Why this works: a task that crashes its worker does so while it is starting, and is the only such task on its next worker. A task that merely shared the worker starts up elsewhere and completes. The bound of five starts still holds if the owner dies with one crash uncounted.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod choose;
+mod crash;
 mod ends;
 mod evacuate;
 mod explain;
@@ -135,6 +136,8 @@
     sought: BTreeSet<Feature>,
     /// On which worker room is kept for a lasting task.
     kept: BTreeMap<task::Name, worker::Key>,
+    /// Starting tasks with earlier worker crashes, and the worker each is starting on.
+    starting_suspects: BTreeMap<task::Name, worker::Key>,
 }
 
 /// Something worth a line in the log.
@@ -172,6 +175,7 @@
             over: Over::default(),
             sought: BTreeSet::new(),
             kept: BTreeMap::new(),
+            starting_suspects: BTreeMap::new(),
         }
     }
 
--- a/crates/jobs/src/pool/choose.rs
+++ b/crates/jobs/src/pool/choose.rs
@@ -50,8 +50,14 @@
         };
         let fit = self.workers.iter().filter(|(_, worker)| is_fit(worker));
         let fit = fit.filter(|(key, _)| self.is_advised(now, name, *key));
-        fit.max_by_key(|(key, worker)| (self.score(worker, name, step), Reverse(*key)))
-            .map(|(key, _)| key)
+        let fit = fit.filter(|(key, _)| self.may_start_beside_suspects(name, *key));
+        let is_suspect = self.crashes(name) > 0;
+        // A suspect prefers a worker with no starting run, to be the only suspect of a crash.
+        let is_preferred = |key| !is_suspect || self.has_no_starting_run(key);
+        fit.max_by_key(|(key, worker)| {
+            (is_preferred(*key), self.score(worker, name, step), Reverse(*key))
+        })
+        .map(|(key, _)| key)
     }
 
     /// Whether a task waits for a worker in the rack of its data.
--- /dev/null
+++ b/crates/jobs/src/pool/crash.rs
@@ -0,0 +1,146 @@
+//! Detection of tasks that crash their workers.
+//!
+//! Such a task crashes the worker soon after it starts, and all other runs on that worker
+//! are lost. The pool can't observe which run caused a crash, so every run that was starting
+//! is a suspect. Suspects are started on separate workers: the unrelated ones then complete,
+//! and the one that causes the crashes becomes the only suspect.
+
+use std::time::Duration;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::table::{Phase, Place};
+use crate::record::State;
+use crate::task;
+use crate::worker;
+
+/// Crashes after which a task is given up if it is the only suspect of the last one.
+const MAX_CRASHES_AS_ONLY_SUSPECT: usize = 3;
+/// Crashes after which a task is given up even if there are other suspects.
+const MAX_CRASHES: usize = 4;
+/// Crashes after which no other task is started on a task's worker while it is starting.
+const ISOLATION_CRASHES: usize = 2;
+/// How long a run counts as starting. Starting runs are the first suspects of a crash.
+const STARTUP: Duration = Duration::from_millis(300);
+/// Runs that have been running for this long are never suspects.
+const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
+
+impl Pool {
+    /// Counts the crash of a worker against each suspect, and fails the jobs of tasks that
+    /// have reached their limit.
+    pub(super) fn count_crash(&mut self, now: Time, key: worker::Key) {
+        let suspects = self.crash_suspects(key);
+        let is_only_suspect = suspects.len() == 1;
+        for (name, run) in suspects {
+            let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) else {
+                continue;
+            };
+            if !task.crashed.contains(&run) {
+                task.crashed.push(run);
+            }
+            let crashes = task.crashed.len();
+            let why = format!("run {run}, crashes: {crashes}, only suspect: {is_only_suspect}");
+            self.note("crash counted", Some(name), Some(key), why);
+            if crashes >= MAX_CRASHES || (crashes >= MAX_CRASHES_AS_ONLY_SUSPECT && is_only_suspect)
+            {
+                let why = format!("suspected of {crashes} worker crashes");
+                self.note("task given up", Some(name), Some(key), why);
+                self.end_job(now, name.job, State::Failed);
+            } else {
+                // Written at once, so that a successor knows of the crash.
+                self.touch(now, name.job, true);
+            }
+        }
+    }
+
+    /// The runs that may have crashed a worker: those that were starting, or if there are
+    /// none, those younger than [`MAX_SUSPECT_AGE`].
+    fn crash_suspects(&self, key: worker::Key) -> Vec<(task::Name, u64)> {
+        let mut suspects = self.runs_younger_than(key, STARTUP);
+        if suspects.is_empty() {
+            suspects = self.runs_younger_than(key, MAX_SUSPECT_AGE);
+        }
+        suspects.dedup();
+        suspects
+    }
+
+    /// Runs on a worker that had been running for less than `age` when it last answered,
+    /// sorted. Each member of a gang is listed under the first member's name.
+    fn runs_younger_than(&self, key: worker::Key, age: Duration) -> Vec<(task::Name, u64)> {
+        let Some(worker) = self.workers.get(key) else { return Vec::new() };
+        let heard = worker.last_heard();
+        let mut runs = Vec::new();
+        for name in worker.hosted.keys() {
+            let Some(entry) = self.entry(name.job).filter(|entry| !entry.state.is_final()) else {
+                continue;
+            };
+            let place = entry.place(*name).filter(|place| place.worker == key);
+            if let Some(place) = place.filter(|place| place.running_for(heard) < age) {
+                runs.push((self.crash_counted_task(*name), place.run));
+            }
+        }
+        runs.sort_unstable();
+        runs
+    }
+
+    /// The task that crashes are counted for: for a member of a gang, its first member.
+    fn crash_counted_task(&self, name: task::Name) -> task::Name {
+        let step = self.entry(name.job).and_then(|entry| entry.step(name));
+        let index = if step.is_some_and(|step| step.gang) { 0 } else { name.index };
+        task::Name { index, ..name }
+    }
+
+    /// The number of worker crashes that a task is suspected of.
+    pub(super) fn crashes(&self, name: task::Name) -> usize {
+        let name = self.crash_counted_task(name);
+        let task = self.entry(name.job).and_then(|entry| entry.task(name));
+        task.map_or(0, |task| task.crashed.len())
+    }
+
+    /// Records the worker that a task is starting on, if it is suspected of a crash.
+    pub(super) fn track_suspect(&mut self, name: task::Name, key: worker::Key) {
+        if self.crashes(name) > 0 {
+            self.starting_suspects.insert(name, key);
+        }
+    }
+
+    /// Removes suspects that are no longer starting, or no longer on their worker.
+    pub(super) fn prune_starting_suspects(&mut self) {
+        let mut suspects = std::mem::take(&mut self.starting_suspects);
+        suspects.retain(|name, key| {
+            let place = self.entry(name.job).and_then(|entry| entry.place(*name));
+            let heard = self.workers.get(*key).and_then(worker::Worker::last_heard);
+            place.is_some_and(|place| place.worker == *key && place.running_for(heard) < STARTUP)
+        });
+        self.starting_suspects = suspects;
+    }
+
+    /// Whether a task may start on a worker despite the suspects that are starting there.
+    pub(super) fn may_start_beside_suspects(&self, name: task::Name, key: worker::Key) -> bool {
+        if self.starting_suspects.is_empty() {
+            return true;
+        }
+        let own = self.crash_counted_task(name);
+        let is_suspect = self.crashes(name) > 0;
+        let others = self.starting_suspects.iter().filter(|(_, on)| **on == key);
+        let mut others = others.map(|(other, _)| self.crash_counted_task(*other));
+        others.all(|other| other == own || !is_suspect && self.crashes(other) < ISOLATION_CRASHES)
+    }
+
+    /// Whether no run on a worker is starting.
+    pub(super) fn has_no_starting_run(&self, key: worker::Key) -> bool {
+        self.runs_younger_than(key, STARTUP).is_empty()
+    }
+}
+
+impl Place {
+    /// How long the run had been running when its worker last answered; zero if it isn't
+    /// known to be running.
+    fn running_for(&self, last_heard: Option<Time>) -> Duration {
+        match (self.phase, last_heard) {
+            (Phase::Running { confirmed }, Some(heard)) if heard > confirmed => heard - confirmed,
+            _ => Duration::ZERO,
+        }
+    }
+}
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -30,6 +30,7 @@
         self.release_ended();
         self.stop_stalled(now);
         self.review_kept(now);
+        self.prune_starting_suspects();
         self.evacuate(now);
         self.pending_orders(now, &mut orders);
         self.stop_strays(now, &mut orders);
@@ -191,6 +192,7 @@
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
         worker.host(name, run, step.room());
         self.use_kept(name, key);
+        self.track_suspect(name, key);
         let Some(worker) = self.workers.get(key) else { return };
         let why = format!("run {run}, {} of {} in use", worker.used.cpu, worker.room.cpu);
         let Some(entry) = self.entry_mut(name.job) else { return };
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -41,6 +41,13 @@
                 task.failed.clone_from(failed);
             }
         }
+        for (key, crashed) in &progress.crashed {
+            if let Some(name) = parse_task(self.id, key)
+                && let Some(task) = self.task_mut(name)
+            {
+                task.crashed.clone_from(crashed);
+            }
+        }
         for (key, saved) in &progress.saved {
             if let Some(name) = parse_task(self.id, key)
                 && let Some(task) = self.task_mut(name)
@@ -83,6 +90,9 @@
                 if !task.failed.is_empty() {
                     progress.failed.insert(key(), task.failed.clone());
                 }
+                if !task.crashed.is_empty() {
+                    progress.crashed.insert(key(), task.crashed.clone());
+                }
                 if matches!(task.at, At::Waiting) && !task.saved.is_empty() {
                     progress.saved.insert(key(), task.saved.to_string());
                 }
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -79,6 +79,8 @@
     pub at: At,
     /// Runs that failed; those of a gang at its first member.
     pub failed: Vec<u64>,
+    /// Runs suspected of crashing their worker; those of a gang at its first member.
+    pub crashed: Vec<u64>,
     pub saved: Rc<str>,
     /// Not to be started before.
     pub not_before: Time,
@@ -125,6 +127,7 @@
         let fresh = Task {
             at: At::Waiting,
             failed: Vec::new(),
+            crashed: Vec::new(),
             saved: Rc::from(""),
             not_before: Time::ZERO,
         };
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -97,6 +97,10 @@
     /// Hears that a worker's life is over: its VM was moved or maintained.
     pub fn gone(&mut self, now: Time, id: &str) {
         if let Some(key) = self.by_id.get(id).copied() {
+            // An expected end isn't counted as a crash.
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.draining = true;
+            }
             self.remove_worker(now, key, "its VM was moved or maintained");
         }
     }
@@ -105,6 +109,10 @@
     pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
         self.note("worker gone", None, Some(key), why.to_owned());
         let Some(worker) = self.workers.get(key) else { return };
+        if !worker.draining && !worker.is_vacating(now) {
+            self.count_crash(now, key);
+        }
+        let Some(worker) = self.workers.get(key) else { return };
         let names = worker.hosted.keys().copied().collect();
         // Must precede the removal, or the "task lost" notes lack the worker's ID.
         self.free_tasks(now, key, names, why);
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -35,6 +35,10 @@
     /// written before, and a run that fails once must not count twice.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub failed: BTreeMap<String, Vec<u64>>,
+    /// The numbers of a task's runs that are suspected of crashing their worker, by
+    /// occurrence, step and index.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashed: BTreeMap<String, Vec<u64>>,
     /// What the last run of a task saved that waits to go on, by occurrence, step and
     /// index. While it runs its worker has it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// When the worker last answered, if it has.
+    pub(crate) fn last_heard(&self) -> Option<Time> {
+        self.clock.map(|(_, at)| at)
+    }
+
     /// The deadline, on the worker's clock, of a lease of `length` from now, if
     /// its clock is known. What is sent counts as granted: an order without an
     /// answer may have been carried out.
