Start up to four suspects of a crash on one worker at once

After a worker crash, each task that had been starting on it was restarted only on a worker where no other such task was starting. In a small pool, these tasks wait for each other: on one worker, 60 of them would take turns of 0.3 s and more, which also delays tasks unrelated to the crash.

Now up to four tasks with one counted crash may be starting on a worker at the same time. A task with two crashes still starts apart from all other suspects. The number of crashes until the job fails is unchanged: the task that causes them has two after its second start.

--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -2,8 +2,9 @@
 //!
 //! Such a task crashes the worker soon after it starts, and all other runs on that worker
 //! are lost. The pool can't observe which run caused a crash, so every run that was starting
-//! is a suspect. Suspects are started on separate workers: the unrelated ones then complete,
-//! and the one that causes the crashes becomes the only suspect.
+//! is a suspect. Few suspects are started on a worker at once, and suspects of two
+//! crashes on separate workers: the unrelated ones then complete, and the one that causes the
+//! crashes becomes the only suspect.
 
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 const MAX_CRASHES: usize = 4;
 /// Crashes after which no other task is started on a task's worker while it is starting.
 const ISOLATION_CRASHES: usize = 2;
+/// Suspects with one counted crash that may be starting on a worker at once. A lower limit delays
+/// unrelated suspects for longer; a higher one loses more of their runs in the next crash.
+const MAX_STARTING_SUSPECTS: usize = 4;
 /// How long a run counts as starting. Starting runs are the first suspects of a crash.
 const STARTUP: Duration = Duration::from_millis(300);
 /// Runs that have been running for this long are never suspects.
@@ -122,10 +126,18 @@
             return true;
         }
         let own = self.crash_counted_task(name);
-        let is_suspect = self.crashes(name) > 0;
-        let others = self.starting_suspects.iter().filter(|(_, on)| **on == key);
-        let mut others = others.map(|(other, _)| self.crash_counted_task(*other));
-        others.all(|other| other == own || !is_suspect && self.crashes(other) < ISOLATION_CRASHES)
+        let on_worker = self.starting_suspects.iter().filter(|(_, on)| **on == key);
+        let other_crashes: Vec<usize> = on_worker
+            .map(|(other, _)| self.crash_counted_task(*other))
+            .filter(|other| *other != own)
+            .map(|other| self.crashes(other))
+            .collect();
+        let is_any_isolated = other_crashes.iter().any(|crashes| *crashes >= ISOLATION_CRASHES);
+        match self.crashes(name) {
+            0 => !is_any_isolated,
+            1 => !is_any_isolated && other_crashes.len() < MAX_STARTING_SUSPECTS,
+            _ => other_crashes.is_empty(),
+        }
     }
 
     /// Whether no run on a worker is starting.
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -24,13 +24,25 @@
     restarts: Vec<(u64, String)>,
     lives: usize,
     crashes: usize,
+    /// The number of runs started on the worker after the crashing task, for each crash.
+    later_starts: Vec<usize>,
+    /// The number of runs lost in each crash, including that of the crashing task.
+    lost_runs: Vec<usize>,
 }
 
 impl Scenario {
     fn new(workers: u16) -> Self {
         let mut world = World::new(workers);
         world.takes = 800;
-        Self { world, crashing: first(JobId(1)), restarts: Vec::new(), lives: 0, crashes: 0 }
+        Self {
+            world,
+            crashing: first(JobId(1)),
+            restarts: Vec::new(),
+            lives: 0,
+            crashes: 0,
+            later_starts: Vec::new(),
+            lost_runs: Vec::new(),
+        }
     }
 
     /// The number of starts of the crashing task.
@@ -55,6 +67,11 @@
     fn crash(&mut self, id: &str) {
         self.crashes += 1;
         let worker = self.world.workers.get_mut(id).expect("a worker");
+        if let Some(crashing) = worker.running.get(&self.crashing) {
+            let later = worker.running.values().filter(|run| run.run > crashing.run);
+            self.later_starts.push(later.count());
+            self.lost_runs.push(worker.running.len());
+        }
         worker.silent = true;
         worker.running.clear();
         self.restarts.push((self.world.now + RESTART_MS, id.to_owned()));
@@ -177,3 +194,67 @@
     scenario.run(15_000);
     assert_eq!(scenario.world.pool.state(job), Some(State::Running));
 }
+
+// Guards against restarting a crashing task without limit if each crash has other suspects.
+#[test]
+fn plan_gives_up_a_crashing_task_that_is_never_the_only_suspect() {
+    let mut scenario = Scenario::new(1);
+    let job = scenario.world.submit(1, vec![step(1, 500)]);
+    for id in 2..400 {
+        scenario.world.submit(id, vec![step(1, 50)]);
+        scenario.run(100);
+    }
+    assert_eq!(scenario.world.pool.state(job), Some(State::Failed));
+    assert!(scenario.crashes <= MAX_STARTS, "{} workers crashed", scenario.crashes);
+}
+
+// Guards against losing the runs of other tasks to a task that has crashed two workers.
+#[test]
+fn plan_starts_nothing_beside_a_task_with_two_crashes() {
+    let mut scenario = Scenario::new(2);
+    scenario.world.submit(1, vec![step(1, 500)]);
+    for id in 2..80 {
+        scenario.world.submit(id, vec![step(4, 500)]);
+    }
+    scenario.run(40_000);
+    assert!(scenario.later_starts[0] > 0, "{:?}", scenario.later_starts);
+    assert!(scenario.later_starts[2..].iter().all(|later| *later == 0));
+    assert!(scenario.later_starts.len() > 2, "{:?}", scenario.later_starts);
+}
+
+// Guards against counting a crash against a run that is past its startup if another is starting.
+#[test]
+fn set_workers_counts_a_crash_against_starting_runs_first() {
+    let mut scenario = Scenario::new(1);
+    scenario.world.takes = 60_000;
+    let old = scenario.world.submit(2, vec![step(1, 500)]);
+    scenario.run(2_000);
+    let crashing = scenario.world.submit(1, vec![step(1, 500)]);
+    scenario.run(6_000);
+    let crashes = |job: &JobId| scenario.world.progress.get(job).map_or(0, |p| p.crashed.len());
+    assert_eq!((crashes(&crashing), crashes(&old)), (1, 0));
+}
+
+// Guards against losing all suspects again by restarting them on one worker at once.
+#[test]
+fn plan_restarts_few_suspects_of_a_crash_together() {
+    let mut scenario = Scenario::new(1);
+    for id in 1..13 {
+        scenario.world.submit(id, vec![step(1, 500)]);
+    }
+    scenario.run(8_000);
+    assert_eq!(scenario.lost_runs[0], 12);
+    assert!(scenario.lost_runs[1] <= 4, "{:?}", scenario.lost_runs);
+}
+
+// Guards against restarting a suspect among starting runs, which makes them suspects too.
+#[test]
+fn plan_restarts_a_suspect_where_nothing_is_starting() {
+    let mut scenario = Scenario::new(3);
+    scenario.world.submit(1, vec![step(1, 500)]);
+    for id in 2..80 {
+        scenario.run(100);
+        scenario.world.submit(id, vec![step(1, 500)]);
+    }
+    assert_eq!(scenario.lost_runs[1..], [1, 1], "{:?}", scenario.lost_runs);
+}
