Test scheduling on workers whose room shrinks and grows

A worker's room can shrink and grow again while it runs tasks, and its entry in the store reflects this. The pool uses the newest entry, but no test covered that.

--- /dev/null
+++ b/crates/jobs/tests/room.rs
@@ -0,0 +1,54 @@
+//! Scheduling on workers whose room changes while they run tasks.
+#![allow(clippy::expect_used)]
+
+mod common;
+
+use common::{World, step};
+
+/// Initial CPU of a worker, in thousandths of a core.
+const INITIAL_CPU: u64 = 8_000;
+const REDUCED_CPU: u64 = 3_000;
+
+fn set_cpu(world: &mut World, cpu: u64) {
+    world.entries[0].room.cpu = cpu;
+    world.list();
+}
+
+fn cpu_in_use(world: &World) -> u64 {
+    world.workers["w0"].running.values().map(|run| run.room.cpu).sum()
+}
+
+// Guards against starting tasks beyond the current room of a worker after it shrinks.
+#[test]
+fn plan_does_not_exceed_reduced_room() {
+    let mut world = World::new(1);
+    for id in 1..40 {
+        world.submit(id, vec![step(2, 1_000)]);
+    }
+    world.run(300);
+    assert_eq!(cpu_in_use(&world), INITIAL_CPU);
+    set_cpu(&mut world, REDUCED_CPU);
+    let mut last = cpu_in_use(&world);
+    for _ in 0..30 {
+        world.run(100);
+        let now = cpu_in_use(&world);
+        assert!(now <= REDUCED_CPU.max(last), "{now} in use after {last}");
+        last = now.max(REDUCED_CPU);
+    }
+    assert_eq!(cpu_in_use(&world), REDUCED_CPU);
+}
+
+// Guards against leaving room idle after it grows back.
+#[test]
+fn plan_uses_restored_room() {
+    let mut world = World::new(1);
+    set_cpu(&mut world, REDUCED_CPU);
+    for id in 1..40 {
+        world.submit(id, vec![step(2, 1_000)]);
+    }
+    world.run(300);
+    assert_eq!(cpu_in_use(&world), REDUCED_CPU);
+    set_cpu(&mut world, INITIAL_CPU);
+    world.run(300);
+    assert_eq!(cpu_in_use(&world), INITIAL_CPU);
+}
