Stop an unanswered start instead of resending it when the worker's room has shrunk

A worker that does not check its room would run the task and exceed the room it has left.

While the runs on a worker take more than its room, all unanswered starts there are now stopped as they become due.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -9,8 +9,9 @@
 use super::Pool;
 use super::ends::AVOID;
 use super::table::{At, Phase};
+use crate::job::Room;
 use crate::task;
-use crate::worker;
+use crate::worker::{self, Worker};
 
 /// When an order without an answer is sent again: an answer takes a few
 /// milliseconds, and a repeated order is harmless.
@@ -210,6 +211,11 @@
             };
             let (key, run) = (place.worker, place.run);
             match place.phase {
+                // The room may have shrunk since the start was first sent, and the
+                // worker may not check it.
+                Phase::Starting { again } if now >= again && self.is_over_room(key) => {
+                    self.ask_stop(now, name);
+                }
                 Phase::Starting { again } if now >= again => self.start_again(now, name, orders),
                 Phase::Stopping { again, .. } if now >= again => {
                     if let Some(entry) = self.entry_mut(name.job)
@@ -225,6 +231,11 @@
         }
     }
 
+    fn is_over_room(&self, key: worker::Key) -> bool {
+        let is_over = |worker: &Worker| !worker.room.fits(&worker.used, &Room::default());
+        self.workers.get(key).is_some_and(is_over)
+    }
+
     fn start_again(&mut self, now: Time, name: task::Name, orders: &mut Vec<Order>) {
         let Some(entry) = self.entry_mut(name.job) else { return };
         let spec = entry.spec.clone();
--- a/crates/jobs/tests/room.rs
+++ b/crates/jobs/tests/room.rs
@@ -52,3 +52,17 @@
     world.run(300);
     assert_eq!(cpu_in_use(&world), INITIAL_CPU);
 }
+
+// Guards against resending an unanswered start to a worker whose room has shrunk.
+#[test]
+fn plan_does_not_repeat_a_start_beyond_reduced_room() {
+    let mut world = World::new(1);
+    world.takes = 60_000;
+    world.submit(1, vec![step(8, 1_000)]);
+    world.workers.get_mut("w0").expect("a worker").silent = true;
+    assert_eq!(world.plan().len(), 8);
+    world.workers.get_mut("w0").expect("a worker").silent = false;
+    set_cpu(&mut world, REDUCED_CPU);
+    world.run(2_000);
+    assert_eq!(cpu_in_use(&world), REDUCED_CPU);
+}
