Count worker crashes that a failed owner missed, and clear old ones

A worker crash is noticed 3 to 5 s later, when another life of the worker answers or its lease has expired. If the owner died or handed over in the meantime, the crash was not recorded: the successor finds the worker gone and doesn't know what ran there. With a takeover after each crash, a task that crashes its workers was again restarted without a limit. In addition, the crashes of a long-running task were never cleared: crashes weeks apart would have failed its job.

The start of a task with a counted crash is now written as if it were a crash: a run that isn't found running and isn't listed as ended by its worker counts. The entry is removed once the run has started up, has ended or was found. A task that has reached the limit isn't started, by a successor neither. A run of 10 s clears the crashes of its task.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -136,8 +136,8 @@
     sought: BTreeSet<Feature>,
     /// On which worker room is kept for a lasting task.
     kept: BTreeMap<task::Name, worker::Key>,
-    /// Starting tasks with earlier worker crashes, and the worker each is starting on.
-    starting_suspects: BTreeMap<task::Name, worker::Key>,
+    /// Tracked runs of tasks that are suspected of a crash.
+    suspects: BTreeMap<task::Name, crash::Suspect>,
 }
 
 /// Something worth a line in the log.
@@ -175,7 +175,7 @@
             over: Over::default(),
             sought: BTreeSet::new(),
             kept: BTreeMap::new(),
-            starting_suspects: BTreeMap::new(),
+            suspects: BTreeMap::new(),
         }
     }
 
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -30,6 +30,14 @@
 /// Runs that have been running for this long are never suspects.
 const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
 
+/// A tracked run of a task that is suspected of a crash.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Suspect {
+    worker: worker::Key,
+    run: u64,
+    is_starting: bool,
+}
+
 impl Pool {
     /// Counts the crash of a worker against each suspect, and fails the jobs of tasks that
     /// have reached their limit.
@@ -40,6 +48,7 @@
             let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) else {
                 continue;
             };
+            task.starting_run = None;
             if !task.crashed.contains(&run) {
                 task.crashed.push(run);
             }
@@ -48,9 +57,7 @@
             self.note("crash counted", Some(name), Some(key), why);
             if crashes >= MAX_CRASHES || (crashes >= MAX_CRASHES_AS_ONLY_SUSPECT && is_only_suspect)
             {
-                let why = format!("suspected of {crashes} worker crashes");
-                self.note("task given up", Some(name), Some(key), why);
-                self.end_job(now, name.job, State::Failed);
+                self.fail_suspect(now, name);
             } else {
                 // Written at once, so that a successor knows of the crash.
                 self.touch(now, name.job, true);
@@ -58,6 +65,21 @@
         }
     }
 
+    /// Fails the job of a task that has reached [`MAX_CRASHES`], and returns whether it has.
+    pub(super) fn fail_at_crash_limit(&mut self, now: Time, name: task::Name) -> bool {
+        let has_reached_limit = self.crashes(name) >= MAX_CRASHES;
+        if has_reached_limit {
+            self.fail_suspect(now, name);
+        }
+        has_reached_limit
+    }
+
+    fn fail_suspect(&mut self, now: Time, name: task::Name) {
+        let why = format!("suspected of {} worker crashes", self.crashes(name));
+        self.note("task given up", Some(name), None, why);
+        self.end_job(now, name.job, State::Failed);
+    }
+
     /// The runs that may have crashed a worker: those that were starting, or if there are
     /// none, those younger than [`MAX_SUSPECT_AGE`].
     fn crash_suspects(&self, key: worker::Key) -> Vec<(task::Name, u64)> {
@@ -102,31 +124,93 @@
         task.map_or(0, |task| task.crashed.len())
     }
 
-    /// Records the worker that a task is starting on, if it is suspected of a crash.
-    pub(super) fn track_suspect(&mut self, name: task::Name, key: worker::Key) {
-        if self.crashes(name) > 0 {
-            self.starting_suspects.insert(name, key);
+    /// Tracks a run of a task that is suspected of a crash.
+    ///
+    /// The start is written at once as a crash, so that it counts if the worker crashes and
+    /// the owner is replaced before it notices. A successor that finds the run on a worker, or
+    /// ended, removes it again.
+    pub(super) fn track_suspect(
+        &mut self,
+        now: Time,
+        name: task::Name,
+        key: worker::Key,
+        run: u64,
+    ) {
+        if self.crashes(name) == 0 {
+            return;
         }
+        self.suspects.insert(name, Suspect { worker: key, run, is_starting: true });
+        self.set_starting_run(name, Some(run));
+        self.touch(now, name.job, true);
     }
 
-    /// Removes suspects that are no longer starting, or no longer on their worker.
-    pub(super) fn prune_starting_suspects(&mut self) {
-        let mut suspects = std::mem::take(&mut self.starting_suspects);
-        suspects.retain(|name, key| {
-            let place = self.entry(name.job).and_then(|entry| entry.place(*name));
-            let heard = self.workers.get(*key).and_then(worker::Worker::last_heard);
-            place.is_some_and(|place| place.worker == *key && place.running_for(heard) < STARTUP)
-        });
-        self.starting_suspects = suspects;
+    /// Removes a counted crash whose run was found on its worker, or ended there.
+    pub(super) fn remove_crash(&mut self, name: task::Name, run: u64) {
+        let name = self.crash_counted_task(name);
+        if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
+            task.crashed.retain(|crashed| *crashed != run);
+        }
+    }
+
+    fn set_starting_run(&mut self, name: task::Name, run: Option<u64>) {
+        let name = self.crash_counted_task(name);
+        if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
+            task.starting_run = run;
+        }
+    }
+
+    /// Updates the tracked suspects: those older than [`STARTUP`] no longer count as starting,
+    /// and the crashes of tasks whose run reaches [`MAX_SUSPECT_AGE`] are cleared.
+    pub(super) fn review_suspects(&mut self, now: Time) {
+        let suspects: Vec<(task::Name, Suspect)> =
+            self.suspects.iter().map(|(name, suspect)| (*name, *suspect)).collect();
+        for (name, suspect) in suspects {
+            let age = self.suspect_age(name, &suspect);
+            if age.is_some_and(|age| age < STARTUP) {
+                continue;
+            }
+            if suspect.is_starting {
+                self.set_starting_run(name, None);
+                self.touch(now, name.job, false);
+            }
+            match age {
+                Some(age) if age < MAX_SUSPECT_AGE => {
+                    self.suspects.insert(name, Suspect { is_starting: false, ..suspect });
+                }
+                Some(_) => {
+                    self.clear_crashes(now, name);
+                    self.suspects.remove(&name);
+                }
+                None => drop(self.suspects.remove(&name)),
+            }
+        }
+    }
+
+    /// How long a suspect had been running when its worker last answered; `None` if it is
+    /// no longer on that worker.
+    fn suspect_age(&self, name: task::Name, suspect: &Suspect) -> Option<Duration> {
+        let place = self.entry(name.job)?.place(name)?;
+        let heard = self.workers.get(suspect.worker)?.last_heard();
+        let is_same_run = place.worker == suspect.worker && place.run == suspect.run;
+        is_same_run.then(|| place.running_for(heard))
+    }
+
+    fn clear_crashes(&mut self, now: Time, name: task::Name) {
+        let counted = self.crash_counted_task(name);
+        if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(counted)) {
+            task.crashed.clear();
+            self.touch(now, name.job, false);
+        }
     }
 
     /// Whether a task may start on a worker despite the suspects that are starting there.
     pub(super) fn may_start_beside_suspects(&self, name: task::Name, key: worker::Key) -> bool {
-        if self.starting_suspects.is_empty() {
+        if self.suspects.is_empty() {
             return true;
         }
         let own = self.crash_counted_task(name);
-        let on_worker = self.starting_suspects.iter().filter(|(_, on)| **on == key);
+        let is_starting_there = |suspect: &Suspect| suspect.worker == key && suspect.is_starting;
+        let on_worker = self.suspects.iter().filter(|(_, suspect)| is_starting_there(suspect));
         let other_crashes: Vec<usize> = on_worker
             .map(|(other, _)| self.crash_counted_task(*other))
             .filter(|other| *other != own)
--- a/crates/jobs/src/pool/ends.rs
+++ b/crates/jobs/src/pool/ends.rs
@@ -47,6 +47,7 @@
             worker.release(name, ended.run);
             worker.pending.remove(&ended.number);
         }
+        self.remove_crash(name, ended.run);
         let began = self.clear_place(now, key, ended);
         match ended.how {
             How::Done => self.task_done(now, key, ended, began),
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -31,6 +31,9 @@
         if !names.iter().all(is_ready) {
             return;
         }
+        if self.fail_at_crash_limit(now, names[0]) {
+            return;
+        }
         let racks = if step.same_rack { self.racks() } else { Vec::new() };
         let may_spread = !step.same_rack || !self.is_patient(now, names[0], step);
         let seats = racks
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -30,7 +30,7 @@
         self.release_ended();
         self.stop_stalled(now);
         self.review_kept(now);
-        self.prune_starting_suspects();
+        self.review_suspects(now);
         self.evacuate(now);
         self.pending_orders(now, &mut orders);
         self.stop_strays(now, &mut orders);
@@ -166,6 +166,9 @@
             if !matches!(task.at, At::Waiting) || now < task.not_before {
                 continue;
             }
+            if self.fail_at_crash_limit(now, name) {
+                return;
+            }
             let Some(key) = self.choose(now, name, step, None) else {
                 // A later one of the step may have room kept.
                 if self.keeps_for(turn) {
@@ -192,7 +195,6 @@
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
         worker.host(name, run, step.room());
         self.use_kept(name, key);
-        self.track_suspect(name, key);
         let Some(worker) = self.workers.get(key) else { return };
         let why = format!("run {run}, {} of {} in use", worker.used.cpu, worker.room.cpu);
         let Some(entry) = self.entry_mut(name.job) else { return };
@@ -200,6 +202,7 @@
         let saved = entry.task(name).map(|task| task.saved.clone()).unwrap_or_default();
         let phase = Phase::Starting { again: now + ANSWER };
         entry.put(name, At::On(Place::new(key, run, now, phase)));
+        self.track_suspect(now, name, key, run);
         let ticket = self.ticket(name, key);
         let what = What::Start { spec, deadline_ms, saved, ticket };
         orders.extend(self.order(key, name, run, what));
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -90,8 +90,10 @@
                 if !task.failed.is_empty() {
                     progress.failed.insert(key(), task.failed.clone());
                 }
-                if !task.crashed.is_empty() {
-                    progress.crashed.insert(key(), task.crashed.clone());
+                let mut crashed = task.crashed.clone();
+                crashed.extend(task.starting_run);
+                if !crashed.is_empty() {
+                    progress.crashed.insert(key(), crashed);
                 }
                 if matches!(task.at, At::Waiting) && !task.saved.is_empty() {
                     progress.saved.insert(key(), task.saved.to_string());
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -44,6 +44,7 @@
     /// Takes over a run that a predecessor started.
     fn adopt(&mut self, now: Time, key: worker::Key, running: &Running) {
         let name = running.task;
+        self.remove_crash(name, running.run);
         let Some(entry) = self.entry_mut(name.job) else { return };
         let Some(room) = entry.step(name).map(super::super::job::Step::room) else { return };
         let mut place = Place::new(key, running.run, now, Phase::Running { confirmed: now });
@@ -54,6 +55,7 @@
             worker.host(name, running.run, room);
         }
         self.mark_running(name);
+        self.track_suspect(now, name, key, running.run);
         self.note("task adopted", Some(name), Some(key), format!("run {}", running.run));
     }
 
--- a/crates/jobs/src/pool/table.rs
+++ b/crates/jobs/src/pool/table.rs
@@ -81,6 +81,8 @@
     pub failed: Vec<u64>,
     /// Runs suspected of crashing their worker; those of a gang at its first member.
     pub crashed: Vec<u64>,
+    /// The starting run of a task with a counted crash; that of a gang at its first member.
+    pub starting_run: Option<u64>,
     pub saved: Rc<str>,
     /// Not to be started before.
     pub not_before: Time,
@@ -128,6 +130,7 @@
             at: At::Waiting,
             failed: Vec::new(),
             crashed: Vec::new(),
+            starting_run: None,
             saved: Rc::from(""),
             not_before: Time::ZERO,
         };
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -130,7 +130,7 @@
     let mut scenario = Scenario::new(4);
     let job = scenario.world.submit(1, vec![step(1, 1_000)]);
     for takeover in [1, 2] {
-        while scenario.crashes < 2 * takeover {
+        while scenario.crashes < 2 * takeover && scenario.world.now < 60_000 {
             scenario.run(100);
         }
         scenario.take_over(FENCE + 50 * takeover as u64);
@@ -258,3 +258,43 @@
     }
     assert_eq!(scenario.lost_runs[1..], [1, 1], "{:?}", scenario.lost_runs);
 }
+
+// Guards against losing a crash whose owner is replaced before it notices.
+#[test]
+fn accept_by_a_successor_counts_a_crash_that_nobody_has_noticed() {
+    let mut scenario = Scenario::new(4);
+    let job = scenario.world.submit(1, vec![step(1, 1_000)]);
+    for takeover in 1..10 {
+        // The first crash is noticed; each later one is followed by a takeover.
+        let (crashes, end) = (scenario.crashes.max(1), scenario.world.now + 30_000);
+        while scenario.crashes <= crashes && scenario.world.now < end {
+            scenario.run(100);
+        }
+        scenario.take_over(FENCE + 50 * takeover);
+    }
+    scenario.run(40_000);
+    assert_eq!(scenario.world.pool.state(job), Some(State::Failed));
+    assert!(scenario.crashes <= MAX_STARTS, "{} workers crashed", scenario.crashes);
+}
+
+// Guards against failing a long-running job for crashes that are far apart.
+#[test]
+fn plan_forgets_the_crashes_of_a_task_that_runs_for_long() {
+    let mut scenario = Scenario::new(3);
+    scenario.crashing = first(JobId(99));
+    scenario.world.takes = 60_000;
+    let job = scenario.world.submit(1, vec![step(1, 500)]);
+    for _ in 0..6 {
+        // Its worker crashes once while it is starting, and once after a long run.
+        for running_ms in [0, 20_000] {
+            while scenario.world.where_runs(first(job)).is_empty() && scenario.world.now < 400_000 {
+                scenario.run(100);
+            }
+            scenario.run(running_ms);
+            let id = scenario.world.where_runs(first(job))[0].to_owned();
+            scenario.crash(&id);
+        }
+    }
+    scenario.run(20_000);
+    assert_eq!(scenario.world.pool.state(job), Some(State::Running));
+}
