Bound what a former owner granted by when its worker refuses it

Cause: an owner that takes over behind a holder that was killed works out once until when earlier holders may grant leases, 10.5 s and a lease, and takes that for each worker of the roster. A worker that has answered under its fence refuses all earlier holders, but the bound stayed: when that worker crashed, its tasks waited for leases that nobody could have renewed.

The pure test was red before, too: the task had no run 6 s after its worker fell silent, with predecessors' grants bounded at 60 s.

Why it works: what predecessors granted before the worker's first answer under the new fence ends one lease after that answer, on the owner's clock 3% later; a worker does nothing for a lower fence. The tasks of workers that were never reached wait as before.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -12,7 +12,7 @@
 
 use corianderfork_jobs::JobId;
 use corianderfork_jobs::pool::{Config, Pool};
-use corianderfork_jobs::worker::{self};
+use corianderfork_jobs::worker;
 use corianderfork_model::Time;
 use serde_json::json;
 use tokio::sync::{Notify, oneshot};
@@ -78,7 +78,7 @@
     pub fn start(node: &Rc<Node>, name: &str, fence: u64, past: Past) -> Rc<Self> {
         let lease = LEASE.min(node.settings.max_lease);
         let remember = node.settings.remember + Duration::from_secs(5);
-        let bound = past.may_grant + lease.mul_f64(1.03);
+        let bound = past.may_grant + worker::longest(lease);
         let config = Config::new(fence, clock::now() + bound)
             .lease(lease)
             .remember(remember)
--- a/crates/jobs/src/pool/look.rs
+++ b/crates/jobs/src/pool/look.rs
@@ -106,7 +106,13 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.heard(now, report.clock_ms);
         worker.unanswered = 0;
-        worker.fenced = true;
+        if !worker.fenced {
+            worker.fenced = true;
+            // From here on the worker refuses predecessors: what they granted ends
+            // within one lease, however long they go on elsewhere.
+            let until = now + worker::longest(self.config.lease);
+            worker.inherited_until = worker.inherited_until.min(until);
+        }
         for ended in &report.ended {
             self.take_end_once(now, key, ended);
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -18,7 +18,21 @@
 
 /// A worker's clock may run slow by this share, in percent: what the platform
 /// promises of its clocks.
-const CLOCK_SLOW_PERCENT: u64 = 2;
+const CLOCK_SLOW_PERCENT: u32 = 2;
+
+/// How long a lease of `length` may hold on the clock of the process that granted it:
+/// the worker's clock may be slow, by a little more between an answer of the worker and
+/// the grant.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let length = Duration::from_secs(4);
+/// assert_eq!(corianderfork_jobs::worker::longest(length), Duration::from_millis(4_120));
+/// ```
+pub fn longest(length: Duration) -> Duration {
+    length * (100 + CLOCK_SLOW_PERCENT + 1) / 100
+}
 
 /// How long a worker that is to be maintained waits for room elsewhere: longer
 /// than it takes to move another one into the pool.
@@ -201,7 +215,7 @@
     pub(crate) fn lapses(&self) -> Time {
         let Some((clock, at)) = self.clock else { return self.inherited_until };
         let left = self.granted_ms.saturating_sub(clock);
-        let stretched = left * 100 / (100 - CLOCK_SLOW_PERCENT) + 1;
+        let stretched = left * 100 / u64::from(100 - CLOCK_SLOW_PERCENT) + 1;
         (at + Duration::from_millis(stretched)).max(self.inherited_until)
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{FENCE, World, at, first, owner, step};
-use corianderfork_jobs::pool::What;
+use corianderfork_jobs::pool::{Config, Pool, What};
 use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::Name;
 use corianderfork_jobs::{Job, JobId};
@@ -153,3 +153,36 @@
     world.look_at(world.key("w1"));
     assert_eq!(world.plan().len(), 1);
 }
+
+// Guards against tasks that wait for a predecessor where a worker has refused it already.
+#[test]
+fn plan_by_a_successor_frees_tasks_of_a_worker_it_has_fenced() {
+    let mut world = World::new(2);
+    world.takes = 600_000;
+    let job = world.submit(1, vec![step(1, 1_000)]);
+    world.plan();
+    let holder = world.where_runs(first(job))[0].to_owned();
+    let seats = world.pool.roster_seats();
+    let grants_end = at(world.now + 60_000);
+    world.pool = Pool::new(Config::new(FENCE + 50, grants_end));
+    world.pool.set_queues(common::queues());
+    world.pool.set_roster(seats);
+    world.settle();
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+    };
+    world.pool.accept(at(world.now), Duration::ZERO, job, &record, None, FENCE + 1);
+    world.run(200);
+    assert_eq!(world.where_runs(first(job)), [holder.as_str()], "it was adopted");
+    world.workers.get_mut(&holder).expect("a worker").silent = true;
+    world.entries.retain(|entry| entry.id != holder);
+    world.list();
+    world.run(3_000);
+    assert_eq!(world.where_runs(first(job)), [holder.as_str()], "its lease holds");
+    world.run(3_000);
+    let now = world.where_runs(first(job));
+    assert_eq!(now.len(), 1);
+    assert_ne!(now, [holder.as_str()], "its lease has ended");
+}
