Look again at former owners during a takeover, and ask them all

Cause: an owner that takes over behind a holder that was killed waits for the one before that, as long as it may hold on and a lease. The wait was worked out once, when the duty was taken. That the former owner registered anew later, or had given way and told until when its grants hold, changed nothing.

Change: predecessor::Tracker keeps what is known of each former owner. All that may still grant are asked, not the last one alone, again every 0.5 s while tasks wait; the answer names the process, so that another process of the same name shows that the former one has ended. What the store shows of members is looked at again, too. An owner that gives no more orders remembers until when its grants hold, and tells whoever replaces it later. A record that was handed over counts as ended: its holder ceased before it wrote that. The wait stays where a former owner may live and can't be asked.

Looking again when a member registers doesn't help where the former owner has no way to the store; the word of one that gave way written into the record costs a write a takeover and is lost with a frozen successor. Asking covers both.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -77,6 +77,21 @@
     pub before: Vec<Former>,
 }
 
+impl Former {
+    /// Whether both name one process, wherever it was reached.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.name == other.name && self.boot == other.boot
+    }
+}
+
+impl Holder {
+    /// It and those before it.
+    fn all(&self) -> impl Iterator<Item = Former> + '_ {
+        let last = Former { name: self.name.clone(), boot: self.boot, peers: self.peers };
+        std::iter::once(last).chain(self.before.iter().cloned())
+    }
+}
+
 /// One that held a duty.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Former {
@@ -84,13 +99,18 @@
     pub name: String,
     /// Its start.
     pub boot: u64,
+    /// Where peers reach it, if that is known.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
 }
 
 /// What one that takes a duty has to know of those before it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Past {
-    /// The last holder.
-    pub holder: Holder,
+    /// Those that held it, newest first. One without a name has handed it over.
+    pub formers: Vec<Former>,
+    /// Whether no former holder is missing among them.
+    pub is_complete: bool,
     /// How much longer it, or one before it, may grant leases if it doesn't answer.
     pub may_grant: Duration,
 }
@@ -151,8 +171,14 @@
 
     /// What is known of those that hold a duty up to now.
     pub fn past(&self, now: Time, duty: &str) -> Past {
-        let holder = self.duties.get(duty).map(|record| record.holder.clone());
-        Past { holder: holder.unwrap_or_default(), may_grant: self.may_grant(now, duty) }
+        let may_grant = self.may_grant(now, duty);
+        let Some(Record { holder, .. }) = self.duties.get(duty) else {
+            return Past { may_grant, ..Past::default() };
+        };
+        // A record that can't be read names nobody, and has no address either.
+        let is_read = !holder.name.is_empty() || holder.peers.is_some();
+        let is_complete = is_read && holder.before.len() < FORMERS;
+        Past { formers: holder.all().collect(), is_complete, may_grant }
     }
 
     /// How much longer those that held a duty up to now may grant leases on its
@@ -179,12 +205,10 @@
     /// Those whom the next holder of a duty names as before it.
     pub fn formers(&self, duty: &str) -> Vec<Former> {
         let Some(Record { holder, .. }) = self.duties.get(duty) else { return Vec::new() };
-        let last = Former { name: holder.name.clone(), boot: holder.boot };
-        let all = std::iter::once(last).chain(holder.before.iter().cloned());
         let is_meant = |former: &Former| {
             !former.name.is_empty() && !self.has_restarted(&former.name, former.boot)
         };
-        all.filter(is_meant).take(FORMERS).collect()
+        holder.all().filter(is_meant).take(FORMERS).collect()
     }
 
     /// Whether the holder of a record is known to live.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,8 +2,8 @@
 //! pools, and perhaps plans for the fleet. One process, all alike, that keeps
 //! nothing; see `docs/DEPLOYMENT.md`.
 //!
-//! What it decides is pure and lies in `corianderfork_jobs`, in [`duty`] and in
-//! [`places`]; the rest brings that and the world together, as tasks of one thread.
+//! What it decides is pure and lies in `corianderfork_jobs`, in [`duty`], in
+//! [`predecessor`] and in [`places`]; the rest brings that and the world together, as tasks of one thread.
 
 pub mod absence;
 pub mod admission;
@@ -15,6 +15,7 @@
 pub mod lookup;
 pub mod outage;
 pub mod places;
+pub mod predecessor;
 pub mod rendezvous;
 pub mod settings;
 pub mod tries;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -153,7 +153,10 @@
 
 async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
     match ask {
-        Ask::Retire { duty, fence } => Reply::Retired { grants: node.give_way(&duty, fence) },
+        Ask::Retire { duty, fence } => {
+            let grants = node.give_way(&duty, fence);
+            Reply::Retired { grants, process: Some(node.process()) }
+        }
         Ask::Store { method, target, body, within_ms } => {
             relay::relayed(node, &method, target, body, within_ms).await
         }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -168,9 +168,8 @@
         let is_taking = node.taking.borrow().contains(duty);
         let is_over = node.has_given_up(duty, record.revision);
         if node.is_me(&record.holder) && !is_taking && !is_held(node, duty) && !is_over {
-            // It is its own: whom it took the duty from isn't known any more.
             let past = node.table.borrow().past(clock::now(), duty);
-            begin(node, duty, record.revision, Past { holder: Holder::default(), ..past });
+            begin(node, duty, record.revision, past);
         }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,11 +13,11 @@
 use tokio::sync::Notify;
 
 use crate::clock;
-use crate::duty::{Holder, Table};
+use crate::duty::{Former, Holder, Table};
 use crate::heard::Heard;
 use crate::http::{Client, Failed};
 use crate::metrics::Metrics;
-use crate::owner::Owner;
+use crate::owner::{Owner, ms};
 use crate::peer::{self, Ask, Reply};
 use crate::places::{Entry, Search, queue_key};
 use crate::settings::Settings;
@@ -35,6 +35,16 @@
 /// A pause between two looks after duties that only a freeze of the process explains.
 pub const FROZEN: Duration = Duration::from_millis(900);
 
+/// Grants of an owner that gives no more orders.
+pub struct Granted {
+    /// The owner's fence.
+    pub fence: u64,
+    /// When it ceased.
+    pub at: Time,
+    /// How many milliseconds they held from then, by worker's life.
+    pub left_ms: BTreeMap<String, u64>,
+}
+
 /// The state of one daemon.
 pub struct Node {
     /// What it was told at its start.
@@ -61,6 +71,8 @@
     pub owners: RefCell<HashMap<String, Rc<Owner>>>,
     /// Duties that another one said it has taken, with its fence.
     pub given_up: RefCell<HashMap<String, u64>>,
+    /// What this daemon's last owner of a pool had granted when it gave no more orders.
+    pub granted: RefCell<HashMap<String, Granted>>,
     /// Duties that are being taken.
     pub taking: RefCell<HashSet<String>>,
     /// The fence of the fleet's planner, while this daemon is it.
@@ -133,6 +145,12 @@
         Holder { name, boot: self.boot, peers: Some(self.settings.peers), before: Vec::new() }
     }
 
+    /// This start of this daemon, for peers.
+    pub fn process(&self) -> Former {
+        let name = self.settings.name.as_str().to_owned();
+        Former { name, boot: self.boot, peers: Some(self.settings.peers) }
+    }
+
     /// Whether a record names this start of this daemon.
     pub fn is_me(&self, holder: &Holder) -> bool {
         holder.boot == self.boot && holder.name == self.settings.name.as_str()
@@ -146,8 +164,17 @@
         let mut given_up = self.given_up.borrow_mut();
         let known = given_up.entry(duty.to_owned()).or_default();
         *known = fence.max(*known);
+        drop(given_up);
         let owner = self.owners.borrow().get(duty).cloned();
-        owner.and_then(|owner| owner.give_way(fence))
+        if owner.is_some_and(|owner| !owner.give_way(fence)) {
+            return None;
+        }
+        let now = clock::now();
+        let granted = self.granted.borrow();
+        let granted = granted.get(duty).filter(|granted| granted.fence < fence)?;
+        let passed = ms(now - granted.at);
+        let left = |(id, left): (&String, &u64)| (id.clone(), left.saturating_sub(passed));
+        Some(granted.left_ms.iter().map(left).collect())
     }
 
     /// Whether a duty's record of this revision is over: a later holder said so.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -2,11 +2,12 @@
 
 mod advise;
 mod load;
+mod predecessors;
 mod work;
 mod write;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,10 +21,11 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::duty::{Holder, Past};
+use crate::duty::Past;
 use crate::lookup::{job_key, run_key};
-use crate::node::Node;
+use crate::node::{Granted, Node};
 use crate::peer::{Ask, Reply};
+use crate::predecessor::Tracker;
 
 /// The prefix of where a pool's workers are.
 const ROSTERS: &str = "roster/";
@@ -48,6 +50,8 @@
     name: String,
     /// What is known and decided.
     pub pool: RefCell<Pool>,
+    /// Those that owned the pool before.
+    predecessors: RefCell<Tracker>,
     /// Told when there is something to plan for.
     pub wake: Notify,
     /// Whether the list of workers changed.
@@ -78,8 +82,13 @@
     pub fn start(node: &Rc<Node>, name: &str, fence: u64, past: Past) -> Rc<Self> {
         let lease = LEASE.min(node.settings.max_lease);
         let remember = node.settings.remember + Duration::from_secs(5);
-        let bound = past.may_grant + worker::longest(lease);
-        let config = Config::new(fence, clock::now() + bound)
+        let now = clock::now();
+        let Past { formers, is_complete, may_grant } = past;
+        let mut predecessors = Tracker::new(now, formers, is_complete, lease);
+        // This process has no other owner of the pool.
+        predecessors.end(now, &node.process());
+        node.granted.borrow_mut().remove(name);
+        let config = Config::new(fence, now + may_grant + worker::longest(lease))
             .lease(lease)
             .remember(remember)
             .remote(node.settings.remote);
@@ -87,6 +96,7 @@
             node: node.clone(),
             name: name.to_owned(),
             pool: RefCell::new(Pool::new(config)),
+            predecessors: RefCell::new(predecessors),
             wake: Notify::new(),
             list_changed: Cell::new(true),
             journal: Notify::new(),
@@ -102,7 +112,7 @@
             writes: Cell::new(0),
             taken: Cell::new(0),
         });
-        spawn_local(owner.clone().run(past.holder));
+        spawn_local(owner.clone().run());
         owner
     }
 
@@ -127,14 +137,19 @@
             self.node
                 .trace
                 .line("duty left", json!({ "duty": self.name, "fence": self.fence(), "why": why }));
+            let at = clock::now();
+            if let Some(left_ms) = self.pool.borrow().grants(at) {
+                let granted = Granted { fence: self.fence(), at, left_ms };
+                self.node.granted.borrow_mut().insert(self.name.clone(), granted);
+            }
             self.wake.notify_one();
             self.journal.notify_one();
         }
     }
 
-    async fn run(self: Rc<Self>, before: Holder) {
+    async fn run(self: Rc<Self>) {
         let begun = clock::now();
-        self.load(before).await;
+        self.load().await;
         if self.retired.get() {
             return;
         }
@@ -144,6 +159,7 @@
             json!({ "duty": self.name, "fence": self.fence(), "jobs": self.taken.get(),
                 "took_ms": ms(clock::now() - begun) }),
         );
+        spawn_local(self.clone().follow_predecessors());
         spawn_local(self.clone().write_loop());
         spawn_local(self.clone().follow_jobs());
         self.plan_loop().await;
@@ -267,13 +283,13 @@
         }
     }
 
-    /// Ends for another holder, and tells what was granted.
-    pub fn give_way(&self, fence: u64) -> Option<BTreeMap<String, u64>> {
-        if fence <= self.fence() {
-            return None;
+    /// Ends for another holder with `fence`, unless that is an older one. Whether it has
+    /// ended.
+    pub fn give_way(&self, fence: u64) -> bool {
+        if fence > self.fence() {
+            self.retire("another holder says so");
         }
-        self.retire("another holder says so");
-        self.pool.borrow().grants(clock::now())
+        self.retired.get()
     }
 }
 
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -12,28 +12,24 @@
 
 use super::{Owner, ROSTERS, WRITES, ms};
 use crate::clock;
-use crate::duty::Holder;
 use crate::follow::{News, follow};
 use crate::lookup::{JOBS, RUNS};
-use crate::peer::{self, Ask, Reply};
 use crate::store::Error;
 
 /// How long changes of accepted jobs are gathered: the entry VM that took a job
 /// tells the owner itself, and the watch is there for what got lost.
 const JOBS_TOGETHER: Duration = Duration::from_millis(250);
-/// How long the holder before may take over its farewell.
-const FAREWELL: Duration = Duration::from_millis(250);
 
 impl Owner {
-    pub(super) async fn load(self: &Rc<Self>, before: Holder) {
-        let grants = self.say_farewell(before).await;
+    pub(super) async fn load(self: &Rc<Self>) {
+        self.ask_predecessors().await;
         loop {
             if self.retired.get() {
                 return;
             }
             match self.read().await {
                 Ok((roster, jobs, runs)) => {
-                    self.take_in(roster, &jobs, &runs, grants.as_ref());
+                    self.take_in(roster, &jobs, &runs);
                     break;
                 }
                 Err(error) => {
@@ -50,17 +46,6 @@
         }
     }
 
-    /// Tells the holder before that it is replaced, and hears until when what
-    /// it granted holds. One that doesn't answer is waited out instead.
-    async fn say_farewell(&self, before: Holder) -> Option<BTreeMap<String, u64>> {
-        let peers = before.peers.filter(|_| !self.node.is_me(&before))?;
-        let ask = Ask::Retire { duty: self.name.clone(), fence: self.fence() };
-        match peer::ask(&self.node.peers, peers, &ask, FAREWELL).await {
-            Ok(Reply::Retired { grants }) => grants,
-            _ => None,
-        }
-    }
-
     async fn read(&self) -> Result<(Vec<Seat>, Vec<Item>, Vec<Item>), Error> {
         let store = &self.node.store;
         let roster = store.get(&format!("{ROSTERS}{}", self.name)).await?;
@@ -74,13 +59,7 @@
         Ok((seats.unwrap_or_default(), jobs, runs))
     }
 
-    fn take_in(
-        &self,
-        roster: Vec<Seat>,
-        jobs: &[Item],
-        runs: &[Item],
-        grants: Option<&BTreeMap<String, u64>>,
-    ) {
+    fn take_in(&self, roster: Vec<Seat>, jobs: &[Item], runs: &[Item]) {
         let now = clock::now();
         let mut progress: BTreeMap<String, Progress> = BTreeMap::new();
         for item in runs {
@@ -94,10 +73,8 @@
         if let Some(config) = self.node.config.borrow().as_ref() {
             pool.set_queues(self.node.queues(config));
         }
-        if let Some(grants) = grants {
-            pool.set_inherited(now, grants);
-        }
         drop(pool);
+        self.limit_inherited();
         for item in jobs {
             let known = progress.remove(id_of(&item.key));
             self.accept_item(&item.key, &item.value, known.as_ref(), item.revision);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -15,6 +15,7 @@
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::duty::Former;
 use crate::http::{Client, Failed};
 
 /// How long a peer may take over an answer.
@@ -202,6 +203,9 @@
     Retired {
         /// By worker's life; `None` if the duty was not held.
         grants: Option<BTreeMap<String, u64>>,
+        /// The process that answers.
+        #[serde(default)]
+        process: Option<Former>,
     },
     /// Which workers may run a step.
     Advised {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -67,6 +67,7 @@
         table: RefCell::default(),
         owners: RefCell::default(),
         given_up: RefCell::default(),
+        granted: RefCell::default(),
         taking: RefCell::default(),
         planner: Cell::new(None),
         servers: RefCell::default(),
--- a/crates/entry/tests/duty.rs
+++ b/crates/entry/tests/duty.rs
@@ -119,7 +119,7 @@
     let mut table = table(&[250, 250, 250]);
     table.put_duty(at(1_000), "a", Record { holder: holder("e0", 1), revision: 7 });
     let before = table.formers("a");
-    assert_eq!(before, [Former { name: "e0".to_owned(), boot: 1 }]);
+    assert_eq!(before, [Former { name: "e0".to_owned(), boot: 1, peers: Some(peers(1)) }]);
     let taken = Holder { before, ..holder("e1", 1) };
     table.put_duty(at(5_000), "a", Record { holder: taken, revision: 9 });
     table.members.insert("e1".to_owned(), member(1, 2, 250));
--- /dev/null
+++ b/crates/entry/tests/predecessor.rs
@@ -0,0 +1,118 @@
+//! Until when former holders of a duty may grant leases.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use corianderfork_entry::duty::{Former, Holder, Member, Record, Table};
+use corianderfork_entry::predecessor::Tracker;
+use corianderfork_model::Time;
+
+const LEASE: Duration = Duration::from_millis(4_500);
+/// A lease of that length on a worker whose clock is slow.
+const LONGEST_MS: u64 = 4_635;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn former(name: &str, boot: u64) -> Former {
+    Former { name: name.to_owned(), boot, peers: Some(([127, 0, 0, 1], 7_000).into()) }
+}
+
+fn member(boot: u64) -> Member {
+    Member {
+        boot,
+        peers: ([127, 0, 0, 1], 7_000).into(),
+        data_centre: "z".to_owned(),
+        capacity: 250,
+        revision: 1,
+        seen: Time::ZERO,
+    }
+}
+
+fn two() -> Tracker {
+    Tracker::new(at(0), vec![former("e1", 1), former("e0", 1)], true, LEASE)
+}
+
+fn grants(left_ms: u64) -> BTreeMap<String, u64> {
+    BTreeMap::from([("w0".to_owned(), left_ms)])
+}
+
+#[test]
+fn limit_while_a_former_holder_may_go_on() {
+    let mut tracker = two();
+    tracker.end(at(100), &former("e1", 1));
+    assert_eq!(tracker.limit(), None);
+    assert_eq!(tracker.to_ask(), [former("e0", 1)]);
+}
+
+// Guards against a wait for a process that is known to have ended.
+#[test]
+fn limit_once_the_last_former_holder_has_registered_anew() {
+    let mut tracker = two();
+    tracker.end(at(100), &former("e1", 1));
+    let mut table = Table::default();
+    table.members.insert("e0".to_owned(), member(1));
+    tracker.observe(at(1_000), &table);
+    assert_eq!(tracker.limit(), None, "it is the same process");
+    table.members.insert("e0".to_owned(), member(2));
+    tracker.observe(at(2_000), &table);
+    tracker.observe(at(9_000), &table);
+    assert_eq!(tracker.limit().unwrap().until, at(2_000 + LONGEST_MS));
+}
+
+#[test]
+fn limit_by_the_word_of_the_last_holder() {
+    let mut tracker = two();
+    tracker.learn(at(1_000), &former("e1", 1), &grants(3_000));
+    let limit = tracker.limit().unwrap();
+    assert_eq!(limit.until, Time::ZERO, "it knew of all workers");
+    assert_eq!(limit.by_worker["w0"], at(4_000));
+}
+
+// Guards against a wait for a holder that gave way to one that was killed then.
+#[test]
+fn limit_by_the_word_of_the_one_before_a_holder_that_ended() {
+    let mut tracker = two();
+    tracker.end(at(500), &former("e1", 1));
+    tracker.learn(at(1_000), &former("e0", 1), &grants(9_000));
+    let limit = tracker.limit().unwrap();
+    assert_eq!(limit.until, at(500 + LONGEST_MS), "what the one that ended granted");
+    assert_eq!(limit.by_worker["w0"], at(10_000));
+}
+
+#[test]
+fn limit_behind_one_that_handed_the_duty_over() {
+    let handed_over = former("", 1);
+    let tracker = Tracker::new(at(0), vec![handed_over.clone()], true, LEASE);
+    assert_eq!(tracker.limit().unwrap().until, at(LONGEST_MS));
+    assert_eq!(tracker.to_ask(), [handed_over], "its word may be sooner");
+}
+
+#[test]
+fn limit_of_a_list_that_is_not_complete() {
+    let mut tracker = Tracker::new(at(0), vec![former("e0", 1)], false, LEASE);
+    tracker.end(at(100), &former("e0", 1));
+    assert_eq!(tracker.limit(), None);
+    tracker.learn(at(200), &former("e0", 1), &grants(1_000));
+    assert!(tracker.limit().is_some(), "its word covers those before it");
+}
+
+#[test]
+fn end_of_another_process_of_that_name() {
+    let mut tracker = Tracker::new(at(0), vec![former("e0", 1)], true, LEASE);
+    tracker.end(at(100), &former("e0", 2));
+    assert_eq!(tracker.limit(), None);
+}
+
+#[test]
+fn past_of_a_record_that_names_nobody() {
+    let mut table = Table::default();
+    assert!(!table.past(at(0), "a").is_complete, "no record");
+    table.put_duty(at(0), "a", Record { holder: Holder::default(), revision: 7 });
+    assert!(!table.past(at(0), "a").is_complete, "one that can't be read");
+    let handed_over = Holder { boot: 1, peers: former("e0", 1).peers, ..Holder::default() };
+    table.put_duty(at(0), "a", Record { holder: handed_over, revision: 9 });
+    assert!(table.past(at(0), "a").is_complete);
+}
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -76,10 +76,16 @@
 
     /// Hears from a predecessor until when its grants on a worker hold at most.
     pub fn set_inherited(&mut self, now: Time, grants: &BTreeMap<String, u64>) {
+        let until = |(id, left): (&String, &u64)| (id.clone(), now + Duration::from_millis(*left));
+        self.limit_inherited(now, &grants.iter().map(until).collect());
+    }
+
+    /// Learns that predecessors' grants end by `until`, or by the time in `by_worker` if
+    /// that is later. A wait that is shorter already stays.
+    pub fn limit_inherited(&mut self, until: Time, by_worker: &BTreeMap<String, Time>) {
         for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
-            let left = grants.get(&worker.id).copied().unwrap_or(0);
-            let until = now + Duration::from_millis(left);
-            worker.inherited_until = worker.inherited_until.min(until);
+            let own = by_worker.get(&worker.id).copied().unwrap_or_default();
+            worker.inherited_until = worker.inherited_until.min(own.max(until));
         }
     }
 
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -34,6 +34,8 @@
 #[serde(deny_unknown_fields)]
 struct Change {
     cut: Option<bool>,
+    /// Whether new connections are closed at once; open ones go on.
+    refuse: Option<bool>,
     delay_ms: Option<u64>,
     freeze: Option<Freeze>,
     #[serde(default)]
@@ -43,6 +45,7 @@
 #[derive(Debug, Default)]
 struct State {
     cut: bool,
+    refuse: bool,
     delay_ms: u64,
     freeze: Freeze,
     next: u64,
@@ -79,7 +82,11 @@
     }
 
     fn connect(self: &Arc<Self>, caller: TcpStream) -> io::Result<()> {
-        if lock(&self.state).cut {
+        let is_refused = {
+            let state = lock(&self.state);
+            state.cut || state.refuse
+        };
+        if is_refused {
             return caller.shutdown(Shutdown::Both);
         }
         let server = TcpStream::connect(self.to)?;
@@ -144,6 +151,7 @@
     fn change(&self, change: &Change) {
         let mut state = lock(&self.state);
         state.cut = change.cut.unwrap_or(state.cut);
+        state.refuse = change.refuse.unwrap_or(state.refuse);
         state.delay_ms = change.delay_ms.unwrap_or(state.delay_ms);
         state.freeze = change.freeze.unwrap_or(state.freeze);
         if change.silent {
