Watch drains apart from all records, and return to the store sooner

What callers saw: a VM whose drain an operator was told to be accepted gets requests for a whole outage of the store (leaving_though_the_store_is_down, 4,753 to 5,034 ms, which is as long as VMs are watched).

Cause: all watches that wait are answered by the same write. What is written until they are asked again is heard of later, and if the store goes down first, by nobody. After an outage processes came back one by one within 2 s, and until then nothing written was heard either.

Change: a second reader of each proxy watches drains alone, by connections of its own. A reader waits 0.5 s at most after a failure, and is woken when a peer's report shows a newer revision of the store, once a revision. Proxies measure the time between two watches (watch_gap_seconds).

Figures: the new program `outage` (corianderfork-e2e) takes the store down right after the tenth drain is answered, with pauses drawn between two outages, and counts outages with drains that aren't heeded.

Load: a watch more each 1.5 s and proxy, 16 a second for 24 proxies; while the store refuses all, each reader calls it each 0.25 to 0.5 s where it was 1 to 2 s.

--- a/crates/controller/src/actor/gossip.rs
+++ b/crates/controller/src/actor/gossip.rs
@@ -184,6 +184,7 @@
 
 fn learn(world: &mut World, now: Time, sent: Option<Time>, from: &peer::Report) {
     world.directory.on_report(now, sent, from);
+    world.waker.wake(from.store_revision);
     world.view.on_wishes(&from.wishes);
 }
 
--- a/crates/controller/src/daemon/mod.rs
+++ b/crates/controller/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 use corianderfork_runtime::metrics::Metrics;
 use corianderfork_runtime::peers::{self, Peers};
 use corianderfork_runtime::supervisor::{self, Supervisor};
+use corianderfork_runtime::sync::Waker;
 use corianderfork_runtime::timer;
 use corianderfork_runtime::worker::Pool;
 use corianderfork_runtime::{admin, signal};
@@ -141,7 +142,8 @@
         let control: Arc<dyn Control> = Arc::new(Calls(Arc::clone(&self.client)));
         let [leases, writes, calls, reads] = self.pools;
         let view = crate::view::View::default();
-        let world = World { clock: self.clock, view, directory: self.directory };
+        let world =
+            World { clock: self.clock, view, directory: self.directory, waker: Waker::default() };
         let gauges = self.gauges;
         let outside = Outside { store: Arc::clone(&store), control, writes, calls, reads, gauges };
         let stops = Stops::default();
--- a/crates/controller/src/daemon/tree.rs
+++ b/crates/controller/src/daemon/tree.rs
@@ -94,7 +94,8 @@
         let updates = fwd_to!([actor], on_update() as (sync::Update));
         let port = Port::open(cx, self.handle.clone(), updates);
         let config = sync::Config::default().wait(self.settings.watch);
-        if let Err(error) = sync::start(Arc::clone(&self.store), config, seed(), port) {
+        let (store, waker) = (Arc::clone(&self.store), self.world.ro(cx).waker.clone());
+        if let Err(error) = sync::start(store, config, seed(), waker, port) {
             log::error!("the shared records can't be read: {error}");
         }
         let ticks = fwd_to!([actor], on_tick() as (Tick));
--- a/crates/controller/src/world.rs
+++ b/crates/controller/src/world.rs
@@ -4,6 +4,7 @@
 
 use corianderfork_model::Time;
 use corianderfork_runtime::clock::Monotonic;
+use corianderfork_runtime::sync::Waker;
 
 use crate::directory::Directory;
 use crate::view::View;
@@ -17,6 +18,8 @@
     pub view: View,
     /// The other processes.
     pub directory: Directory,
+    /// Wakes the reader of the store.
+    pub waker: Waker,
 }
 
 impl World {
--- /dev/null
+++ b/crates/e2e/src/bin/outage.rs
@@ -0,0 +1,127 @@
+//! Takes the store down right after operators' drains are accepted, again and again, and
+//! counts the drains that some proxy doesn't heed though it could have heard of them from
+//! any process that has.
+
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use corianderfork_e2e::fleet::{Callers, wide};
+use corianderfork_e2e::system::{Config, System};
+use corianderfork_e2e::{http, wait};
+use corianderfork_model::Name;
+use corianderfork_provider::key;
+use corianderfork_provider::record::{Drain, Phase, Vm};
+use corianderfork_provider::store::{Expect, Store};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// VMs drained in a round.
+const DRAINS: usize = 10;
+/// VMs with copies that are left.
+const SPARE: usize = 4;
+const SERVICES: [&str; 2] = ["lookup", "transfer"];
+/// How long after an outage drains are taken back, and others follow, in milliseconds.
+const BACK_MS: std::ops::RangeInclusive<u64> = 0..=800;
+/// How long proxies have to tell each other what one of them has heard.
+const SPREAD: Duration = Duration::from_secs(3);
+
+fn main() {
+    let args = Command::new("outage")
+        .about("Counts accepted drains that aren't heeded while the store is down")
+        .arg(number("rounds", "40", "Outages"))
+        .arg(number("seed", "1", "What the pauses between outages are drawn from"))
+        .arg(
+            Arg::new("settled")
+                .long("settled")
+                .action(ArgAction::SetTrue)
+                .help("Wait after each outage until all proxies are back"),
+        )
+        .get_matches();
+    let rounds = *args.get_one::<u64>("rounds").unwrap_or(&40);
+    let seed = *args.get_one::<u64>("seed").unwrap_or(&1);
+    run(rounds, args.get_flag("settled"), &mut SmallRng::seed_from_u64(seed));
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    let parser = value_parser!(u64);
+    Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
+}
+
+fn run(rounds: u64, is_settled: bool, rng: &mut SmallRng) {
+    let system = System::converged(Config::new(&wide(1, 8, 16)));
+    let calling = Callers::new(&SERVICES).start(&system);
+    let mut counts = Vec::new();
+    for _ in 0..rounds {
+        let vms = wait::until("VMs with copies", || carriers(&system)).0;
+        let unheard = outage(&system, &vms);
+        system.store_down(false);
+        sleep_ms(rng.random_range(BACK_MS));
+        take_back(&system, &vms);
+        sleep_ms(rng.random_range(BACK_MS));
+        if is_settled {
+            wait::until("proxies to be back", || is_synced(&system).then_some(()));
+        }
+        counts.push(unheard);
+    }
+    calling.finish();
+    let outages = counts.iter().filter(|count| **count > 0).count();
+    let drains: usize = counts.iter().sum();
+    println!("outages with unheard drains: {outages} of {rounds}; unheard drains: {drains}");
+    println!("{counts:?}");
+}
+
+/// As many VMs with copies as are drained at once, if enough others have some.
+fn carriers(system: &System) -> Option<Vec<String>> {
+    let serves = |record: &Vm| record.phase == Phase::Serving && !record.runners.is_empty();
+    let vms = system.vms().into_iter().filter(|(_, record)| serves(record));
+    let mut vms: Vec<String> = vms.map(|(vm, _)| vm).collect();
+    let is_enough = vms.len() >= DRAINS + SPARE;
+    vms.truncate(DRAINS);
+    is_enough.then_some(vms)
+}
+
+/// Drains the VMs, takes the store down, and counts the drains that aren't heeded.
+fn outage(system: &System, vms: &[String]) -> usize {
+    let wish = Drain { by: "test".to_owned(), reason: "test".to_owned() };
+    let value = serde_json::to_string(&wish).expect("JSON");
+    let drain = |vm: &String| {
+        let key = key::drain(&Name::new(vm).expect("a name"));
+        system.store().put(&key, &value, Expect::Absent, None).expect("accepted");
+    };
+    vms.iter().for_each(drain);
+    system.store_down(true);
+    std::thread::sleep(SPREAD);
+    let logs = system.proxy_logs();
+    let is_unheard = |vm: &&String| logs.iter().any(|log| !is_drained(log, vm));
+    vms.iter().filter(is_unheard).count()
+}
+
+/// Whether a proxy leaves a VM out, by the last line of its log on that.
+fn is_drained(log: &str, vm: &str) -> bool {
+    let has = |line: &&str, text: &str| line.split([' ', ',', '}']).any(|word| word == text);
+    let is_it =
+        |line: &&str| line.contains("an operator's drain") && has(line, &format!("vm={vm}"));
+    log.lines().rfind(is_it).is_some_and(|line| has(&line, "holds=true"))
+}
+
+fn take_back(system: &System, vms: &[String]) {
+    for vm in vms {
+        let key = key::drain(&Name::new(vm).expect("a name"));
+        system.store().delete(&key, Expect::Anything).expect("accepted");
+    }
+    for vm in vms {
+        system.wait_phase(vm, Phase::Serving);
+    }
+}
+
+/// Whether each proxy knows all that the store has now.
+fn is_synced(system: &System) -> bool {
+    let revision = system.store().range(key::DRAINS).expect("the store is up").revision.0;
+    let known = |address| http::metric(address, "corianderfork_proxy", "store_revision");
+    let proxies = system.entries.iter().map(|entry| entry.callers());
+    proxies.filter_map(known).all(|known| known >= revision as f64)
+}
+
+fn sleep_ms(millis: u64) {
+    std::thread::sleep(Duration::from_millis(millis));
+}
--- a/crates/e2e/src/system.rs
+++ b/crates/e2e/src/system.rs
@@ -295,6 +295,21 @@
         http::json(self.platform.address(0), "/_stats")
     }
 
+    /// The logs of all proxies.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they can't be read.
+    pub fn proxy_logs(&self) -> Vec<String> {
+        let files = std::fs::read_dir(&self.dir).expect("a directory");
+        let paths = files.map(|file| file.expect("a file").path());
+        let is_log = |path: &PathBuf| {
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            name.contains("corianderfork-proxy") && name.ends_with(".log")
+        };
+        paths.filter(is_log).map(|path| std::fs::read_to_string(path).expect("a log")).collect()
+    }
+
     /// Where callers reach the proxies that run.
     pub fn targets(&self) -> Vec<String> {
         let running = self.entries.iter().filter(|entry| entry.proxy.is_some());
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -11,7 +11,8 @@
 use corianderfork_model::{Name, Time};
 use corianderfork_provider::key;
 use corianderfork_provider::record::{Holder, Member, Role};
-use corianderfork_provider::store::{Changes, Range};
+use corianderfork_provider::store::{Changes, Entry, Range};
+use corianderfork_runtime::sync::Waker;
 use corianderfork_wire::peer;
 
 use crate::convert;
@@ -31,13 +32,15 @@
     pub members: RefCell<Members>,
     /// When all records were last read from the store, or nothing changed.
     pub synced: Cell<Option<Time>>,
+    /// Wakes the reader of the store.
+    pub waker: Waker,
 }
 
 impl Hub {
     /// Knows nothing but itself.
     pub fn new(shared: Arc<Shared>, members: Members) -> Rc<Self> {
         let (view, members) = (RefCell::default(), RefCell::new(members));
-        Rc::new(Self { shared, view, members, synced: Cell::new(None) })
+        Rc::new(Self { shared, view, members, synced: Cell::new(None), waker: Waker::default() })
     }
 
     /// This process.
@@ -65,6 +68,18 @@
         self.on_synced(sent);
     }
 
+    /// Applies a read of all operators' drains.
+    pub fn on_drains(&self, drains: &[Entry]) {
+        let effects = self.view.borrow_mut().on_drains(drains);
+        self.apply("the store", effects);
+    }
+
+    /// Applies changes of operators' drains that a watch saw.
+    pub fn on_drain_changes(&self, changes: &Changes) {
+        let effects = self.view.borrow_mut().on_drain_changes(changes);
+        self.apply("the store", effects);
+    }
+
     /// Applies what a peer sent.
     pub fn on_snapshot(&self, snapshot: &peer::SnapshotReply) {
         let effects = self.view.borrow_mut().on_snapshot(snapshot);
@@ -207,6 +222,7 @@
         let now = self.shared.clock.now();
         let from = self.members.borrow_mut().on_report(now, sent, report);
         let Some(from) = from else { return };
+        self.waker.wake(report.store_revision);
         self.on_wishes(&report.wishes);
         for leaving in report.leaving.iter().filter(|leaving| leaving.epoch > 0) {
             let Ok(vm) = Name::new(&leaving.vm) else { continue };
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -29,6 +29,8 @@
     /// before a new one is opened. The watch must not wait for those of other
     /// calls: what it would miss meanwhile is drains and configurations.
     pub watched: Arc<dyn Store>,
+    /// The store by connections of its own, for the watch of drains.
+    pub watched_drains: Arc<dyn Store>,
     /// Threads for calls that block.
     pub pool: Pool,
     /// The core.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -23,6 +23,8 @@
     pub claims: IntCounterVec,
     /// Calls to peers, by kind and result.
     pub peer_calls: IntCounterVec,
+    /// The time between the answer to a watch of the store and the next watch.
+    pub watch_gap: HistogramVec,
     gauges: IntGaugeVec,
 }
 
@@ -84,6 +86,11 @@
             refusals: counter("refusals", "Requests not run", &["reason"]),
             claims: counter("claims", "Verdicts on claims", &["verdict"]),
             peer_calls: counter("peer_calls", "Calls to peers", &["kind", "result"]),
+            watch_gap: registry.seconds(
+                "watch_gap_seconds",
+                "Time from the answer to a watch of the store until the next one is sent",
+                &["keys"],
+            ),
             gauges: registry.gauge("proxy", "State of the proxy", &["what"]),
             registry,
         }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -154,11 +154,16 @@
     let callers = serve::start(settings.callers, front, Arc::clone(&shared), forwarder, fail)?;
     me.callers = Some(callers);
 
-    let (store, watched) = (store(&settings), store(&settings));
+    let [store, watched, watched_drains] = std::array::from_fn(|_| store(&settings));
     let threads = key::CLAIM_SHARDS as usize + STORE_THREADS;
     let pool = Pool::start("store", threads, STORE_QUEUE)?;
-    let means =
-        Means { store: store.clone(), watched: watched.clone(), pool, handle: handle.clone() };
+    let means = Means {
+        store: store.clone(),
+        watched: watched.clone(),
+        watched_drains: watched_drains.clone(),
+        pool,
+        handle: handle.clone(),
+    };
     let config = member::Config::new()
         .isolation_limit(settings.isolation_limit)
         .fan_out(settings.gossip_fan_out);
@@ -168,7 +173,7 @@
         settings: Rc::new(settings),
         hub,
         means,
-        stores: vec![store, watched],
+        stores: vec![store, watched, watched_drains],
         peers,
         inboxes: inboxes.clone(),
         timer: timer.clone(),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -95,6 +95,12 @@
 
     /// Applies changes that a watch saw.
     pub fn on_changes(&mut self, changes: &Changes) -> Vec<Effect> {
+        let effects = self.apply_changes(changes);
+        self.synced = self.synced.max(changes.revision.0);
+        effects
+    }
+
+    fn apply_changes(&mut self, changes: &Changes) -> Vec<Effect> {
         let mut effects = Vec::new();
         for change in &changes.changes {
             match &change.entry {
@@ -102,7 +108,6 @@
                 None => self.delete(&change.key, change.revision.0, &mut effects),
             }
         }
-        self.synced = self.synced.max(changes.revision.0);
         effects
     }
 
--- a/crates/proxy/src/view/wish.rs
+++ b/crates/proxy/src/view/wish.rs
@@ -2,6 +2,7 @@
 
 use corianderfork_model::Name;
 use corianderfork_provider::key;
+use corianderfork_provider::store::{Changes, Entry};
 use corianderfork_wire::peer;
 
 use super::{Effect, View, routed};
@@ -47,6 +48,23 @@
         effects
     }
 
+    /// Applies a read of all operators' drains. One that isn't newer than what this process
+    /// read of all records is over, or known; those that are gone are left to such a read.
+    pub fn on_drains(&mut self, drains: &[Entry]) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let synced = self.synced;
+        for entry in drains.iter().filter(|entry| entry.revision.0 > synced) {
+            self.put(entry, &mut effects);
+        }
+        effects
+    }
+
+    /// Applies changes of operators' drains. Up to where all records are known stays as it
+    /// is: others may have changed meanwhile.
+    pub fn on_drain_changes(&mut self, changes: &Changes) -> Vec<Effect> {
+        self.apply_changes(changes)
+    }
+
     pub(super) fn drop_wishes(
         &mut self,
         revision: u64,
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -202,6 +202,27 @@
     assert_eq!(peer.wishes(), []);
 }
 
+// Guards against records that are never read, since a watch of drains passed them by.
+#[test]
+fn drain_changes_leave_the_revision_of_all_records() {
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    let effects = view.on_drain_changes(&changes(vec![wish(7)], 7));
+    assert_eq!(last_vm(&effects), Some(routed(7, false)));
+    assert_eq!(view.store_revision(), 4);
+    assert_eq!(view.on_changes(&changes(vec![wish(7)], 7)), [], "told again");
+}
+
+// Guards against a VM that gets nothing, for a drain that was taken back before all records
+// were read.
+#[test]
+fn drains_read_before_all_records() {
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 9));
+    assert_eq!(view.on_drains(&[wish(7)]), []);
+    assert_eq!(last_vm(&view.on_drains(&[wish(11)])), Some(routed(11, false)));
+}
+
 #[test]
 fn drain_taken_back_is_not_brought_back_by_a_peer_that_lags() {
     // Symptom: a VM that serves again gets nothing from one proxy, for good.
--- a/crates/runtime/src/sync.rs
+++ b/crates/runtime/src/sync.rs
@@ -1,7 +1,7 @@
 //! Keeps up with the keys that every process shares: one read of all, then
 //! watches, on a thread of its own.
 
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use corianderfork_coord::backoff::{self, Backoff};
@@ -11,6 +11,10 @@
 use crate::core::Full;
 use crate::port::Port;
 
+/// The least wait after a failure, whatever peers show: as long as the shortest one
+/// without them.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+
 /// What became known.
 #[derive(Clone, Debug)]
 #[non_exhaustive]
@@ -30,6 +34,9 @@
 pub struct Update {
     /// When the call was sent.
     pub sent: Instant,
+    /// How long before that the answer to the watch before came. What was written meanwhile
+    /// is known to nobody if the store goes down within this time.
+    pub gap: Option<Duration>,
     /// What it brought.
     pub news: News,
 }
@@ -37,19 +44,28 @@
 /// How to keep up.
 #[derive(Clone, Debug)]
 pub struct Config {
+    prefix: &'static str,
     wait: Duration,
     backoff: backoff::Config,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        let backoff =
-            backoff::Config::new().first(Duration::from_millis(100)).max(Duration::from_secs(2));
-        Self { wait: Duration::from_millis(1500), backoff }
+        let backoff = backoff::Config::new()
+            .first(Duration::from_millis(100))
+            .max(Duration::from_millis(500));
+        Self { prefix: key::SHARED, wait: Duration::from_millis(1500), backoff }
     }
 }
 
 impl Config {
+    /// Keeps up with the keys that begin with `prefix`, in place of all shared ones.
+    #[must_use]
+    pub fn prefix(mut self, prefix: &'static str) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
     /// How long one watch waits.
     ///
     /// A watch's connection can go silent for good while it looks open; the
@@ -71,7 +87,47 @@
     }
 }
 
-/// Starts the thread; it ends with the core.
+/// Ends the waits of readers that could not reach the store, once a peer shows that it
+/// reaches it.
+///
+/// ```
+/// use corianderfork_runtime::sync::Waker;
+/// use std::time::{Duration, Instant};
+///
+/// let waker = Waker::default();
+/// let woken = waker.clone();
+/// let peer = std::thread::spawn(move || woken.wake(7));
+/// let begun = Instant::now();
+/// assert_eq!(waker.wait(6, Duration::from_secs(60)), 7);
+/// assert!(begun.elapsed() < Duration::from_secs(60));
+/// # peer.join().unwrap();
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Waker(Arc<(Mutex<u64>, Condvar)>);
+
+impl Waker {
+    /// A peer has read the store at `revision`.
+    pub fn wake(&self, revision: u64) {
+        let (newest, changed) = &*self.0;
+        let mut newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
+        if revision > *newest {
+            *newest = revision;
+            changed.notify_all();
+        }
+    }
+
+    /// Waits for `longest`, or until a peer has read the store at a revision after `known`.
+    /// Gives the newest one that a peer has read it at: who passes that on as known is woken
+    /// once a change, and not by each report of its peers.
+    pub fn wait(&self, known: u64, longest: Duration) -> u64 {
+        let (newest, changed) = &*self.0;
+        let newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = changed.wait_timeout_while(newest, longest, |newest| *newest <= known);
+        *waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+}
+
+/// Starts the thread; it ends with the core. After a failure `waker` ends its wait.
 ///
 /// # Errors
 ///
@@ -80,10 +136,20 @@
     store: Arc<dyn Store>,
     config: Config,
     seed: u64,
+    waker: Waker,
     port: Port<Update>,
 ) -> std::io::Result<()> {
-    let backoff = Backoff::new(config.backoff, seed);
-    let mut reader = Reader { store, wait: config.wait, backoff, port, after: None };
+    let mut reader = Reader {
+        store,
+        prefix: config.prefix,
+        wait: config.wait,
+        backoff: Backoff::new(config.backoff, seed),
+        waker,
+        port,
+        after: None,
+        shown: 0,
+        answered: None,
+    };
     std::thread::Builder::new()
         .name("sync".to_owned())
         .spawn(move || while reader.turn().is_ok() {})?;
@@ -92,44 +158,55 @@
 
 struct Reader {
     store: Arc<dyn Store>,
+    prefix: &'static str,
     wait: Duration,
     backoff: Backoff,
+    waker: Waker,
     port: Port<Update>,
     /// Up to where all is known; `None` asks for a read of all.
     after: Option<Revision>,
+    /// The newest revision at which this process or a peer has read the store.
+    shown: u64,
+    /// When the last call brought an answer; `None` after one that failed.
+    answered: Option<Instant>,
 }
 
 impl Reader {
     fn turn(&mut self) -> Result<(), Full> {
         let sent = Instant::now();
+        let gap = self.answered.take().map(|answered| sent - answered);
         let news = match self.after {
-            None => self.store.range(key::SHARED).map(News::Whole),
-            Some(after) => self.store.watch(key::SHARED, after, self.wait).map(News::Changes),
+            None => self.store.range(self.prefix).map(News::Whole),
+            Some(after) => self.store.watch(self.prefix, after, self.wait).map(News::Changes),
         };
         match news {
-            Ok(news) => self.learned(sent, news),
-            Err(error) => self.failed(sent, error),
+            Ok(news) => self.learned(sent, gap, news),
+            Err(error) => self.failed(sent, gap, error),
         }
     }
 
-    fn learned(&mut self, sent: Instant, news: News) -> Result<(), Full> {
+    fn learned(&mut self, sent: Instant, gap: Option<Duration>, news: News) -> Result<(), Full> {
+        self.answered = Some(Instant::now());
         self.backoff.reset();
         self.after = match &news {
             News::Whole(range) => Some(range.revision),
             News::Changes(changes) => Some(changes.revision),
             News::Failed(_) => self.after,
         };
-        self.port.send_wait(Update { sent, news })
+        self.shown = self.shown.max(self.after.map_or(0, |revision| revision.0));
+        self.port.send_wait(Update { sent, gap, news })
     }
 
-    fn failed(&mut self, sent: Instant, error: Error) -> Result<(), Full> {
+    fn failed(&mut self, sent: Instant, gap: Option<Duration>, error: Error) -> Result<(), Full> {
         if error == Error::Compacted {
             self.after = None;
         }
-        self.port.send_wait(Update { sent, news: News::Failed(error) })?;
+        self.port.send_wait(Update { sent, gap, news: News::Failed(error) })?;
         // All processes lose the store at the same moment; without jitter they
         // would all come back at the same moment too, and take it down again.
-        std::thread::sleep(self.backoff.next_wait());
+        std::thread::sleep(LEAST_WAIT);
+        let longest = self.backoff.next_wait().saturating_sub(LEAST_WAIT);
+        self.shown = self.shown.max(self.waker.wait(self.shown, longest));
         Ok(())
     }
 }
