--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -253,7 +253,7 @@
             wait::until("the VM to get requests", || {
                 (last_run_after(&system, vm, since) > 0).then_some(())
             });
-            let (code, told) = command(&system, vm, "30");
+            let (code, told) = command(&system, vm, "3");
             system.store_down(true);
             assert_eq!(code, DONE);
             watch_on(&calling, unix_ms());
