--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,8 @@
 //! nothing; see `docs/DEPLOYMENT.md`.
 //!
 //! What it decides is pure and lies in `corianderfork_jobs`, in [`duty`], in
-//! [`predecessor`] and in [`places`]; the rest brings that and the world together, as tasks of one thread.
+//! [`predecessor`] and in [`places`]; the rest brings that and the world together,
+//! as tasks of one thread.
 
 pub mod absence;
 pub mod admission;
