Tell peers at once that the store is back, and wake the other reader

The store is up for some 60 ms between two outages, in which 10 drains are taken back and 10 written. One proxy was back in that time, alone: it heard that the drains were taken back, and missed the last of the new ones between two of its watches. Before, nobody was back in that time, so that the first drains stayed heeded and the test showed nothing.

Change: a reader that reaches the store again wakes the other one of its process, and for one second each newer revision is told to all peers at once, which wakes theirs. The least wait is 10 ms.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -10,9 +10,24 @@
 use corianderfork_runtime::sync::{self, News, Update};
 use stakker::{CX, fwd_to};
 
+use crate::gossip;
 use crate::hub::Hub;
+use crate::inbox::Inbox;
 use crate::membership::Means;
 
+/// How long after its return peers are told at once that the store is back: longer than the
+/// longest wait of a reader.
+const RETURNING: Duration = Duration::from_secs(1);
+
+/// The revision of the store up to which news is complete.
+fn revision(news: &News) -> u64 {
+    match news {
+        News::Whole(range) => range.revision.0,
+        News::Changes(changes) => changes.revision.0,
+        _ => 0,
+    }
+}
+
 /// Applies what the threads that watch the store learned.
 ///
 /// One watches all shared records, another one the drains alone. All watches that wait are
@@ -20,14 +35,28 @@
 /// of later. If the store goes down within that time, an accepted drain has reached no
 /// process and the VM gets requests for the whole outage. With two readers, whose calls take
 /// different times, a watch is seldom missing on all entry VMs at once.
+///
+/// After an outage the first process that reaches the store tells all others at once with
+/// the first news: were it alone, what is written between two of its watches would be heard
+/// by nobody.
 pub struct Feed {
     hub: Rc<Hub>,
+    gossip: Inbox<gossip::Message>,
     failing: bool,
+    /// Whether the reader of drains fails.
+    failing_drains: bool,
+    /// When a reader last reached the store after a failure.
+    returned: Option<Instant>,
 }
 
 impl Feed {
     /// Starts the threads that watch.
-    pub fn init(cx: CX![], hub: Rc<Hub>, means: Means) -> Option<Self> {
+    pub fn init(
+        cx: CX![],
+        hub: Rc<Hub>,
+        means: Means,
+        gossip: Inbox<gossip::Message>,
+    ) -> Option<Self> {
         let all = fwd_to!([cx], learned() as (Update));
         let drains = fwd_to!([cx], learned_drains() as (Update));
         let config = sync::Config::default;
@@ -43,12 +72,14 @@
                 return None;
             }
         }
-        Some(Self { hub, failing: false })
+        let (failing, failing_drains, returned) = (false, false, None);
+        Some(Self { hub, gossip, failing, failing_drains, returned })
     }
 
     fn learned(&mut self, _: CX![], update: Update) {
         let sent = self.time_of(update.sent);
         self.observe_gap("all", update.gap);
+        let revision = revision(&update.news);
         match update.news {
             News::Whole(range) => self.hub.on_range(sent, &range),
             News::Changes(changes) => self.hub.on_changes(sent, &changes),
@@ -63,16 +94,35 @@
         }
         if std::mem::take(&mut self.failing) {
             ::log::info!("the platform's store answers again");
+            self.returned = Some(Instant::now());
         }
+        self.pass_on(revision);
     }
 
     fn learned_drains(&mut self, _: CX![], update: Update) {
         self.observe_gap("drains", update.gap);
+        let revision = revision(&update.news);
         match update.news {
             News::Whole(range) => self.hub.on_drains(&range.entries),
             News::Changes(changes) => self.hub.on_drain_changes(&changes),
-            // The reader of all records tells of it.
-            _ => {}
+            // The reader of all records logs it.
+            _ => {
+                self.failing_drains = true;
+                return;
+            }
+        }
+        if std::mem::take(&mut self.failing_drains) {
+            self.returned = Some(Instant::now());
+        }
+        self.pass_on(revision);
+    }
+
+    /// Wakes the other reader, and after an outage the peers' with each newer revision.
+    fn pass_on(&self, revision: u64) {
+        let is_news = self.hub.waker.wake(revision);
+        if is_news && self.returned.is_some_and(|at| at.elapsed() < RETURNING) {
+            // Gossip that is being started anew tells them a moment later.
+            let _ = self.gossip.send(gossip::Message::Returned);
         }
     }
 
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -1,7 +1,7 @@
 //! The actor that exchanges reports with peers, and asks them for what it
 //! lacks while the store is silent.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     Asked(peer::SnapshotRequest, Reply<peer::SnapshotReply>),
     /// A peer sent records, or did not.
     Sent(Result<peer::SnapshotReply, Error>),
+    /// The store brought news after an outage: all peers are to hear that it is back.
+    Returned,
 }
 
 /// The end of a call to a peer.
@@ -98,6 +100,10 @@
             partners.extend(self.config.seeds.iter().filter(|seed| **seed != own));
         }
         partners.retain(|to| self.out.insert(*to));
+        self.tell_all(partners);
+    }
+
+    fn tell_all(&self, partners: BTreeSet<SocketAddr>) {
         if partners.is_empty() {
             return;
         }
@@ -107,6 +113,12 @@
         }
     }
 
+    fn returned(&mut self) {
+        let mut peers = self.hub.members.borrow().addresses();
+        peers.retain(|to| self.out.insert(*to));
+        self.tell_all(peers);
+    }
+
     fn tell(&self, to: SocketAddr, report: peer::Report) {
         let inbox = self.inbox.clone();
         let sent = self.hub.shared.clock.now();
@@ -124,6 +136,7 @@
             Message::Answered(answered) => self.answered(answered),
             Message::Asked(request, reply) => reply.send(self.hub.snapshot(&request)),
             Message::Sent(result) => self.sent(result),
+            Message::Returned => self.returned(),
         }
     }
 
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -213,6 +213,11 @@
         partners.iter().filter_map(|name| Some(self.rows.get(name)?.member.peers)).collect()
     }
 
+    /// Where all others are called.
+    pub fn addresses(&self) -> BTreeSet<SocketAddr> {
+        self.rows.values().map(|row| row.member.peers).collect()
+    }
+
     /// What to pass on: this process first, then all it heard of.
     pub fn seen(&self, now: Time, config_revision: u64, acks: Vec<peer::Ack>) -> Vec<peer::Seen> {
         let me = peer::Seen {
--- a/crates/proxy/src/run/tree.rs
+++ b/crates/proxy/src/run/tree.rs
@@ -31,7 +31,8 @@
     call!([root], add("pulse", pulse));
     let p = parts.clone();
     let feed: Start = Box::new(move |cx, ended| {
-        let own = actor!(cx, Feed::init(p.hub.clone(), p.means.clone()), ended);
+        let gossip = p.inboxes.gossip.clone();
+        let own = actor!(cx, Feed::init(p.hub.clone(), p.means.clone(), gossip), ended);
         own.anon()
     });
     call!([root], add("feed", feed));
--- a/crates/runtime/src/sync.rs
+++ b/crates/runtime/src/sync.rs
@@ -11,9 +11,8 @@
 use crate::core::Full;
 use crate::port::Port;
 
-/// The least wait after a failure, whatever peers show: as long as the shortest one
-/// without them.
-const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// The least wait after a failure, whatever peers show.
+const LEAST_WAIT: Duration = Duration::from_millis(10);
 
 /// What became known.
 #[derive(Clone, Debug)]
@@ -106,14 +105,17 @@
 pub struct Waker(Arc<(Mutex<u64>, Condvar)>);
 
 impl Waker {
-    /// A peer has read the store at `revision`.
-    pub fn wake(&self, revision: u64) {
+    /// A peer, or another reader of this process, has read the store at `revision`. Whether
+    /// none had at so new a one.
+    pub fn wake(&self, revision: u64) -> bool {
         let (newest, changed) = &*self.0;
         let mut newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
-        if revision > *newest {
+        let is_news = revision > *newest;
+        if is_news {
             *newest = revision;
             changed.notify_all();
         }
+        is_news
     }
 
     /// Waits for `longest`, or until a peer has read the store at a revision after `known`.
