Record the store's writes and watches in the platform stand-in

A drain that proxies don't heed while the store is down may have had no watch waiting when it was written, or one that the store refused though the write was applied. Logs and metrics of the daemons can't tell the two apart.

The stand-in keeps the latest writes with the watches that were waiting for their keys, the arrival and end of each watch (changes, timeout, refused, compacted; how many changes a refused one missed), reads of prefixes, and when the store went down or came back: GET /_trace. The end-to-end tests keep it beside the logs of a failed run (store-trace.json). No behaviour is changed: a waiting watch is refused as before when the store goes down.

Test: trace_of_a_waiting_watch_that_is_refused (there was no such record before).

--- a/crates/e2e/src/system.rs
+++ b/crates/e2e/src/system.rs
@@ -297,6 +297,11 @@
         http::json(self.platform.address(0), "/_stats")
     }
 
+    /// Returns the writes and watches at the platform's store, oldest first.
+    pub fn store_trace(&self) -> serde_json::Value {
+        http::json(self.platform.address(0), "/_trace")
+    }
+
     /// Returns the logs of all proxies.
     ///
     /// # Panics
@@ -395,6 +400,9 @@
         if !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.dir);
         } else {
+            if let Some((200, trace)) = http::get(self.platform.address(0), "/_trace") {
+                let _ = std::fs::write(self.dir.join("store-trace.json"), trace);
+            }
             eprintln!("logs are kept in {}", self.dir.display());
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod spawn;
 pub mod store;
 mod switches;
+mod trace;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -15,6 +15,7 @@
 use crate::http::{Reply, Request, Response, Server, Service, lock, spawn};
 use crate::store::{Error, Store};
 use crate::switches::{Stats, Switches};
+use crate::trace::{End, Trace, Watch};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const MAX_CONNECTIONS: usize = 1024;
@@ -40,6 +41,7 @@
     fleet: Fleet,
     faults: Switches,
     stats: Stats,
+    trace: Trace,
 }
 
 /// The platform's HTTP service.
@@ -64,7 +66,9 @@
     }
     let faults = Switches { list_lag_ms: Some(config.list_lag_ms), ..Switches::default() };
     let stats = Stats::default();
-    let state = Mutex::new(Inner { store: Store::new(HISTORY_LIMIT), fleet, faults, stats });
+    let store = Store::new(HISTORY_LIMIT);
+    let trace = Trace::default();
+    let state = Mutex::new(Inner { store, fleet, faults, stats, trace });
     let platform = Arc::new(Platform {
         state,
         changed: Condvar::new(),
@@ -144,14 +148,20 @@
     }
 
     fn read(&self, path: &str, request: &Request) -> Response {
-        let state = self.lock();
+        let mut state = self.lock();
         if state.is_down() {
             return unavailable();
         }
         let lag = state.faults.list_lag_ms.unwrap_or(0);
         let (tasks, mut vms) = state.fleet.public(mono_ms(), lag);
         let body = match path {
-            "/kv" => state.kv(request),
+            "/kv" => {
+                if let Some(prefix) = request.param("prefix") {
+                    let revision = state.store.revision();
+                    state.trace.range(caller(request), prefix, revision);
+                }
+                state.kv(request)
+            }
             "/vms" => json!({ "vms": vms }),
             "/vms/one" => {
                 let name = request.param("vm").unwrap_or_default();
@@ -179,14 +189,21 @@
             "/kv/put" => {
                 let put: Put = serde_json::from_slice(body)?;
                 let result = state.store.put(&put.key, &put.value, put.expect, put.lease);
-                if result.is_ok() {
-                    state.faults.on_put(&put.key);
+                if let Ok(revision) = result {
+                    state.trace.write(&put.key, false, revision);
+                    if state.faults.on_put(&put.key) {
+                        state.trace.down(true, revision);
+                    }
                 }
                 write_response(result)
             }
             "/kv/delete" => {
                 let delete: Delete = serde_json::from_slice(body)?;
-                write_response(state.store.delete(&delete.key, delete.expect))
+                let result = state.store.delete(&delete.key, delete.expect);
+                if let Ok(revision) = result {
+                    state.trace.write(&delete.key, true, revision);
+                }
+                write_response(result)
             }
             "/lease" => {
                 let ttl: Ttl = serde_json::from_slice(body)?;
@@ -222,22 +239,33 @@
         let deadline = mono_ms() + request.number("wait_ms").min(MAX_WATCH_MS);
         let mut state = self.lock();
         state.stats.waiting += 1;
-        let response = loop {
-            if state.is_down() {
-                break unavailable();
-            }
+        let id =
+            state.trace.start(Watch { caller: caller(request), prefix: prefix.clone(), after });
+        let (response, end, unseen) = loop {
+            let is_down = state.is_down();
             let Ok(changes) = state.store.changes(&prefix, after) else {
-                break Response::json(410, &json!({ "error": "compacted; read the range again" }));
+                if is_down {
+                    break (unavailable(), End::Refused, 0);
+                }
+                let body = json!({ "error": "compacted; read the range again" });
+                break (Response::json(410, &body), End::Compacted, 0);
             };
+            if is_down {
+                break (unavailable(), End::Refused, changes.len());
+            }
             let remaining = deadline.saturating_sub(mono_ms());
             if !changes.is_empty() || remaining == 0 {
                 let revision = state.store.revision();
-                break Response::json(200, &json!({ "revision": revision, "changes": changes }));
+                let end = if changes.is_empty() { End::Timeout } else { End::Changes };
+                let body = json!({ "revision": revision, "changes": changes });
+                break (Response::json(200, &body), end, 0);
             }
             let waited = self.changed.wait_timeout(state, Duration::from_millis(remaining));
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
         };
         state.stats.waiting -= 1;
+        let revision = state.store.revision();
+        state.trace.end(id, end, revision, unseen);
         response
     }
 
@@ -246,6 +274,7 @@
         let mut state = self.lock();
         let body = match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/_stats") => state.stats(),
+            ("GET", "/_trace") => state.trace.events(),
             ("GET", "/_backend") => {
                 json!({ "tasks": state.fleet.tasks(), "vms": state.fleet.vms(mono_ms(), 0) })
             }
@@ -267,7 +296,12 @@
                 json!({})
             }
             ("POST", "/_fault") => {
+                let was_down = state.is_down();
                 state.faults.apply(serde_json::from_slice(&request.body)?);
+                if state.is_down() != was_down {
+                    let revision = state.store.revision();
+                    state.trace.down(!was_down, revision);
+                }
                 if state.faults.silent.take() == Some(true) {
                     self.connections.silence();
                 }
@@ -310,6 +344,10 @@
     }
 }
 
+fn caller(request: &Request) -> String {
+    request.header("user-agent").unwrap_or_default().to_owned()
+}
+
 fn write_response(result: Result<u64, Error>) -> Response {
     match result {
         Ok(revision) => Response::json(200, &json!({ "revision": revision })),
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -22,11 +22,14 @@
 }
 
 impl Switches {
-    /// Takes the store down if `down_with` matches the key just put.
-    pub(crate) fn on_put(&mut self, key: &str) {
-        if self.down_with.take_if(|prefix| key.starts_with(prefix.as_str())).is_some() {
+    /// Takes the store down if `down_with` matches the key just put, and returns whether
+    /// it did.
+    pub(crate) fn on_put(&mut self, key: &str) -> bool {
+        let goes_down = self.down_with.take_if(|prefix| key.starts_with(prefix.as_str())).is_some();
+        if goes_down {
             self.down = Some(true);
         }
+        goes_down
     }
 
     pub(crate) fn apply(&mut self, update: Switches) {
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -34,6 +34,26 @@
     assert_eq!(stats["callers"]["test"]["watches"], 2);
 }
 
+#[test]
+fn trace_of_a_waiting_watch_that_is_refused() {
+    // The trace must tell a write that no watch was waiting for from one whose watch was
+    // refused.
+    let http = platform(Config::default());
+    http.post("/_fault", r#"{"down_with":"a/"}"#).unwrap();
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| http.get("/watch?prefix=a/&after=0&wait_ms=60000").unwrap());
+        eventually("a watch to wait", || (http.get("/_stats")?.1["waiting"] == 1).then_some(()));
+        http.post("/kv/put", r#"{"key":"a/1","value":"x"}"#).unwrap();
+        assert_eq!(waiting.join().unwrap().0, 503);
+    });
+    let (_, trace) = http.get("/_trace").unwrap();
+    let events = trace["events"].as_array().unwrap();
+    let kinds: Vec<_> = events.iter().map(|event| event["event"].as_str().unwrap()).collect();
+    assert_eq!(kinds, ["watch", "write", "down", "end"]);
+    assert_eq!(events[1]["waiting"], json!([events[0]["id"]]));
+    assert_eq!((&events[3]["end"], &events[3]["unseen"]), (&json!("refused"), &json!(1)));
+}
+
 #[test]
 fn watch_from_compacted_revision() {
     let http = platform(Config::default());
