--- a/crates/e2e/src/bin/outage.rs
+++ b/crates/e2e/src/bin/outage.rs
@@ -2,6 +2,7 @@
 //! the drains that some proxy doesn't follow though it could have learned of them from any
 //! process that knows them.
 
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -37,10 +38,18 @@
                 .action(ArgAction::SetTrue)
                 .help("Wait after each outage until all proxies are back"),
         )
+        .arg(
+            Arg::new("trace")
+                .long("trace")
+                .value_name("DIR")
+                .help("Where to keep the store's trace and the logs of each red outage"),
+        )
         .get_matches();
     let rounds = *args.get_one::<u64>("rounds").unwrap_or(&40);
     let seed = *args.get_one::<u64>("seed").unwrap_or(&1);
-    run(rounds, args.get_flag("settled"), &mut SmallRng::seed_from_u64(seed));
+    let trace = args.get_one::<String>("trace").map(PathBuf::from);
+    let rng = &mut SmallRng::seed_from_u64(seed);
+    run(rounds, args.get_flag("settled"), trace.as_deref(), rng);
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -48,13 +57,16 @@
     Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
 }
 
-fn run(rounds: u64, is_settled: bool, rng: &mut SmallRng) {
+fn run(rounds: u64, is_settled: bool, trace: Option<&Path>, rng: &mut SmallRng) {
     let system = System::converged(Config::new(&generated_config(1, 8, 16)));
     let callers = Callers::new(&SERVICES).start(&system);
     let mut counts = Vec::new();
-    for _ in 0..rounds {
+    for round in 0..rounds {
         let vms = wait::until("VMs with copies", || vms_with_copies(&system)).0;
         let unheard = drain_in_outage(&system, &vms);
+        if let Some(dir) = trace.filter(|_| unheard > 0) {
+            keep_trace(&system, dir, round);
+        }
         system.store_down(false);
         sleep_ms(rng.random_range(PAUSE_MS));
         undrain(&system, &vms);
@@ -98,6 +110,17 @@
     vms.iter().filter(is_unheard).count()
 }
 
+/// Writes the store's trace and the proxies' logs of this outage to `dir`.
+fn keep_trace(system: &System, dir: &Path, round: u64) {
+    let name = format!("{}-{round}", std::process::id());
+    std::fs::create_dir_all(dir).expect("a directory");
+    let path = dir.join(format!("{name}-store.json"));
+    std::fs::write(path, system.store_trace().to_string()).expect("written");
+    for (index, log) in system.proxy_logs().iter().enumerate() {
+        std::fs::write(dir.join(format!("{name}-proxy-{index}.log")), log).expect("written");
+    }
+}
+
 /// Returns whether a proxy skips a VM, by the last line of its log on the VM's drain.
 fn is_drained(log: &str, vm: &str) -> bool {
     let has = |line: &&str, text: &str| line.split([' ', ',', '}']).any(|word| word == text);
