Keep the newest owner of a claim shard, whatever arrives last

The proxy's view took the owners of claim shards in without looking at their revisions, and removed them likewise, unlike every other record there. A read or a watch that arrives late brought back a former owner, and the late deletion of a former owner's record removed its successor.

What callers see: claims of the shard are refused with 503, since the former owner answers that it is not the owner, or does not answer. If the record had been deleted, the proxy also believes that the shard has an owner and does not take it over.

Each owner is now a register like the records of VMs: only a newer revision replaces it, and a deletion is remembered with its revision.

--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -73,7 +73,7 @@
     rejected_config: u64,
     vms: BTreeMap<Name, Register<Option<StoredVm>>>,
     members: BTreeMap<String, (u64, Member, String)>,
-    owners: HashMap<u32, Holder>,
+    owners: BTreeMap<u32, Register<Option<Holder>>>,
     drain_requests: BTreeMap<Name, DrainRequest>,
     synced_revision: u64,
 }
@@ -118,12 +118,16 @@
             self.remove_vm(vm, range.revision.0, effects);
         }
         self.remove_missing_drains(range.revision.0, has, effects);
-        let before = (self.members.len(), self.owners.len());
+        let before = self.members.len();
         self.members.retain(|key, _| has(key));
-        self.owners.retain(|shard, _| has(&key::claim_owner(*shard)));
-        if before != (self.members.len(), self.owners.len()) {
+        if before != self.members.len() {
             effects.push(Effect::Directory);
         }
+        let shards = self.owners.keys().filter(|shard| !has(&key::claim_owner(**shard)));
+        let shards: Vec<u32> = shards.copied().collect();
+        for shard in shards {
+            self.offer_owner(shard, None, range.revision.0, effects);
+        }
     }
 
     fn apply_entry(&mut self, entry: &Entry, effects: &mut Vec<Effect>) {
@@ -147,10 +151,8 @@
         } else if let Some(shard) =
             key.strip_prefix(key::CLAIM_OWNERS).and_then(|shard| shard.parse().ok())
         {
-            serde_json::from_str(value).map(|holder| {
-                self.owners.insert(shard, holder);
-                effects.push(Effect::Directory);
-            })
+            serde_json::from_str(value)
+                .map(|holder| self.offer_owner(shard, Some(holder), revision, effects))
         } else {
             Ok(())
         };
@@ -220,6 +222,19 @@
         }
     }
 
+    fn offer_owner(
+        &mut self,
+        shard: u32,
+        holder: Option<Holder>,
+        revision: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let register = self.owners.entry(shard).or_default();
+        if register.offer(revision, holder) == Offer::Applied {
+            effects.push(Effect::Directory);
+        }
+    }
+
     fn delete(&mut self, key: &str, revision: u64, effects: &mut Vec<Effect>) {
         if let Some(vm) = key.strip_prefix(key::VMS).and_then(|vm| Name::new(vm).ok()) {
             self.remove_vm(vm, revision, effects);
@@ -231,8 +246,7 @@
         } else if let Some(shard) =
             key.strip_prefix(key::CLAIM_OWNERS).and_then(|shard| shard.parse().ok())
         {
-            self.owners.remove(&shard);
-            effects.push(Effect::Directory);
+            self.offer_owner(shard, None, revision, effects);
         }
     }
 
@@ -258,7 +272,7 @@
 
     /// Returns the owner of `shard`.
     pub fn owner(&self, shard: u32) -> Option<&Holder> {
-        self.owners.get(&shard)
+        self.owners.get(&shard)?.get()?.as_ref()
     }
 
     /// Returns the VMs that take no work, with the epoch of their drain.
@@ -296,7 +310,10 @@
         let services = self.fleet().map_or_else(HashMap::new, |fleet| {
             fleet.services().map(|(_, service)| (service.name.clone(), service.class)).collect()
         });
-        let owners = self.owners.clone();
+        let owners = self.owners.iter();
+        let owners = owners
+            .filter_map(|(shard, owner)| Some((*shard, owner.get()?.as_ref()?.clone())))
+            .collect();
         Directory { services, owners, config_revision: self.config_revision() }
     }
 }
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use corianderfork_provider::key;
-use corianderfork_provider::record::{Config, Holder, Phase, Runner, Vm};
+use corianderfork_provider::record::{Config, Holder, Member, Phase, Role, Runner, Vm};
 use corianderfork_provider::store::{Change, Changes, Entry, Range, Revision};
 use corianderfork_proxy::view::{Effect, View};
 use corianderfork_wire::peer;
@@ -38,6 +38,21 @@
     entry("shared/vm/v01", serde_json::to_string(&vm).unwrap(), revision)
 }
 
+fn owner(name: &str, revision: u64) -> Entry {
+    let (name, peers) = (name.parse().unwrap(), "127.0.0.1:9".parse().unwrap());
+    let holder = Holder { name, incarnation: 1, peers };
+    entry(&key::claim_owner(2), serde_json::to_string(&holder).unwrap(), revision)
+}
+
+fn owner_name(view: &View) -> Option<&str> {
+    view.owner(2).map(|owner| owner.name.as_str())
+}
+
+fn deletion(key: &str, revision: u64) -> Changes {
+    let revision = Revision(revision);
+    Changes { revision, changes: vec![Change { key: key.to_owned(), revision, entry: None }] }
+}
+
 fn changes(entries: Vec<Entry>, revision: u64) -> Changes {
     let change = |entry: Entry| Change {
         key: entry.key.clone(),
@@ -103,14 +118,8 @@
 #[test]
 fn snapshot_contains_all_records() {
     let mut known = View::default();
-    let holder = Holder {
-        name: "e1".parse().unwrap(),
-        incarnation: 1,
-        peers: "127.0.0.1:9".parse().unwrap(),
-    };
-    let owner = entry(&key::claim_owner(2), serde_json::to_string(&holder).unwrap(), 4);
-    known.on_range(&range(vec![config(CONFIG, 1), vm(Phase::Serving, 0, 2), owner], 5));
-    assert_eq!(known.owner(2), Some(&holder));
+    known.on_range(&range(vec![config(CONFIG, 1), vm(Phase::Serving, 0, 2), owner("e1", 4)], 5));
+    assert_eq!(owner_name(&known), Some("e1"));
     let mut new = View::default();
     let effects = new.on_snapshot(&known.snapshot(&peer::SnapshotRequest::default()));
     assert!(matches!(effects[..], [Effect::Config, Effect::Vm(_)]), "{effects:?}");
@@ -123,6 +132,40 @@
     assert!(matches!(effects[..], [Effect::VmRemoved(_, 8)]), "{effects:?}");
 }
 
+// Claims sent to the former owner of a shard are refused until the shard has another one.
+#[test]
+fn owner_older_record_does_not_replace_newer() {
+    let mut view = View::default();
+    view.on_range(&range(vec![owner("e1", 3)], 3));
+    view.on_changes(&changes(vec![owner("e2", 7)], 7));
+    view.on_range(&range(vec![owner("e1", 3)], 6));
+    assert_eq!(owner_name(&view), Some("e2"), "a late read");
+    view.on_changes(&changes(vec![owner("e1", 3)], 3));
+    assert_eq!(owner_name(&view), Some("e2"), "a late watch");
+}
+
+// A proxy takes over only shards that it sees without an owner, so a former owner that
+// comes back keeps the shard vacant.
+#[test]
+fn owner_older_record_does_not_undo_deletion() {
+    let mut view = View::default();
+    view.on_range(&range(vec![owner("e1", 3)], 3));
+    view.on_changes(&deletion(&key::claim_owner(2), 7));
+    assert_eq!(owner_name(&view), None);
+    view.on_range(&range(vec![owner("e1", 3)], 6));
+    assert_eq!(owner_name(&view), None, "a late read");
+}
+
+// The deletion of the former owner's record must not remove the owner that replaced it:
+// claims would be refused though the shard has an owner.
+#[test]
+fn owner_older_deletion_is_ignored() {
+    let mut view = View::default();
+    view.on_range(&range(vec![owner("e2", 7)], 7));
+    view.on_changes(&deletion(&key::claim_owner(2), 5));
+    assert_eq!(owner_name(&view), Some("e2"));
+}
+
 fn drain_request(revision: u64) -> Entry {
     entry("shared/drain/v01", r#"{"by":"asha","reason":"fan"}"#.to_owned(), revision)
 }
