Keep members deleted that a proxy has seen to end

And a member that was missing in a read was removed even if it had registered after that read.

The watch, which is past the deletion, never reports it again. So the member table does not forget them: they count in the majority by which the proxy decides whether it is in touch, and delay takeovers of claim shards for proxies that rank after them. The way from there to callers was read, not run.

A deletion is now kept with its revision, and a read removes only members that are older than the read. A record with revision 0 is taken only of a member of which nothing is known.

--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -65,6 +65,16 @@
     vm: Vm,
 }
 
+/// The newest known record of a member.
+#[derive(Clone, Debug)]
+struct StoredMember {
+    /// The revision of the record or of its deletion. 0 if it was reported by a peer that
+    /// does not know the revision; such a record replaces no other.
+    revision: u64,
+    /// The record and its text, while the member is listed.
+    record: Option<(Member, String)>,
+}
+
 /// The shared records as this process knows them.
 #[derive(Debug, Default)]
 pub struct View {
@@ -72,7 +82,7 @@
     /// The revision of the newest configuration that was rejected.
     rejected_config: u64,
     vms: BTreeMap<Name, Register<Option<StoredVm>>>,
-    members: BTreeMap<String, (u64, Member, String)>,
+    members: BTreeMap<String, StoredMember>,
     owners: BTreeMap<u32, Register<Option<Holder>>>,
     drain_requests: BTreeMap<Name, DrainRequest>,
     synced_revision: u64,
@@ -118,10 +128,9 @@
             self.remove_vm(vm, range.revision.0, effects);
         }
         self.remove_missing_drains(range.revision.0, has, effects);
-        let before = self.members.len();
-        self.members.retain(|key, _| has(key));
-        if before != self.members.len() {
-            effects.push(Effect::Directory);
+        let members: Vec<String> = self.members.keys().filter(|key| !has(key)).cloned().collect();
+        for key in members {
+            self.offer_member(&key, None, range.revision.0, effects);
         }
         let shards = self.owners.keys().filter(|shard| !has(&key::claim_owner(**shard)));
         let shards: Vec<u32> = shards.copied().collect();
@@ -146,7 +155,7 @@
             Ok(())
         } else if key.starts_with(key::MEMBERS) {
             serde_json::from_str(value).map(|member| {
-                self.offer_member(key, member, value, revision, effects);
+                self.offer_member(key, Some((member, value.to_owned())), revision, effects);
             })
         } else if let Some(shard) =
             key.strip_prefix(key::CLAIM_OWNERS).and_then(|shard| shard.parse().ok())
@@ -210,16 +219,18 @@
     fn offer_member(
         &mut self,
         key: &str,
-        member: Member,
-        value: &str,
+        record: Option<(Member, String)>,
         revision: u64,
         effects: &mut Vec<Effect>,
     ) {
-        let is_newer = self.members.get(key).is_none_or(|(known, ..)| *known < revision);
-        if is_newer {
-            self.members.insert(key.to_owned(), (revision, member, value.to_owned()));
+        let known = self.members.get(key);
+        if known.is_some_and(|known| revision <= known.revision) {
+            return;
+        }
+        if record.is_some() || known.is_some_and(|known| known.record.is_some()) {
             effects.push(Effect::Directory);
         }
+        self.members.insert(key.to_owned(), StoredMember { revision, record });
     }
 
     fn offer_owner(
@@ -240,9 +251,8 @@
             self.remove_vm(vm, revision, effects);
         } else if let Some(vm) = key.strip_prefix(key::DRAINS).and_then(|vm| Name::new(vm).ok()) {
             self.offer_drain(vm, None, revision, effects);
-        } else if self.members.get(key).is_some_and(|(known, ..)| *known < revision) {
-            self.members.remove(key);
-            effects.push(Effect::Directory);
+        } else if key.starts_with(key::MEMBERS) {
+            self.offer_member(key, None, revision, effects);
         } else if let Some(shard) =
             key.strip_prefix(key::CLAIM_OWNERS).and_then(|shard| shard.parse().ok())
         {
@@ -267,7 +277,7 @@
 
     /// Returns the members that the store lists.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values().map(|(_, member, _)| member)
+        self.members.values().filter_map(|stored| Some(&stored.record.as_ref()?.0))
     }
 
     /// Returns the owner of `shard`.
--- a/crates/proxy/src/view/snapshot.rs
+++ b/crates/proxy/src/view/snapshot.rs
@@ -54,10 +54,10 @@
             reply.members = self
                 .members
                 .iter()
-                .map(|(key, (revision, _, value))| peer::Record {
-                    key: key.clone(),
-                    value: value.clone(),
-                    revision: *revision,
+                .filter_map(|(key, stored)| {
+                    let (_, value) = stored.record.as_ref()?;
+                    let (key, value) = (key.clone(), value.clone());
+                    Some(peer::Record { key, value, revision: stored.revision })
                 })
                 .collect();
             // A drain request missing here counts as withdrawn.
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -48,6 +48,19 @@
     view.owner(2).map(|owner| owner.name.as_str())
 }
 
+fn member(revision: u64) -> Entry {
+    let member = Member {
+        name: "e3".parse().unwrap(),
+        role: Role::Proxy,
+        incarnation: 1,
+        data_centre: "kolkata".parse().unwrap(),
+        peers: "127.0.0.1:9".parse().unwrap(),
+        callers: None,
+    };
+    let key = key::member(Role::Proxy, &member.name);
+    entry(&key, serde_json::to_string(&member).unwrap(), revision)
+}
+
 fn deletion(key: &str, revision: u64) -> Changes {
     let revision = Revision(revision);
     Changes { revision, changes: vec![Change { key: key.to_owned(), revision, entry: None }] }
@@ -166,6 +179,56 @@
     assert_eq!(owner_name(&view), Some("e2"));
 }
 
+// Members that ended must not be listed again: they would stay in the table of members,
+// since the store reports no further deletion.
+#[test]
+fn member_older_record_does_not_undo_deletion() {
+    let mut view = View::default();
+    view.on_range(&range(vec![member(3)], 3));
+    view.on_changes(&deletion(&member(3).key, 7));
+    view.on_range(&range(vec![member(3)], 6));
+    assert_eq!(view.members().count(), 0);
+    view.on_changes(&changes(vec![member(9)], 9));
+    assert_eq!(view.members().count(), 1, "it registered again");
+}
+
+// Peers report all members that the store once listed, those that ended with revision 0.
+// A process that has seen the deletion must not list such a member again.
+#[test]
+fn member_listed_earlier_by_peer_stays_deleted() {
+    let mut view = View::default();
+    view.on_range(&range(vec![member(3)], 3));
+    view.on_changes(&deletion(&member(3).key, 7));
+    let ended = peer::Record { revision: 0, ..record(&member(3)) };
+    let snapshot =
+        peer::SnapshotReply { store_revision: 8, members: vec![ended], ..Default::default() };
+    view.on_snapshot(&snapshot);
+    assert_eq!(view.members().count(), 0);
+    // A process that starts while the store is down needs it for a majority.
+    let mut new = View::default();
+    new.on_snapshot(&snapshot);
+    assert_eq!(new.members().count(), 1);
+}
+
+// A member that registered after a read must survive the absence from that read.
+#[test]
+fn member_newer_than_read_is_kept() {
+    let mut view = View::default();
+    let snapshot = peer::SnapshotReply {
+        store_revision: 5,
+        members: vec![record(&member(7))],
+        ..Default::default()
+    };
+    view.on_snapshot(&snapshot);
+    view.on_range(&range(Vec::new(), 6));
+    assert_eq!(view.members().count(), 1);
+}
+
+fn record(entry: &Entry) -> peer::Record {
+    let (key, value) = (entry.key.clone(), entry.value.clone());
+    peer::Record { key, value, revision: entry.revision.0 }
+}
+
 fn drain_request(revision: u64) -> Entry {
     entry("shared/drain/v01", r#"{"by":"asha","reason":"fan"}"#.to_owned(), revision)
 }
