--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -93,9 +93,7 @@
     pub fn on_range(&mut self, range: &Range) -> Vec<Effect> {
         let mut effects = Vec::new();
         let revision = range.revision.0;
-        if revision >= self.synced_revision {
-            self.remove_missing(range, &mut effects);
-        }
+        self.remove_missing(range, &mut effects);
         for entry in &range.entries {
             self.apply_entry(entry, &mut effects);
         }
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -224,6 +224,18 @@
     assert_eq!(view.members().count(), 1);
 }
 
+// A member or an owner that is missing in a read is gone even if a peer's snapshot, which
+// does not list owners and removes no members, was newer than the read.
+#[test]
+fn range_older_than_snapshot_removes_members_and_owners() {
+    let mut view = View::default();
+    view.on_range(&range(vec![member(3), owner("e3", 4)], 4));
+    let snapshot = peer::SnapshotReply { store_revision: 12, ..Default::default() };
+    view.on_snapshot(&snapshot);
+    view.on_range(&range(Vec::new(), 10));
+    assert_eq!((view.members().count(), owner_name(&view)), (0, None));
+}
+
 fn record(entry: &Entry) -> peer::Record {
     let (key, value) = (entry.key.clone(), entry.value.clone());
     peer::Record { key, value, revision: entry.revision.0 }
