Let the platform stand-in delay watches

With the fault watch_delay_ms a watch that arrives is considered only after that time; all other calls are unaffected. A test can so make the time between the answer to one watch and the next waiting watch long and known, which is what decides whether any process sees a write that the store accepts right before it goes down.

A watch that is waiting when the switch is set is not delayed, and one whose delay ends while the store is down is refused.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -126,7 +126,11 @@
     fn count(&self, request: &Request) -> u64 {
         let mut state = self.lock();
         state.stats.count(request);
-        state.faults.slow_ms.unwrap_or(0)
+        let watch_delay_ms = match request.path.as_str() {
+            "/watch" => state.faults.watch_delay_ms.unwrap_or(0),
+            _ => 0,
+        };
+        state.faults.slow_ms.unwrap_or(0) + watch_delay_ms
     }
 
     /// Returns whether to lose the response to this write, and counts the lost
--- a/crates/standins/src/switches.rs
+++ b/crates/standins/src/switches.rs
@@ -15,6 +15,8 @@
     /// goes down at once, before any watch returns the change.
     pub(crate) down_with: Option<String>,
     pub(crate) slow_ms: Option<u64>,
+    /// Milliseconds from the arrival of a watch until the store considers it.
+    pub(crate) watch_delay_ms: Option<u64>,
     pub(crate) lose_answers: Option<u64>,
     pub(crate) lose_prefix: Option<String>,
     pub(crate) list_lag_ms: Option<u64>,
@@ -36,6 +38,7 @@
         self.down = update.down.or(self.down);
         self.down_with = update.down_with.or(self.down_with.take());
         self.slow_ms = update.slow_ms.or(self.slow_ms);
+        self.watch_delay_ms = update.watch_delay_ms.or(self.watch_delay_ms);
         self.lose_answers = update.lose_answers.or(self.lose_answers);
         self.lose_prefix = update.lose_prefix.or(self.lose_prefix.take());
         self.list_lag_ms = update.list_lag_ms.or(self.list_lag_ms);
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -54,6 +54,30 @@
     assert_eq!((&events[3]["end"], &events[3]["unseen"]), (&json!("refused"), &json!(1)));
 }
 
+#[test]
+fn watch_delayed_writes_not() {
+    // A delayed watch isn't waiting when a later call is answered, is refused if the store
+    // goes down meanwhile, and returns the change once the store considers it.
+    let http = platform(Config::default());
+    http.post("/_fault", r#"{"watch_delay_ms":2000}"#).unwrap();
+    thread::scope(|scope| {
+        let refused = scope.spawn(|| http.get("/watch?prefix=a&after=0&wait_ms=0").unwrap().0);
+        eventually("a watch to arrive", || (http.get("/_stats")?.1["watches"] == 1).then_some(()));
+        assert_eq!(http.post("/kv/put", r#"{"key":"a","value":"x"}"#).unwrap().0, 200);
+        assert_eq!(http.get("/kv?key=a").unwrap().1["entry"]["value"], "x");
+        http.post("/_fault", r#"{"down":true}"#).unwrap();
+        assert_eq!(refused.join().unwrap(), 503);
+    });
+    http.post("/_fault", r#"{"down":false,"watch_delay_ms":1}"#).unwrap();
+    let (_, seen) = http.get("/watch?prefix=a&after=0&wait_ms=0").unwrap();
+    assert_eq!(seen["changes"][0]["entry"]["value"], "x");
+    let (_, trace) = http.get("/_trace").unwrap();
+    let events = trace["events"].as_array().unwrap();
+    let kinds: Vec<_> = events.iter().map(|event| event["event"].as_str().unwrap()).collect();
+    assert_eq!(kinds, ["write", "down", "watch", "end", "down", "watch", "end"]);
+    assert_eq!(events[0]["waiting"], json!([]));
+}
+
 #[test]
 fn watch_from_compacted_revision() {
     let http = platform(Config::default());
