Let `outage` delay the store's watches

--watch-delay MS sets the platform stand-in's watch_delay_ms, so that the share of unheard drains can be measured by the time between two watches.

--- a/crates/e2e/src/bin/outage.rs
+++ b/crates/e2e/src/bin/outage.rs
@@ -15,6 +15,7 @@
 use corianderfork_provider::store::{Expect, Store};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::json;
 
 /// VMs drained per round.
 const DRAINS: usize = 10;
@@ -32,6 +33,7 @@
         .about("Counts accepted drains that aren't heeded while the store is down")
         .arg(number("rounds", "40", "Outages"))
         .arg(number("seed", "1", "What the pauses between outages are drawn from"))
+        .arg(number("watch-delay", "0", "Milliseconds until the store considers a watch"))
         .arg(
             Arg::new("settled")
                 .long("settled")
@@ -49,7 +51,8 @@
     let seed = *args.get_one::<u64>("seed").unwrap_or(&1);
     let trace = args.get_one::<String>("trace").map(PathBuf::from);
     let rng = &mut SmallRng::seed_from_u64(seed);
-    run(rounds, args.get_flag("settled"), trace.as_deref(), rng);
+    let delay_ms = *args.get_one::<u64>("watch-delay").unwrap_or(&0);
+    run(rounds, delay_ms, args.get_flag("settled"), trace.as_deref(), rng);
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -57,8 +60,9 @@
     Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
 }
 
-fn run(rounds: u64, is_settled: bool, trace: Option<&Path>, rng: &mut SmallRng) {
+fn run(rounds: u64, delay_ms: u64, is_settled: bool, trace: Option<&Path>, rng: &mut SmallRng) {
     let system = System::converged(Config::new(&generated_config(1, 8, 16)));
+    system.platform_fault(&json!({ "watch_delay_ms": delay_ms }));
     let callers = Callers::new(&SERVICES).start(&system);
     let mut counts = Vec::new();
     for round in 0..rounds {
