Watch the drain requests of few VMs apart from all others

What callers saw: a VM whose drain was accepted gets requests for a whole outage of the platform's store (leaving_though_the_store_is_down, 4,566 to 5,034 ms, which is as long as VMs are watched).

Cause: the watches of all processes wait for the same keys, so that one write answers them all. While drains are written one after the other, fewer and fewer watches are waiting, and what is written while none is, or only ones that the store refuses as it goes down, has reached nobody. A second reader of the same keys, returning sooner and asking again sooner only make this rarer.

The drain of one VM leaves those of the others waiting. Their watches last 10 s; after a failure they wait until another reader of the process has reached the store again (Waker::wake_recovered).

Why it works: whatever was drained before, the watches for a VM are waiting when its own drain is written, except for the moment in which one ends by its timeout.

What it doesn't mend: a write whose waiting watches are all refused. The store may do that. And at sizes with more VMs than 8 a proxy a group has several VMs, and two drains within it follow each other as before.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -3,8 +3,9 @@
 //! Processes that share only a small key-value service with compare-and-swap
 //! have to agree on a few things: which of them acts ([`lease`]), which of them
 //! are alive ([`member`]), which requests have been run ([`claim`]), when a VM
-//! has nothing in flight ([`drain`]) and which configuration is in force
-//! ([`register`]). Each module holds one such state machine and depends on none
+//! has nothing in flight ([`drain`]), which configuration is in force
+//! ([`register`]) and which of them does a share of the work ([`partition`],
+//! [`rendezvous`]). Each module holds one such state machine and depends on none
 //! of the others, except that [`drain`] uses the types of [`member`]. None of
 //! them reads a clock, blocks or uses unseeded randomness: the driver passes in
 //! the time and the events, and carries out the actions that are returned. The
@@ -25,4 +26,6 @@
 pub mod drain;
 pub mod lease;
 pub mod member;
+pub mod partition;
 pub mod register;
+pub mod rendezvous;
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -1,23 +1,38 @@
 //! The actor that transfers the shared records from the store to the hub.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use corianderfork_model::Time;
+use corianderfork_coord::backoff;
+use corianderfork_model::{Name, Time};
 use corianderfork_provider::key;
+use corianderfork_provider::record::Role;
+use corianderfork_provider::store::Store;
 use corianderfork_runtime::clock;
 use corianderfork_runtime::port::Port;
 use corianderfork_runtime::sync::{self, Outcome, Update};
-use stakker::{CX, fwd_to};
+use corianderfork_runtime::timer::{Service, Tick};
+use stakker::{Actor, CX, call, fwd_to};
 
 use crate::gossip;
 use crate::hub::Hub;
 use crate::inbox::Inbox;
 use crate::membership::StoreAccess;
+use crate::watch;
 
 /// How long after the store is reachable again peers are notified of newer revisions at
 /// once: longer than the longest backoff of a reader.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(1);
+/// The interval between two comparisons of the watched groups with the known VMs.
+const GROUP_INTERVAL: Duration = Duration::from_millis(200);
+/// The duration of a watch of one group. Silent connections are noticed by the shorter
+/// watches of the other readers.
+const GROUP_WAIT: Duration = Duration::from_secs(10);
+/// The waits of the readers of groups after failures. They are woken when another reader
+/// of this process reaches the store again.
+const GROUP_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(5));
 
 /// Returns the store revision up to which `outcome` is complete; 0 if the read failed.
 fn revision(outcome: &Outcome) -> u64 {
@@ -30,11 +45,11 @@
 
 /// Applies the updates of the threads that watch the store.
 ///
-/// One thread watches all shared records, another one only the drain requests. One write
-/// answers all waiting watches, and a later write is seen only once they are sent again.
+/// One thread watches all shared records, another one only the drain requests, and some
+/// only the drain requests of a few VMs, by [`watch::drain_prefixes`]. One write answers all
+/// watches that wait for its key, and a later write is seen only once they are sent again.
 /// If the store goes down in between, an accepted drain has reached no process, and its
-/// VM gets requests for the whole outage. With two readers, whose calls take different
-/// times, a watch is rarely missing on all entry VMs at once.
+/// VM gets requests for the whole outage. The watches of other VMs still wait then.
 ///
 /// After an outage, the first process that reaches the store notifies all others with its
 /// first update. With only one process watching, a write between two of its watches would
@@ -42,6 +57,12 @@
 pub struct Feed {
     hub: Rc<Hub>,
     gossip: Inbox<gossip::Message>,
+    group_store: Arc<dyn Store>,
+    group_port: Port<Update>,
+    /// The VMs and proxies for which the groups were selected.
+    known: (Vec<Name>, Vec<Name>),
+    /// The readers of groups, by their prefixes.
+    groups: BTreeMap<String, sync::Handle>,
     is_failing: bool,
     /// Whether the reader of drain requests fails.
     drains_failing: bool,
@@ -56,6 +77,7 @@
         hub: Rc<Hub>,
         access: StoreAccess,
         gossip: Inbox<gossip::Message>,
+        timer: Actor<Service>,
     ) -> Option<Self> {
         let all = fwd_to!([cx], on_update() as (Update));
         let drains = fwd_to!([cx], on_drain_update() as (Update));
@@ -72,8 +94,74 @@
                 return None;
             }
         }
-        let (is_failing, drains_failing, recovered_at) = (false, false, None);
-        Some(Self { hub, gossip, is_failing, drains_failing, recovered_at })
+        let group_updates = fwd_to!([cx], on_group_update() as (Update));
+        let group_port = Port::open(cx, access.handle, group_updates);
+        let tick = fwd_to!([cx], on_tick() as (Tick));
+        call!([timer], subscribe(GROUP_INTERVAL, tick));
+        Some(Self {
+            hub,
+            gossip,
+            group_store: access.group_watch_store,
+            group_port,
+            known: (Vec::new(), Vec::new()),
+            groups: BTreeMap::new(),
+            is_failing: false,
+            drains_failing: false,
+            recovered_at: None,
+        })
+    }
+
+    /// Starts and stops readers of groups after VMs or proxies have changed.
+    fn on_tick(&mut self, _: CX![], _: Tick) {
+        let known = self.known();
+        if known == self.known {
+            return;
+        }
+        let (vms, proxies) = &known;
+        let me = self.hub.me().name;
+        let prefixes = watch::drain_prefixes(
+            vms.iter().map(Name::as_str),
+            proxies.iter().map(Name::as_str),
+            me.as_str(),
+        );
+        self.groups.retain(|prefix, reader| {
+            let is_kept = prefixes.contains(prefix);
+            if !is_kept {
+                reader.stop();
+            }
+            is_kept
+        });
+        for prefix in prefixes {
+            if !self.groups.contains_key(&prefix) {
+                self.start_group(prefix);
+            }
+        }
+        self.known = known;
+    }
+
+    /// Returns the known VMs, and the proxies including this one.
+    ///
+    /// Proxies whose records expired in an outage still count, or all groups would move when
+    /// the store returns.
+    fn known(&self) -> (Vec<Name>, Vec<Name>) {
+        let vms = self.hub.view.borrow().vms().cloned().collect();
+        let members = self.hub.members.borrow();
+        let proxies = members.listed().filter(|member| member.role == Role::Proxy);
+        let me = members.me().name.clone();
+        let proxies: BTreeSet<Name> =
+            proxies.map(|member| member.name.clone()).chain([me]).collect();
+        (vms, proxies.into_iter().collect())
+    }
+
+    fn start_group(&mut self, prefix: String) {
+        let (first, max) = GROUP_BACKOFF;
+        let backoff = backoff::Config::new().first(first).max(max);
+        let config = sync::Config::default().prefix(&prefix).wait(GROUP_WAIT).backoff(backoff);
+        let (store, waker) = (self.group_store.clone(), self.hub.waker.clone());
+        match sync::start(store, config, clock::seed(), waker, self.group_port.clone()) {
+            Ok(reader) => drop(self.groups.insert(prefix, reader)),
+            Err(error) => ::log::error!("failed to watch {prefix} apart: {error}"),
+        }
     }
 
     fn on_update(&mut self, _: CX![], update: Update) {
@@ -94,7 +182,7 @@
         }
         if std::mem::take(&mut self.is_failing) {
             ::log::info!("the platform's store answers again");
-            self.recovered_at = Some(Instant::now());
+            self.on_recovery();
         }
         self.notify_readers(revision);
     }
@@ -112,11 +200,28 @@
             }
         }
         if std::mem::take(&mut self.drains_failing) {
-            self.recovered_at = Some(Instant::now());
+            self.on_recovery();
+        }
+        self.notify_readers(revision);
+    }
+
+    fn on_group_update(&mut self, _: CX![], update: Update) {
+        self.observe_gap("group", update.gap);
+        let revision = revision(&update.outcome);
+        match update.outcome {
+            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
+            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
+            // The reader of all records logs the error.
+            _ => return,
         }
         self.notify_readers(revision);
     }
 
+    fn on_recovery(&mut self) {
+        self.recovered_at = Some(Instant::now());
+        self.hub.waker.wake_recovered();
+    }
+
     /// Wakes the other reader, and after an outage notifies the peers of each newer
     /// revision.
     fn notify_readers(&self, revision: u64) {
@@ -140,3 +245,10 @@
         Time::from_millis(now.as_millis().saturating_sub(ago))
     }
 }
+
+impl Drop for Feed {
+    fn drop(&mut self) {
+        // A restarted feed starts its own readers.
+        self.groups.values().for_each(sync::Handle::stop);
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,7 +18,8 @@
 //! The core is one thread of supervised actors. They share the [`hub`], which holds the
 //! [`view`] of the shared records and the [`members`].
 //!
-//! * [`feed`] transfers records from the store; [`gossip`] exchanges reports with peers
+//! * [`feed`] transfers records from the store, with the drain requests that [`watch`]
+//!   selects watched apart; [`gossip`] exchanges reports with peers
 //!   and fetches records from them while the store is silent.
 //! * [`membership`] keeps this process listed in the store; [`claims`] owns shards of
 //!   claims.
@@ -69,5 +70,6 @@
 pub mod takeover;
 pub mod transport;
 pub mod view;
+pub mod watch;
 
 pub use run::run;
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -31,6 +31,8 @@
     pub watch_store: Arc<dyn Store>,
     /// The store on separate connections, for the watch of drain requests.
     pub drain_watch_store: Arc<dyn Store>,
+    /// The store on separate connections, for the watches of few VMs' drain requests.
+    pub group_watch_store: Arc<dyn Store>,
     /// Threads for blocking calls.
     pub pool: Pool,
     /// The handle of the core.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -155,13 +155,15 @@
         serve::start(settings.callers, serve_config, Arc::clone(&shared), forwarder, on_failure)?;
     me.callers = Some(callers);
 
-    let [store, watch_store, drain_watch_store] = std::array::from_fn(|_| new_store(&settings));
+    let [store, watch_store, drain_watch_store, group_watch_store] =
+        std::array::from_fn(|_| new_store(&settings));
     let threads = key::CLAIM_SHARDS as usize + STORE_THREADS;
     let pool = Pool::start("store", threads, STORE_QUEUE)?;
     let access = StoreAccess {
         store: store.clone(),
         watch_store: watch_store.clone(),
         drain_watch_store: drain_watch_store.clone(),
+        group_watch_store: group_watch_store.clone(),
         pool,
         handle: handle.clone(),
     };
@@ -174,7 +176,7 @@
         settings: Rc::new(settings),
         hub,
         access,
-        stores: vec![store, watch_store, drain_watch_store],
+        stores: vec![store, watch_store, drain_watch_store, group_watch_store],
         peers,
         inboxes: inboxes.clone(),
         timer: timer.clone(),
--- a/crates/proxy/src/run/tree.rs
+++ b/crates/proxy/src/run/tree.rs
@@ -40,7 +40,8 @@
     let deps = dependencies.clone();
     let feed: Start = Box::new(move |cx, ended| {
         let gossip = deps.inboxes.gossip.clone();
-        let own = actor!(cx, Feed::init(deps.hub.clone(), deps.access.clone(), gossip), ended);
+        let (hub, access, timer) = (deps.hub.clone(), deps.access.clone(), deps.timer.clone());
+        let own = actor!(cx, Feed::init(hub, access, gossip, timer), ended);
         own.anon()
     });
     call!([root], add("feed", feed));
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -273,6 +273,11 @@
         self.synced_revision
     }
 
+    /// Returns the VMs that have a record, in order.
+    pub fn vms(&self) -> impl Iterator<Item = &Name> {
+        self.vm_records().map(|(name, _)| name)
+    }
+
     /// Returns the members that the store lists.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter_map(|stored| Some(&stored.record.as_ref()?.0))
--- a/crates/runtime/src/sync.rs
+++ b/crates/runtime/src/sync.rs
@@ -1,7 +1,8 @@
 //! Replicates a prefix of the store on a separate thread: one full read, then a
 //! series of watches.
 
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use corianderfork_coord::backoff::{self, Backoff};
@@ -44,7 +45,7 @@
 /// The prefix, watch duration and backoff of a reader.
 #[derive(Clone, Debug)]
 pub struct Config {
-    prefix: &'static str,
+    prefix: String,
     wait: Duration,
     backoff: backoff::Config,
 }
@@ -54,15 +55,15 @@
         let backoff = backoff::Config::new()
             .first(Duration::from_millis(100))
             .max(Duration::from_millis(500));
-        Self { prefix: key::SHARED, wait: Duration::from_millis(1500), backoff }
+        Self { prefix: key::SHARED.to_owned(), wait: Duration::from_millis(1500), backoff }
     }
 }
 
 impl Config {
     /// Sets the prefix of the keys to replicate. The default is [`key::SHARED`].
     #[must_use]
-    pub fn prefix(mut self, prefix: &'static str) -> Self {
-        self.prefix = prefix;
+    pub fn prefix(mut self, prefix: impl Into<String>) -> Self {
+        self.prefix = prefix.into();
         self
     }
 
@@ -87,52 +88,95 @@
     }
 }
 
-/// Ends the backoff of readers that failed to reach the store as soon as a peer
-/// proves that the store is reachable.
+/// What proves that the store is reachable.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[non_exhaustive]
+pub struct Signals {
+    /// The newest revision at which this process or a peer has read the store.
+    pub revision: u64,
+    /// How often a reader of this process has reached the store again.
+    pub recoveries: u64,
+}
+
+/// Ends the backoff of readers that failed to reach the store as soon as a peer or
+/// another reader proves that the store is reachable.
 ///
 /// ```
 /// use corianderfork_runtime::sync::Waker;
 /// use std::time::{Duration, Instant};
 ///
 /// let waker = Waker::default();
+/// let known = waker.signals();
 /// let woken = waker.clone();
 /// let peer = std::thread::spawn(move || woken.wake(7));
 /// let begun = Instant::now();
-/// assert_eq!(waker.wait(6, Duration::from_secs(60)), 7);
+/// assert_eq!(waker.wait(known, Duration::from_secs(60)).revision, 7);
 /// assert!(begun.elapsed() < Duration::from_secs(60));
 /// # peer.join().unwrap();
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Waker(Arc<(Mutex<u64>, Condvar)>);
+pub struct Waker(Arc<(Mutex<Signals>, Condvar)>);
 
 impl Waker {
+    /// Returns the signals recorded so far.
+    pub fn signals(&self) -> Signals {
+        *self.lock()
+    }
+
     /// Records that a peer or another reader of this process has read the store at
     /// `revision`. Returns whether that is newer than all revisions recorded before.
     pub fn wake(&self, revision: u64) -> bool {
-        let (newest, changed) = &*self.0;
-        let mut newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_newer = revision > *newest;
+        let mut signals = self.lock();
+        let is_newer = revision > signals.revision;
         if is_newer {
-            *newest = revision;
-            changed.notify_all();
+            signals.revision = revision;
+            self.0.1.notify_all();
         }
         is_newer
     }
 
-    /// Waits until a revision newer than `known` is recorded, at most for `timeout`.
+    /// Records that a reader of this process has reached the store again after a
+    /// failure.
+    pub fn wake_recovered(&self) {
+        self.lock().recoveries += 1;
+        self.0.1.notify_all();
+    }
+
+    /// Waits until a signal newer than `known` is recorded, at most for `timeout`.
     ///
-    /// Returns the newest recorded revision. A caller that passes it as `known` to
-    /// the next wait is woken once per change, not by every report of a peer.
-    pub fn wait(&self, known: u64, timeout: Duration) -> u64 {
-        let (newest, changed) = &*self.0;
-        let newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = changed.wait_timeout_while(newest, timeout, |newest| *newest <= known);
+    /// Returns the recorded signals. A caller that passes them as `known` to the
+    /// next wait is woken once per change, not by every report of a peer.
+    pub fn wait(&self, known: Signals, timeout: Duration) -> Signals {
+        let is_known = |signals: &mut Signals| {
+            signals.revision <= known.revision && signals.recoveries <= known.recoveries
+        };
+        let waited = self.0.1.wait_timeout_while(self.lock(), timeout, is_known);
         *waited.unwrap_or_else(PoisonError::into_inner).0
     }
+
+    fn lock(&self) -> MutexGuard<'_, Signals> {
+        self.0.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Stops a reader.
+#[derive(Clone, Debug, Default)]
+pub struct Handle(Arc<AtomicBool>);
+
+impl Handle {
+    /// Ends the reader after its current call, whose update is still sent.
+    pub fn stop(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 /// Starts a reader thread that sends an [`Update`] to `port` after each call and
-/// ends with the event loop. `waker` can end its wait after a failure.
+/// ends with the event loop or when it is stopped. `waker` can end its wait after a
+/// failure.
 ///
 /// # Errors
 ///
@@ -143,7 +187,7 @@
     seed: u64,
     waker: Waker,
     port: Port<Update>,
-) -> std::io::Result<()> {
+) -> std::io::Result<Handle> {
     let mut reader = Reader {
         store,
         prefix: config.prefix,
@@ -152,26 +196,28 @@
         waker,
         port,
         after: None,
-        known_revision: 0,
+        known: Signals::default(),
         last_response: None,
     };
+    let handle = Handle::default();
+    let stopped = handle.clone();
     std::thread::Builder::new()
         .name("sync".to_owned())
-        .spawn(move || while reader.run_once().is_ok() {})?;
-    Ok(())
+        .spawn(move || while !stopped.is_stopped() && reader.run_once().is_ok() {})?;
+    Ok(handle)
 }
 
 struct Reader {
     store: Arc<dyn Store>,
-    prefix: &'static str,
+    prefix: String,
     wait: Duration,
     backoff: Backoff,
     waker: Waker,
     port: Port<Update>,
     /// The revision to watch from; `None` requests a full read.
     after: Option<Revision>,
-    /// The newest revision at which this process or a peer has read the store.
-    known_revision: u64,
+    /// The signals that this reader has acted on.
+    known: Signals,
     /// When the last response arrived; `None` after a failed call.
     last_response: Option<Instant>,
 }
@@ -181,8 +227,8 @@
         let sent = Instant::now();
         let gap = self.last_response.take().map(|last_response| sent - last_response);
         let result = match self.after {
-            None => self.store.range(self.prefix).map(Outcome::Snapshot),
-            Some(after) => self.store.watch(self.prefix, after, self.wait).map(Outcome::Changes),
+            None => self.store.range(&self.prefix).map(Outcome::Snapshot),
+            Some(after) => self.store.watch(&self.prefix, after, self.wait).map(Outcome::Changes),
         };
         match result {
             Ok(outcome) => self.on_success(sent, gap, outcome),
@@ -203,7 +249,8 @@
             Outcome::Changes(changes) => Some(changes.revision),
             Outcome::Failed(_) => self.after,
         };
-        self.known_revision = self.known_revision.max(self.after.map_or(0, |revision| revision.0));
+        let revision = self.after.map_or(0, |revision| revision.0);
+        self.known.revision = self.known.revision.max(revision);
         self.port.send_wait(Update { sent, gap, outcome })
     }
 
@@ -221,8 +268,9 @@
         // would all return at the same time and overload it again.
         std::thread::sleep(MIN_WAIT);
         let timeout = self.backoff.next_wait().saturating_sub(MIN_WAIT);
-        self.known_revision =
-            self.known_revision.max(self.waker.wait(self.known_revision, timeout));
+        let signals = self.waker.wait(self.known, timeout);
+        self.known.revision = self.known.revision.max(signals.revision);
+        self.known.recoveries = signals.recoveries;
         Ok(())
     }
 }
--- a/crates/runtime/tests/sync.rs
+++ b/crates/runtime/tests/sync.rs
@@ -1,18 +1,18 @@
 //! Tests of the reader thread.
 #![allow(clippy::unwrap_used)]
 
-use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use corianderfork_coord::backoff;
 use corianderfork_provider::store::{
     Changes, Error, Expect, LeaseId, Lookup, Range, Revision, Store,
 };
-use corianderfork_runtime::core;
+use corianderfork_runtime::core::{self, Handle};
 use corianderfork_runtime::port::Port;
 use corianderfork_runtime::sync::{self, Update, Waker};
-use stakker::fwd_do;
+use stakker::{Stakker, fwd_do};
 
 /// A backoff that never ends within a test.
 const LONG_BACKOFF: Duration = Duration::from_secs(600);
@@ -63,21 +63,34 @@
     }
 }
 
+/// Returns the event loop of this process, which can have only one.
+fn event_loop() -> Handle {
+    static HANDLE: OnceLock<Handle> = OnceLock::new();
+    let start = || {
+        let (sender, handles) = channel();
+        std::thread::spawn(move || core::run(16, |_, handle| sender.send(handle).unwrap()));
+        handles.recv_timeout(TEST_TIMEOUT).unwrap()
+    };
+    HANDLE.get_or_init(start).clone()
+}
+
 /// Starts a reader with a long backoff whose store is down.
-fn start_reader() -> (Waker, Receiver<()>) {
+fn start_reader() -> (Waker, Receiver<()>, sync::Handle) {
     let (called, calls) = channel();
+    let (started, readers) = channel();
     let waker = Waker::default();
     let woken = waker.clone();
-    std::thread::spawn(move || {
-        core::run(16, |stakker, handle| {
-            let port = Port::open(stakker, handle, fwd_do!(|_: Update| {}));
-            let backoff = backoff::Config::new().first(LONG_BACKOFF).max(LONG_BACKOFF);
-            let config = sync::Config::default().backoff(backoff);
-            sync::start(Arc::new(UnavailableStore(called)), config, 1, woken, port).unwrap();
-        })
-    });
+    let handle = event_loop();
+    let start = move |stakker: &mut Stakker| {
+        let port = Port::open(stakker, event_loop(), fwd_do!(|_: Update| {}));
+        let backoff = backoff::Config::new().first(LONG_BACKOFF).max(LONG_BACKOFF);
+        let config = sync::Config::default().backoff(backoff);
+        let store = Arc::new(UnavailableStore(called));
+        started.send(sync::start(store, config, 1, woken, port).unwrap()).unwrap();
+    };
+    handle.post_wait(start).unwrap();
     calls.recv_timeout(TEST_TIMEOUT).unwrap();
-    (waker, calls)
+    (waker, calls, readers.recv_timeout(TEST_TIMEOUT).unwrap())
 }
 
 // Guards against processes that return to the store one by one at the end of their backoff, long
@@ -85,7 +98,7 @@
 // after each report of a peer.
 #[test]
 fn wake_once_for_each_newer_revision() {
-    let (waker, calls) = start_reader();
+    let (waker, calls, _) = start_reader();
     assert!(calls.recv_timeout(QUIET_PERIOD).is_err(), "the reader backs off");
     waker.wake(7);
     calls.recv_timeout(TEST_TIMEOUT).unwrap();
@@ -96,3 +109,23 @@
     waker.wake(8);
     calls.recv_timeout(TEST_TIMEOUT).unwrap();
 }
+
+// Guards against readers that stay away for their whole backoff after an outage in which nothing
+// was written: no peer has a newer revision to report.
+#[test]
+fn wake_recovered_without_newer_revision() {
+    let (waker, calls, _) = start_reader();
+    waker.wake_recovered();
+    calls.recv_timeout(TEST_TIMEOUT).unwrap();
+    assert!(calls.recv_timeout(QUIET_PERIOD).is_err(), "one recovery, one call");
+}
+
+// Guards against readers of groups that a proxy no longer watches.
+#[test]
+fn stop_ends_reader() {
+    let (waker, calls, handle) = start_reader();
+    handle.stop();
+    waker.wake(1);
+    // The store is dropped with the reader.
+    assert_eq!(calls.recv_timeout(TEST_TIMEOUT), Err(RecvTimeoutError::Disconnected));
+}
