Let contact with the store settle before withdrawn drains end

What callers saw: a VM whose drain was accepted, withdrawn and accepted again while the store was back only briefly between two outages gets requests for the whole second outage, though all proxies heeded the first drain.

Cause: a proxy that returns reads on from its own revision and hears of the withdrawal, which it acts on at once. The new drain comes while it, alone, is between two watches, or its watch is refused.

Change: a drain that is withdrawn after an outage ends once the store has answered a call that was sent after a second in contact. While contact is settled a withdrawal takes effect at once, as before.

Why it works: what was requested again in the meantime is in that answer, or there is none and the VM stays drained. Returning a VM later breaks no promise; sending to a drained one does.

The view keeps a changed record that takes work from the router while the withdrawal settles: the router applies a revision once, and would ignore the end of the drain.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -176,6 +176,7 @@
                     ::log::warn!("the platform's store does not answer: {error}");
                 }
                 self.is_failing = true;
+                self.hub.on_store_failure();
                 return;
             }
             _ => return,
@@ -188,14 +189,16 @@
     }
 
     fn on_drain_update(&mut self, _: CX![], update: Update) {
+        let sent = self.to_time(update.sent);
         self.observe_gap("drains", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
+            Outcome::Snapshot(range) => self.hub.on_drains(sent, &range.entries),
+            Outcome::Changes(changes) => self.hub.on_drain_changes(sent, &changes),
             // The reader of all records logs the error.
             _ => {
                 self.drains_failing = true;
+                self.hub.on_store_failure();
                 return;
             }
         }
@@ -206,11 +209,12 @@
     }
 
     fn on_group_update(&mut self, _: CX![], update: Update) {
+        let sent = self.to_time(update.sent);
         self.observe_gap("group", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
+            Outcome::Snapshot(range) => self.hub.on_drains(sent, &range.entries),
+            Outcome::Changes(changes) => self.hub.on_drain_changes(sent, &changes),
             // The reader of all records logs the error.
             _ => return,
         }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -19,6 +19,7 @@
 
 use crate::shared::Directory;
 use drain::DrainRequest;
+pub use drain::SETTLING_PERIOD;
 
 /// The configuration in force.
 #[derive(Clone, Debug)]
@@ -39,7 +40,8 @@
     Vm(view::Vm),
     /// A VM's record was deleted, as of this revision.
     VmRemoved(Name, u64),
-    /// An operator requested the drain of a VM or withdrew the request.
+    /// An operator requested the drain of a VM, or the withdrawal of the request took
+    /// effect.
     DrainRequest {
         /// The VM.
         vm: Name,
@@ -86,6 +88,7 @@
     owners: BTreeMap<u32, Register<Option<Holder>>>,
     drain_requests: BTreeMap<Name, DrainRequest>,
     synced_revision: u64,
+    contact: drain::Contact,
 }
 
 impl View {
@@ -200,8 +203,13 @@
         let Ok(name) = Name::new(vm) else { return };
         let register = self.vms.entry(name.clone()).or_default();
         let stored = StoredVm { value: value.to_owned(), vm: record };
-        let router_vm = router_vm(&name, &stored.vm, revision, self.drain_requests.get(&name));
-        if register.offer(revision, Some(stored)) == Offer::Applied {
+        let request = self.drain_requests.get(&name);
+        // The router applies each revision once. A record that takes work is left to the
+        // end of the drain, or its revision would be used up while the drain holds.
+        let is_held =
+            stored.vm.phase.takes_work() && request.is_some_and(DrainRequest::is_settling);
+        let router_vm = router_vm(&name, &stored.vm, revision, request);
+        if register.offer(revision, Some(stored)) == Offer::Applied && !is_held {
             effects.push(Effect::Vm(router_vm));
         }
     }
@@ -342,7 +350,7 @@
     drain_request: Option<&DrainRequest>,
 ) -> view::Vm {
     let drain_revision = drain_request.map_or(0, |drain_request| drain_request.revision);
-    let drain_requested = drain_request.is_some_and(|drain_request| drain_request.value.is_some());
+    let drain_requested = drain_request.is_some_and(DrainRequest::holds);
     let vm = view::Vm::new(name.clone(), revision.max(drain_revision))
         .epoch(record.epoch)
         .serving(record.phase.takes_work() && !drain_requested);
--- a/crates/proxy/src/view/drain.rs
+++ b/crates/proxy/src/view/drain.rs
@@ -1,12 +1,17 @@
 //! Operators' drain requests.
 
-use corianderfork_model::Name;
+use std::time::Duration;
+
+use corianderfork_model::{Name, Time};
 use corianderfork_provider::key;
 use corianderfork_provider::store::{Changes, Entry};
 use corianderfork_wire::peer;
 
 use super::{Effect, View, router_vm};
 
+/// How long the store has to be in contact before withdrawals take effect.
+pub const SETTLING_PERIOD: Duration = Duration::from_secs(1);
+
 /// The newest known drain request of an operator for a VM.
 ///
 /// Without it, a drain accepted just before the store went down (or the controller died)
@@ -17,8 +22,52 @@
 pub(super) struct DrainRequest {
     /// The revision at which the request was made or withdrawn.
     pub(super) revision: u64,
-    /// The record, while the request is active.
-    pub(super) value: Option<String>,
+    pub(super) state: State,
+}
+
+/// The contact of this process with the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) enum Contact {
+    /// No call has failed for [`SETTLING_PERIOD`].
+    #[default]
+    Settled,
+    /// A call failed, and none has succeeded since.
+    Lost,
+    /// All calls since this time have succeeded.
+    Since(Time),
+}
+
+impl Contact {
+    fn is_settled(self) -> bool {
+        matches!(self, Self::Settled)
+    }
+}
+
+/// The state of a drain request.
+#[derive(Clone, Debug, Default)]
+pub(super) enum State {
+    /// The request is in force, with the value of its record.
+    Active(String),
+    /// The request was withdrawn and still holds, because contact with the store has not
+    /// settled.
+    ///
+    /// If the drain is requested again and the store goes down at once, no process may
+    /// know of the new request, and the VM would get requests for the whole outage.
+    Settling,
+    /// There is no request.
+    #[default]
+    Withdrawn,
+}
+
+impl DrainRequest {
+    /// Returns whether the VM must not get requests.
+    pub(super) fn holds(&self) -> bool {
+        !matches!(self.state, State::Withdrawn)
+    }
+
+    pub(super) fn is_settling(&self) -> bool {
+        matches!(self.state, State::Settling)
+    }
 }
 
 impl View {
@@ -90,14 +139,65 @@
         if revision <= request.revision {
             return;
         }
-        let active = value.is_some();
-        if active || request.value.is_some() {
+        let held = request.holds();
+        request.revision = revision;
+        request.state = match value {
+            Some(value) => State::Active(value),
+            None if held && !self.contact.is_settled() => State::Settling,
+            None => State::Withdrawn,
+        };
+        if request.is_settling() {
+            return;
+        }
+        let active = request.holds();
+        if active || held {
             effects.push(Effect::DrainRequest { vm: vm.clone(), revision, active });
         }
-        *request = DrainRequest { revision, value };
-        let Some(register) = self.vms.get(&vm) else { return };
-        let Some(Some(stored)) = register.get() else { return };
-        effects.push(Effect::Vm(router_vm(&vm, &stored.vm, register.revision(), Some(request))));
+        effects.extend(self.vm_effect(&vm));
+    }
+
+    /// Records that the store responded at `now` to a call sent at `sent`. Ends the
+    /// withdrawn drains if the store had been in contact for [`SETTLING_PERIOD`] when the
+    /// call was sent. The response has to be applied before.
+    pub fn on_contact(&mut self, sent: Time, now: Time) -> Vec<Effect> {
+        match self.contact {
+            Contact::Settled => return Vec::new(),
+            Contact::Lost => self.contact = Contact::Since(now),
+            Contact::Since(since) if sent >= since + SETTLING_PERIOD => {
+                self.contact = Contact::Settled;
+                return self.end_settling();
+            }
+            Contact::Since(_) => {}
+        }
+        Vec::new()
+    }
+
+    /// Records that a call to the store failed.
+    pub fn on_contact_lost(&mut self) {
+        self.contact = Contact::Lost;
+    }
+
+    fn end_settling(&mut self) -> Vec<Effect> {
+        let settling = self.drain_requests.iter_mut().filter(|(_, request)| request.is_settling());
+        let settled: Vec<(Name, u64)> = settling
+            .map(|(vm, request)| {
+                request.state = State::Withdrawn;
+                (vm.clone(), request.revision)
+            })
+            .collect();
+        let mut effects = Vec::new();
+        for (vm, revision) in settled {
+            effects.extend(self.vm_effect(&vm));
+            effects.push(Effect::DrainRequest { vm, revision, active: false });
+        }
+        effects
+    }
+
+    fn vm_effect(&self, vm: &Name) -> Option<Effect> {
+        let register = self.vms.get(vm)?;
+        let stored = register.get()?.as_ref()?;
+        let request = self.drain_requests.get(vm);
+        Some(Effect::Vm(router_vm(vm, &stored.vm, register.revision(), request)))
     }
 
     /// Returns the active drain requests in their wire form.
@@ -106,8 +206,10 @@
     }
 
     fn active_drains(&self) -> impl Iterator<Item = (&Name, u64, &String)> {
-        let requests = self.drain_requests.iter();
-        requests.filter_map(|(vm, request)| Some((vm, request.revision, request.value.as_ref()?)))
+        self.drain_requests.iter().filter_map(|(vm, request)| match &request.state {
+            State::Active(value) => Some((vm, request.revision, value)),
+            _ => None,
+        })
     }
 
     fn takes_work(&self, vm: &Name) -> bool {
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -3,10 +3,11 @@
 
 mod support;
 
+use corianderfork_model::Time;
 use corianderfork_provider::key;
 use corianderfork_provider::record::{Config, Holder, Member, Phase, Role, Runner, Vm};
 use corianderfork_provider::store::{Change, Changes, Entry, Range, Revision};
-use corianderfork_proxy::view::{Effect, View};
+use corianderfork_proxy::view::{Effect, SETTLING_PERIOD, View};
 use corianderfork_wire::peer;
 use support::fleet::CONFIG;
 
@@ -277,6 +278,105 @@
     assert_eq!(last_vm(&effects), Some(router_vm(9, true)));
 }
 
+fn withdrawal(revision: u64) -> Changes {
+    let revision = Revision(revision);
+    let change = Change { key: "shared/drain/v01".to_owned(), revision, entry: None };
+    Changes { revision, changes: vec![change] }
+}
+
+/// When the store responds again after an outage.
+const RETURNED: Time = Time::from_millis(1_000);
+
+/// Has the store respond after an outage, and to a call that is sent a settling period later.
+fn settle(view: &mut View) -> Vec<Effect> {
+    assert_eq!(view.on_contact(RETURNED, RETURNED), []);
+    let settled = RETURNED + SETTLING_PERIOD;
+    view.on_contact(settled, settled)
+}
+
+/// Returns a view with a drain that was requested at revision 7 and withdrawn at 9, during
+/// an outage.
+fn withdrawn() -> View {
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    view.on_changes(&changes(vec![drain_request(7)], 7));
+    view.on_contact_lost();
+    assert_eq!(view.on_changes(&withdrawal(9)), []);
+    view
+}
+
+#[test]
+fn drain_withdrawn_after_an_outage_holds_until_contact_has_settled() {
+    // Guards against a VM getting requests for a whole outage: its drain is withdrawn and
+    // requested again while the store is back only briefly, and no process knows of the
+    // latter. A response shows the store at the time of the call, however late it arrives.
+    let mut view = withdrawn();
+    let (soon, late) = (RETURNED + SETTLING_PERIOD / 2, RETURNED + SETTLING_PERIOD * 9);
+    assert_eq!(view.on_contact(RETURNED, RETURNED), []);
+    assert_eq!(view.on_contact(RETURNED, late), []);
+    assert_eq!(view.on_contact(soon, late), []);
+    let vm = "v01".parse().unwrap();
+    let end = Effect::DrainRequest { vm, revision: 9, active: false };
+    let effects = view.on_contact(RETURNED + SETTLING_PERIOD, late);
+    assert_eq!(effects, [Effect::Vm(router_vm(9, true)), end]);
+    assert_eq!(view.on_contact(late, late), [], "ended twice");
+}
+
+#[test]
+fn drain_withdrawn_holds_over_the_next_outage() {
+    // The period in contact begins anew with each outage.
+    let mut view = withdrawn();
+    view.on_contact(RETURNED, RETURNED);
+    view.on_contact_lost();
+    let again = RETURNED + SETTLING_PERIOD;
+    assert_eq!(view.on_contact(again, again), []);
+    let settled = again + SETTLING_PERIOD;
+    assert_eq!(last_vm(&view.on_contact(settled, settled)), Some(router_vm(9, true)));
+}
+
+#[test]
+fn drain_requested_again_while_settling_holds() {
+    // The end of the first request must not end the second one.
+    let mut view = withdrawn();
+    let effects = view.on_changes(&changes(vec![drain_request(11)], 11));
+    assert_eq!(last_vm(&effects), Some(router_vm(11, false)));
+    assert_eq!(settle(&mut view), []);
+    assert_eq!(view.pending_drains().len(), 1);
+}
+
+#[test]
+fn drain_settling_is_not_reported_to_peers() {
+    // A peer must not take a withdrawn request for an active one, nor may the report of a
+    // peer that lags make it active here.
+    let mut view = withdrawn();
+    assert_eq!(view.pending_drains(), []);
+    let snapshot = view.snapshot(&peer::SnapshotRequest::default());
+    assert_eq!(snapshot.members, []);
+    let mut lagging = View::default();
+    lagging.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    lagging.on_changes(&changes(vec![drain_request(7)], 7));
+    lagging.on_contact_lost();
+    assert_eq!(view.on_peer_drains(&lagging.pending_drains()), []);
+    // The peer hears of the withdrawal from the snapshot, and its drain holds as well.
+    assert_eq!(lagging.on_snapshot(&snapshot), []);
+    assert_eq!(lagging.pending_drains(), []);
+    assert_eq!(last_vm(&settle(&mut lagging)), Some(router_vm(9, true)));
+}
+
+#[test]
+fn drain_settling_keeps_changed_record_from_router() {
+    // The router applies a revision once: if it were given a changed record while the
+    // drain holds, it would ignore the end of the drain, and the VM would get no requests.
+    let mut view = withdrawn();
+    assert_eq!(view.on_changes(&changes(vec![vm(Phase::Serving, 0, 12)], 12)), []);
+    assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(12, true)));
+    // A record that takes no work doesn't wait.
+    let mut view = withdrawn();
+    let effects = view.on_changes(&changes(vec![vm(Phase::Draining, 1, 12)], 12));
+    assert_eq!(last_vm(&effects), Some(router_vm(12, false).epoch(1)));
+    assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(12, false).epoch(1)));
+}
+
 #[test]
 fn drain_request_in_snapshot_reaches_cut_off_proxy() {
     // A proxy that is cut off from the store must learn of a drain request from the
