--- a/crates/proxy/src/view/snapshot.rs
+++ b/crates/proxy/src/view/snapshot.rs
@@ -23,7 +23,9 @@
         }
         let is_listed = |key: &str| snapshot.members.iter().any(|record| record.key == key);
         self.remove_missing_drains(snapshot.store_revision, is_listed, &mut effects);
-        for record in snapshot.vms.iter().chain(&snapshot.members) {
+        // Drains come first: the router applies a revision once, and would ignore the drain
+        // of a VM whose record is newer and says that it serves.
+        for record in snapshot.members.iter().chain(&snapshot.vms) {
             self.apply_record(&record.key, &record.value, record.revision, &mut effects);
         }
         self.synced_revision = snapshot.store_revision;
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -444,3 +444,20 @@
     assert_eq!(new.on_peer_drains(&lagging.pending_drains()), []);
     assert_eq!(new.pending_drains(), []);
 }
+
+#[test]
+fn snapshot_with_a_record_newer_than_its_drain() {
+    // Guards against a proxy that sends requests to a drained VM because the router, which
+    // applies a revision once, was given the VM's record before the drain.
+    let mut peer = View::default();
+    peer.on_range(&range(vec![drain_request(7), vm(Phase::Serving, 0, 9)], 12));
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    let request = peer::SnapshotRequest { store_revision: 4, ..Default::default() };
+    let effects = view.on_snapshot(&peer.snapshot(&request));
+    let vms = effects.iter().filter_map(|effect| match effect {
+        Effect::Vm(vm) => Some(vm.clone()),
+        _ => None,
+    });
+    assert_eq!(vms.collect::<Vec<_>>(), [router_vm(7, false), router_vm(9, false)]);
+}
