Leave the revision of a settling withdrawal to the end of the drain

What callers would see: a VM whose drain was withdrawn after an outage gets no requests until its record is written again.

Cause: while a withdrawal settles, a record that takes no work goes to the router with the revision of the withdrawal, if that is newer than the record. The router applies a revision once, so it ignores the end of the drain, which has the same revision.

It takes a reader of drains that is ahead of the reader of all records: the VM is drained, returned and drained again (records at 4 and 6, drain at 7), the withdrawal at 9 arrives first and the records after it.

Why the fix works: such a record says by itself that the VM takes no work. With its own revision, which is older than the withdrawal's or belongs to a newer record, the end of the drain is newer or says the same.

--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -204,10 +204,12 @@
         let register = self.vms.entry(name.clone()).or_default();
         let stored = StoredVm { value: value.to_owned(), vm: record };
         let request = self.drain_requests.get(&name);
-        // The router applies each revision once. A record that takes work is left to the
-        // end of the drain, or its revision would be used up while the drain holds.
-        let is_held =
-            stored.vm.phase.takes_work() && request.is_some_and(DrainRequest::is_settling);
+        // The router applies each revision once. A record that takes work and the revision of
+        // the withdrawal are left to the end of the drain, or they would be used up while the
+        // drain holds.
+        let is_settling = request.is_some_and(DrainRequest::is_settling);
+        let is_held = stored.vm.phase.takes_work() && is_settling;
+        let request = request.filter(|_| !is_settling);
         let router_vm = router_vm(&name, &stored.vm, revision, request);
         if register.offer(revision, Some(stored)) == Offer::Applied && !is_held {
             effects.push(Effect::Vm(router_vm));
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -377,6 +377,22 @@
     assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(12, false).epoch(1)));
 }
 
+#[test]
+fn drain_settling_leaves_revision_of_withdrawal_to_its_end() {
+    // Guards against a VM that gets no requests for good: the router applies a revision once.
+    // If it were given an older record with the revision of the withdrawal, which a reader
+    // of drains heard of first, it would ignore the end of the drain.
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 2)], 2));
+    view.on_contact_lost();
+    view.on_drain_changes(&changes(vec![drain_request(7)], 7));
+    view.on_drain_changes(&withdrawal(9));
+    let effects = view.on_changes(&changes(vec![vm(Phase::Draining, 1, 4)], 4));
+    assert_eq!(last_vm(&effects), Some(router_vm(4, false).epoch(1)));
+    assert_eq!(view.on_changes(&changes(vec![vm(Phase::Serving, 1, 6)], 6)), []);
+    assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(9, true).epoch(1)));
+}
+
 #[test]
 fn drain_request_in_snapshot_reaches_cut_off_proxy() {
     // A proxy that is cut off from the store must learn of a drain request from the
