Settle contact only by answers about the drains of all VMs

What callers would see: a VM whose drain was accepted, withdrawn and accepted again between two outages gets requests for the whole second outage, as before contact had to settle.

Cause: each response counted as contact, also those to the readers of few VMs' drain requests. Such a response, sent a second after contact began, ended the withdrawn drains of all VMs, but it says nothing about a new drain of a VM that its reader does not watch. A reader that has just been started, because VMs or proxies changed, gets its first response at once, while the watches of the others take 1.5 s.

Why the fix works: responses for few VMs neither end drains nor begin the settling period, as their failures did not end contact. What ends a drain was sent after the period by a reader of all drain requests, so it shows a new drain.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -181,6 +181,7 @@
             }
             _ => return,
         }
+        self.hub.on_store_response(sent);
         if std::mem::take(&mut self.is_failing) {
             ::log::info!("the platform's store answers again");
             self.on_recovery();
@@ -193,8 +194,8 @@
         self.observe_gap("drains", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(sent, &range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(sent, &changes),
+            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
+            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
             // The reader of all records logs the error.
             _ => {
                 self.drains_failing = true;
@@ -202,19 +203,21 @@
                 return;
             }
         }
+        self.hub.on_store_response(sent);
         if std::mem::take(&mut self.drains_failing) {
             self.on_recovery();
         }
         self.notify_readers(revision);
     }
 
+    /// Applies an update of the drain requests of few VMs. It proves nothing about those of
+    /// others, so it doesn't count as contact, which ends withdrawn drains of all VMs.
     fn on_group_update(&mut self, _: CX![], update: Update) {
-        let sent = self.to_time(update.sent);
         self.observe_gap("group", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(sent, &range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(sent, &changes),
+            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
+            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
             // The reader of all records logs the error.
             _ => return,
         }
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -57,32 +57,26 @@
     /// Applies a read of all records that was sent at `sent`.
     pub fn on_range(&self, sent: Time, range: &Range) {
         let effects = self.view.borrow_mut().on_range(range);
-        self.apply_response(sent, effects);
+        self.apply_effects("the store", effects);
         self.record_sync(sent);
     }
 
     /// Applies changes from a watch that was sent at `sent`.
     pub fn on_changes(&self, sent: Time, changes: &Changes) {
         let effects = self.view.borrow_mut().on_changes(changes);
-        self.apply_response(sent, effects);
+        self.apply_effects("the store", effects);
         self.record_sync(sent);
     }
 
-    /// Applies a read of all operators' drain requests that was sent at `sent`.
-    pub fn on_drains(&self, sent: Time, drains: &[Entry]) {
+    /// Applies a read of operators' drain requests.
+    pub fn on_drains(&self, drains: &[Entry]) {
         let effects = self.view.borrow_mut().on_drains(drains);
-        self.apply_response(sent, effects);
+        self.apply_effects("the store", effects);
     }
 
-    /// Applies changes of operators' drain requests from a watch that was sent at `sent`.
-    pub fn on_drain_changes(&self, sent: Time, changes: &Changes) {
+    /// Applies changes of operators' drain requests from a watch.
+    pub fn on_drain_changes(&self, changes: &Changes) {
         let effects = self.view.borrow_mut().on_drain_changes(changes);
-        self.apply_response(sent, effects);
-    }
-
-    fn apply_response(&self, sent: Time, mut effects: Vec<Effect>) {
-        let now = self.shared.clock.now();
-        effects.extend(self.view.borrow_mut().on_contact(sent, now));
         self.apply_effects("the store", effects);
     }
 
@@ -111,7 +105,17 @@
         reply
     }
 
-    /// Records that a call to the store failed.
+    /// Records that the store responded to a call sent at `sent` for the drain requests of
+    /// all VMs. The response has to be applied before.
+    pub fn on_store_response(&self, sent: Time) {
+        let now = self.shared.clock.now();
+        let effects = self.view.borrow_mut().on_contact(sent, now);
+        if !effects.is_empty() {
+            self.apply_effects("the store", effects);
+        }
+    }
+
+    /// Records that such a call failed.
     pub fn on_store_failure(&self) {
         self.view.borrow_mut().on_contact_lost();
     }
--- a/crates/proxy/src/view/drain.rs
+++ b/crates/proxy/src/view/drain.rs
@@ -25,7 +25,8 @@
     pub(super) state: State,
 }
 
-/// The contact of this process with the store.
+/// The contact of this process with the store, by the calls for the drain requests of all
+/// VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) enum Contact {
     /// No call has failed for [`SETTLING_PERIOD`].
@@ -156,9 +157,9 @@
         effects.extend(self.vm_effect(&vm));
     }
 
-    /// Records that the store responded at `now` to a call sent at `sent`. Ends the
-    /// withdrawn drains if the store had been in contact for [`SETTLING_PERIOD`] when the
-    /// call was sent. The response has to be applied before.
+    /// Records that the store responded at `now` to a call sent at `sent` for the drain
+    /// requests of all VMs. Ends the withdrawn drains if the store had been in contact for
+    /// [`SETTLING_PERIOD`] when the call was sent. The response has to be applied before.
     pub fn on_contact(&mut self, sent: Time, now: Time) -> Vec<Effect> {
         match self.contact {
             Contact::Settled => return Vec::new(),
