Ignore changes of drains that the last full read supersedes

What callers would see: a VM whose drain was withdrawn gets no requests for good.

Cause: the view knows nothing of a drain that was requested and withdrawn before its first full read. A watch of drain requests that was answered before the withdrawal, and is applied after that read, made the drain active. If the store has discarded that history, the reader of drains reads in full next, and such reads withdraw nothing; the reader of all records is past the withdrawal.

It takes history that is discarded right after an outage and two readers whose updates overtake each other.

Why the fix works: all records are known up to the synced revision, so a change that is not newer is known or undone. Reads of drains and peers' reports are already treated so.

--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -14,7 +14,7 @@
 use corianderfork_model::{Fleet, Name};
 use corianderfork_provider::key;
 use corianderfork_provider::record::{Config, Holder, Member, Vm};
-use corianderfork_provider::store::{Changes, Entry, Range};
+use corianderfork_provider::store::{Change, Changes, Entry, Range};
 use corianderfork_routing::view;
 
 use crate::shared::Directory;
@@ -106,14 +106,14 @@
 
     /// Applies changes from a watch.
     pub fn on_changes(&mut self, changes: &Changes) -> Vec<Effect> {
-        let effects = self.apply_changes(changes);
+        let effects = self.apply_changes(&changes.changes);
         self.synced_revision = self.synced_revision.max(changes.revision.0);
         effects
     }
 
-    fn apply_changes(&mut self, changes: &Changes) -> Vec<Effect> {
+    fn apply_changes<'a>(&mut self, changes: impl IntoIterator<Item = &'a Change>) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for change in &changes.changes {
+        for change in changes {
             match &change.entry {
                 Some(entry) => self.apply_entry(entry, &mut effects),
                 None => self.delete(&change.key, change.revision.0, &mut effects),
--- a/crates/proxy/src/view/drain.rs
+++ b/crates/proxy/src/view/drain.rs
@@ -110,10 +110,12 @@
         effects
     }
 
-    /// Applies changes of operators' drain requests. The synced revision does not change,
-    /// because other records may have changed as well.
+    /// Applies changes of operators' drain requests. Those that are not newer than the last
+    /// read of all records are known or undone. The synced revision does not change, because
+    /// other records may have changed as well.
     pub fn on_drain_changes(&mut self, changes: &Changes) -> Vec<Effect> {
-        self.apply_changes(changes)
+        let synced = self.synced_revision;
+        self.apply_changes(changes.changes.iter().filter(|change| change.revision.0 > synced))
     }
 
     pub(super) fn remove_missing_drains(
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -393,6 +393,18 @@
     assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(9, true).epoch(1)));
 }
 
+#[test]
+fn drain_changes_older_than_last_read_are_ignored() {
+    // Guards against a VM that gets no requests for good: a full read that shows a drain
+    // neither requested nor withdrawn overtakes a watch that shows it requested. The withdrawal
+    // is reported no more if the store has discarded that history.
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 20));
+    assert_eq!(view.on_drain_changes(&changes(vec![drain_request(7)], 8)), []);
+    assert_eq!(view.pending_drains(), []);
+}
+
 #[test]
 fn drain_request_in_snapshot_reaches_cut_off_proxy() {
     // A proxy that is cut off from the store must learn of a drain request from the
