Let a drain stop a VM whose record was written after it

What callers would see: a VM whose drain was accepted gets requests for the whole outage from a proxy that knows of the drain.

Cause: the router applies a revision once. A drain that becomes known after a newer record of the VM goes to the router with the record's revision, which is used up.

Order of events: an operator drains the VM at revision 11, and one proxy hears of it. A controller that does not writes the VM's record at 12, and the store goes down. If the drain comes first, it is heeded.

Why the fix works: of two records of the same revision, the router now takes the one that stops the VM. A late message can't undo that; the withdrawal is newer than the drain.

What it doesn't mend: if the record is newer than the withdrawal as well, the VM gets no requests until its record is written again. That was so before if the drain came first.

--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -7,7 +7,10 @@
 use corianderfork_provider::key;
 use corianderfork_provider::record::{Config, Holder, Member, Phase, Role, Runner, Vm};
 use corianderfork_provider::store::{Change, Changes, Entry, Range, Revision};
+use corianderfork_proxy::gate::Gate;
 use corianderfork_proxy::view::{Effect, SETTLING_PERIOD, View};
+use corianderfork_routing::router;
+use corianderfork_runtime::clock::Monotonic;
 use corianderfork_wire::peer;
 use support::fleet::CONFIG;
 
@@ -489,3 +492,25 @@
     });
     assert_eq!(vms.collect::<Vec<_>>(), [router_vm(7, false), router_vm(9, false)]);
 }
+
+#[test]
+fn drain_request_older_than_a_record_reaches_router() {
+    // Guards against a proxy that sends requests to a drained VM for a whole outage: a
+    // controller that did not know of the drain wrote the VM's record after it, and reports it
+    // in a snapshot before a peer reports the drain.
+    let gate = Gate::new(Monotonic::start(), "e1".parse().unwrap(), router::Config::default(), 4);
+    let mut view = View::default();
+    let snapshot = peer::SnapshotReply {
+        store_revision: 10,
+        vms: vec![record(&vm(Phase::Serving, 0, 12))],
+        ..Default::default()
+    };
+    let mut effects = view.on_snapshot(&snapshot);
+    effects.extend(view.on_peer_drains(&[record(&drain_request(11))]));
+    for effect in effects {
+        if let Effect::Vm(vm) = effect {
+            gate.set_runners(vm);
+        }
+    }
+    assert!(gate.is_drained(&"v01".parse().unwrap(), 0));
+}
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -111,8 +111,9 @@
     }
 
     /// Applies a VM's record and returns whether it was newer than all previous
-    /// ones. A runner that is no longer listed receives no new work; its
-    /// requests in flight are still counted.
+    /// ones, or as new as the newest and stops the VM. A runner that is no
+    /// longer listed receives no new work; its requests in flight are still
+    /// counted.
     pub fn apply_record(&mut self, now: Time, record: view::Vm) -> bool {
         let vm = self.vms.entry(record.name.clone()).or_default();
         let new_epoch = record.epoch > vm.epoch();
--- a/crates/routing/src/router/vm.rs
+++ b/crates/routing/src/router/vm.rs
@@ -19,9 +19,12 @@
 }
 
 impl Vm {
-    /// Applies a record and returns whether it was newer.
+    /// Applies a record and returns whether it was newer, or of the same revision and stops
+    /// the VM: an operator's drain can become known after a record that was written after it.
     pub(super) fn apply(&mut self, revision: u64, epoch: u64, serving: bool) -> bool {
-        if self.revision.is_some_and(|newest| revision <= newest) {
+        let is_newer = self.revision.is_none_or(|newest| revision > newest);
+        let stops = self.revision == Some(revision) && self.serving && !serving;
+        if !is_newer && !stops {
             return false;
         }
         self.revision = Some(revision);
--- a/crates/routing/tests/drain.rs
+++ b/crates/routing/tests/drain.rs
@@ -97,6 +97,18 @@
     assert!(takes_work(&mut router, 1000));
 }
 
+#[test]
+fn apply_record_same_revision_only_stops_work() {
+    // A proxy learns of an operator's drain after a record that was written after it. It must
+    // not send requests to the VM; and a late message must not undo that.
+    let mut router = router(Config::default(), 1);
+    assert!(takes_work(&mut router, 1000));
+    assert!(router.apply_record(at(1000), vm(0, 1, 1, false)));
+    assert!(!takes_work(&mut router, 2000));
+    assert!(!router.apply_record(at(2000), vm(0, 1, 1, true)));
+    assert!(!takes_work(&mut router, 3000));
+}
+
 #[test]
 fn done_leaving_rejection_overrides_older_records() {
     // A backend server rejects requests as leaving before the list and the
