--- a/crates/proxy/src/view/snapshot.rs
+++ b/crates/proxy/src/view/snapshot.rs
@@ -21,6 +21,8 @@
         for name in known_vms.into_iter().filter(|name| !is_sent(name)) {
             self.remove_vm(name, snapshot.store_revision, &mut effects);
         }
+        // A peer is ahead, so this process has lost contact and may not know of it yet.
+        self.on_contact_lost();
         let is_listed = |key: &str| snapshot.members.iter().any(|record| record.key == key);
         self.remove_missing_drains(snapshot.store_revision, is_listed, &mut effects);
         // Drains come first: the router applies a revision once, and would ignore the drain
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -366,6 +366,20 @@
     assert_eq!(last_vm(&settle(&mut lagging)), Some(router_vm(9, true)));
 }
 
+#[test]
+fn drain_withdrawn_by_a_peers_snapshot_settles() {
+    // Guards against a process that hasn't noticed yet that the store is silent, and ends a
+    // drain at the word of a peer that missed its renewal.
+    let mut view = View::default();
+    view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
+    view.on_changes(&changes(vec![drain_request(7)], 7));
+    let mut peer = View::default();
+    peer.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 9));
+    let request = peer::SnapshotRequest { store_revision: 7, ..Default::default() };
+    assert_eq!(view.on_snapshot(&peer.snapshot(&request)), []);
+    assert_eq!(last_vm(&settle(&mut view)), Some(router_vm(9, true)));
+}
+
 #[test]
 fn drain_settling_keeps_changed_record_from_router() {
     // The router applies a revision once: if it were given a changed record while the
