Bound the calls and threads of the readers of few VMs' drains

At 24 proxies some 576 such readers exceed 2,000 reads a second from a few revisions a second on. After an outage their watches were all sent at once and ended at once 10 s later, so that those for one VM were away together. Each change of VMs restarted readers five times a second at most, and a stopped reader lives until its watch ends. A feed that restarts left its two main readers behind.

Change: readers of groups wake on recoveries alone (Config::wake_on_recovery_only), their watches last 5 to 10 s, drawn for each, groups are selected anew once a second, and a feed that ends stops all its readers. Partial reads without an effect no longer rebuild the set of serving addresses.

The draw of the waits and the stop of the main readers have none.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -26,9 +26,10 @@
 /// once: longer than the longest backoff of a reader.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(1);
 /// The interval between two comparisons of the watched groups with the known VMs.
-const GROUP_INTERVAL: Duration = Duration::from_millis(200);
-/// The duration of a watch of one group. Silent connections are noticed by the shorter
-/// watches of the other readers.
+const GROUP_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest duration of a watch of one group, and half of the shortest. All are sent at
+/// once after an outage; with one duration they would end at once as well. Silent
+/// connections are noticed by the shorter watches of the other readers.
 const GROUP_WAIT: Duration = Duration::from_secs(10);
 /// The waits of the readers of groups after failures. They are woken when another reader
 /// of this process reaches the store again.
@@ -59,6 +60,8 @@
     gossip: Inbox<gossip::Message>,
     group_store: Arc<dyn Store>,
     group_port: Port<Update>,
+    /// The readers of all records and of all drain requests.
+    readers: Vec<sync::Handle>,
     /// The VMs and proxies for which the groups were selected.
     known: (Vec<Name>, Vec<Name>),
     /// The readers of groups, by their prefixes.
@@ -86,12 +89,17 @@
             (access.watch_store, config(), all),
             (access.drain_watch_store, config().prefix(key::DRAINS), drains),
         ];
+        let mut handles = Vec::new();
         for (store, config, fwd) in readers {
             let port = Port::open(cx, access.handle.clone(), fwd);
             let waker = hub.waker.clone();
-            if let Err(error) = sync::start(store, config, clock::seed(), waker, port) {
-                cx.fail(error);
-                return None;
+            match sync::start(store, config, clock::seed(), waker, port) {
+                Ok(handle) => handles.push(handle),
+                Err(error) => {
+                    handles.iter().for_each(sync::Handle::stop);
+                    cx.fail(error);
+                    return None;
+                }
             }
         }
         let group_updates = fwd_to!([cx], on_group_update() as (Update));
@@ -103,6 +111,7 @@
             gossip,
             group_store: access.group_watch_store,
             group_port,
+            readers: handles,
             known: (Vec::new(), Vec::new()),
             groups: BTreeMap::new(),
             is_failing: false,
@@ -156,9 +165,12 @@
     fn start_group(&mut self, prefix: String) {
         let (first, max) = GROUP_BACKOFF;
         let backoff = backoff::Config::new().first(first).max(max);
-        let config = sync::Config::default().prefix(&prefix).wait(GROUP_WAIT).backoff(backoff);
+        let seed = clock::seed();
+        let wait = GROUP_WAIT / 2 + backoff::spread(seed, GROUP_WAIT / 2);
+        let config = sync::Config::default().prefix(&prefix).wait(wait).backoff(backoff);
+        let config = config.wake_on_recovery_only();
         let (store, waker) = (self.group_store.clone(), self.hub.waker.clone());
-        match sync::start(store, config, clock::seed(), waker, self.group_port.clone()) {
+        match sync::start(store, config, seed, waker, self.group_port.clone()) {
             Ok(reader) => drop(self.groups.insert(prefix, reader)),
             Err(error) => ::log::error!("failed to watch {prefix} apart: {error}"),
         }
@@ -256,6 +268,6 @@
 impl Drop for Feed {
     fn drop(&mut self) {
         // A restarted feed starts its own readers.
-        self.groups.values().for_each(sync::Handle::stop);
+        self.readers.iter().chain(self.groups.values()).for_each(sync::Handle::stop);
     }
 }
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -71,13 +71,17 @@
     /// Applies a read of operators' drain requests.
     pub fn on_drains(&self, drains: &[Entry]) {
         let effects = self.view.borrow_mut().on_drains(drains);
-        self.apply_effects("the store", effects);
+        if !effects.is_empty() {
+            self.apply_effects("the store", effects);
+        }
     }
 
     /// Applies changes of operators' drain requests from a watch.
     pub fn on_drain_changes(&self, changes: &Changes) {
         let effects = self.view.borrow_mut().on_drain_changes(changes);
-        self.apply_effects("the store", effects);
+        if !effects.is_empty() {
+            self.apply_effects("the store", effects);
+        }
     }
 
     /// Applies a snapshot from a peer.
--- a/crates/runtime/src/sync.rs
+++ b/crates/runtime/src/sync.rs
@@ -48,6 +48,7 @@
     prefix: String,
     wait: Duration,
     backoff: backoff::Config,
+    wakes_on_revisions: bool,
 }
 
 impl Default for Config {
@@ -55,7 +56,12 @@
         let backoff = backoff::Config::new()
             .first(Duration::from_millis(100))
             .max(Duration::from_millis(500));
-        Self { prefix: key::SHARED.to_owned(), wait: Duration::from_millis(1500), backoff }
+        Self {
+            prefix: key::SHARED.to_owned(),
+            wait: Duration::from_millis(1500),
+            backoff,
+            wakes_on_revisions: true,
+        }
     }
 }
 
@@ -86,6 +92,16 @@
         self.backoff = backoff;
         self
     }
+
+    /// Limits what ends the backoff to [`Waker::wake_recovered`].
+    ///
+    /// A store that serves some calls and refuses others shows newer revisions all the
+    /// time, and many readers that call it again after each of them would overload it.
+    #[must_use]
+    pub fn wake_on_recovery_only(mut self) -> Self {
+        self.wakes_on_revisions = false;
+        self
+    }
 }
 
 /// What proves that the store is reachable.
@@ -194,6 +210,7 @@
         wait: config.wait,
         backoff: Backoff::new(config.backoff, seed),
         waker,
+        wakes_on_revisions: config.wakes_on_revisions,
         port,
         after: None,
         known: Signals::default(),
@@ -213,6 +230,7 @@
     wait: Duration,
     backoff: Backoff,
     waker: Waker,
+    wakes_on_revisions: bool,
     port: Port<Update>,
     /// The revision to watch from; `None` requests a full read.
     after: Option<Revision>,
@@ -268,7 +286,11 @@
         // would all return at the same time and overload it again.
         std::thread::sleep(MIN_WAIT);
         let timeout = self.backoff.next_wait().saturating_sub(MIN_WAIT);
-        let signals = self.waker.wait(self.known, timeout);
+        let mut known = self.known;
+        if !self.wakes_on_revisions {
+            known.revision = u64::MAX;
+        }
+        let signals = self.waker.wait(known, timeout);
         self.known.revision = self.known.revision.max(signals.revision);
         self.known.recoveries = signals.recoveries;
         Ok(())
--- a/crates/runtime/tests/sync.rs
+++ b/crates/runtime/tests/sync.rs
@@ -76,6 +76,10 @@
 
 /// Starts a reader with a long backoff whose store is down.
 fn start_reader() -> (Waker, Receiver<()>, sync::Handle) {
+    start_reader_with(sync::Config::default())
+}
+
+fn start_reader_with(config: sync::Config) -> (Waker, Receiver<()>, sync::Handle) {
     let (called, calls) = channel();
     let (started, readers) = channel();
     let waker = Waker::default();
@@ -84,7 +88,7 @@
     let start = move |stakker: &mut Stakker| {
         let port = Port::open(stakker, event_loop(), fwd_do!(|_: Update| {}));
         let backoff = backoff::Config::new().first(LONG_BACKOFF).max(LONG_BACKOFF);
-        let config = sync::Config::default().backoff(backoff);
+        let config = config.backoff(backoff);
         let store = Arc::new(UnavailableStore(called));
         started.send(sync::start(store, config, 1, woken, port).unwrap()).unwrap();
     };
@@ -129,3 +133,14 @@
     // The store is dropped with the reader.
     assert_eq!(calls.recv_timeout(TEST_TIMEOUT), Err(RecvTimeoutError::Disconnected));
 }
+
+// Guards against many readers that call a store again after each revision that a peer reports,
+// while the store refuses their calls.
+#[test]
+fn wake_on_recovery_only_ignores_revisions() {
+    let (waker, calls, _) = start_reader_with(sync::Config::default().wake_on_recovery_only());
+    waker.wake(7);
+    assert!(calls.recv_timeout(QUIET_PERIOD).is_err(), "the reader backs off");
+    waker.wake_recovered();
+    calls.recv_timeout(TEST_TIMEOUT).unwrap();
+}
