Watch the configuration apart from all other records

What callers saw: an accepted configuration isn't in force on any proxy for a whole outage of the store. The README promises 4 s.

Cause: as with drains. The watches of all records are answered by each write under their prefix; the configuration is accepted before one of them is considered again, and the store goes down.

Evidence: crates/e2e/tests/unheard.rs forces the order.

Change: each proxy watches the key of the configuration besides, like the drains of few VMs. That watch is answered by the configuration alone. One process that has heard of it is enough: peers ask it for it.

--- a/crates/e2e/tests/unheard.rs
+++ b/crates/e2e/tests/unheard.rs
@@ -2,10 +2,11 @@
 //! all processes.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use corianderfork_e2e::fleet::{Callers, RunningCallers, generated_config, unix_ms};
 use corianderfork_e2e::system::{Config, System};
-use corianderfork_e2e::wait;
+use corianderfork_e2e::{http, wait};
 use corianderfork_model::Name;
 use corianderfork_provider::key;
 use corianderfork_provider::record::{Drain, Phase};
@@ -14,6 +15,8 @@
 
 /// The promised time limit, in milliseconds.
 const PROMISED_MS: u64 = 4_000;
+/// The time in which a configuration has to be in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(4);
 /// How long callers have to be answered after a drain, in milliseconds. A VM that isn't
 /// skipped gets several requests per second.
 const OBSERVED_MS: u64 = PROMISED_MS + 4_000;
@@ -156,6 +159,14 @@
     }
 }
 
+/// Writes a record again as it is. Returns its key.
+fn rewrite(system: &System, key: &str) -> String {
+    let entry = system.store().get(key).expect("the store is up").entry.expect("a record");
+    let expect = Expect::Revision(entry.revision);
+    system.store().put(key, &entry.value, expect, None).expect("accepted");
+    key.to_owned()
+}
+
 /// Returns two serving VMs with copies.
 fn two_vms(system: &System) -> [String; 2] {
     let is_candidate = |vm: &corianderfork_provider::record::Vm| {
@@ -250,11 +261,40 @@
 fn leaving_after_another_record_answered_the_watches_of_all_records() {
     // Guards against an accepted drain that no process hears of because the write of
     // another shared record has just answered the watches of all records.
-    check_drain_after("a VM record written", |system, other| {
-        let key = vm_key(other);
-        let entry = system.store().get(&key).expect("the store is up").entry.expect("a record");
-        let expect = Expect::Revision(entry.revision);
-        system.store().put(&key, &entry.value, expect, None).expect("accepted");
-        key
-    });
+    check_drain_after("a VM record written", |system, other| rewrite(system, &vm_key(other)));
+}
+
+#[test]
+fn config_after_another_record_answered_the_watches_of_all_records() {
+    // Guards against an accepted configuration that no proxy hears of because the write of
+    // another shared record has just answered the watches of all records.
+    let system = System::converged(Config::new(&generated_config(1, 8, COPY_PER_VM)));
+    for _ in 0..ROUNDS {
+        let [other, _] = two_vms(&system);
+        wait_settled(&system, &[&vm_key(&other), key::CONFIG]);
+        system.platform_fault(&json!({ "watch_delay_ms": WATCH_DELAY_MS }));
+        let first_key = rewrite(&system, &vm_key(&other));
+        wait_told(&system, &first_key);
+        rewrite(&system, key::CONFIG);
+        wait_told(&system, key::CONFIG);
+        system.store_down(true);
+        let trace = Trace::read(&system);
+        if trace.is_in_order(&first_key, key::CONFIG) {
+            println!("{}\n{}", trace.describe(&first_key), trace.describe(key::CONFIG));
+            let revision = trace.events[trace.write(key::CONFIG)]["revision"].as_u64();
+            let is_applied = || is_in_force(&system, revision).then_some(());
+            let (_, took) = wait::until("the configuration to be in force", is_applied);
+            assert!(took <= CONFIG_LIMIT, "in force after {took:?}");
+            return;
+        }
+        system.platform_fault(&json!({ "watch_delay_ms": 0, "down": false }));
+    }
+    panic!("the events never came in the intended order");
+}
+
+/// Returns whether all proxies act on the configuration written at `revision`.
+fn is_in_force(system: &System, revision: Option<u64>) -> bool {
+    let known = |address| http::metric(address, "corianderfork_proxy", "config_revision");
+    let mut known = system.entries.iter().map(|entry| known(entry.callers()));
+    known.all(|known| known.map(|known| known as u64) >= revision)
 }
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -50,7 +50,8 @@
 /// only the drain requests of a few VMs, by [`watch::drain_prefixes`]. One write answers all
 /// watches that wait for its key, and a later write is seen only once they are sent again.
 /// If the store goes down in between, an accepted drain has reached no process, and its
-/// VM gets requests for the whole outage. The watches of other VMs still wait then.
+/// VM gets requests for the whole outage. The watches of other VMs still wait then. The
+/// configuration is watched apart for the same reason.
 ///
 /// After an outage, the first process that reaches the store notifies all others with its
 /// first update. With only one process watching, a write between two of its watches would
@@ -128,11 +129,12 @@
         }
         let (vms, proxies) = &known;
         let me = self.hub.me().name;
-        let prefixes = watch::drain_prefixes(
+        let mut prefixes = watch::drain_prefixes(
             vms.iter().map(Name::as_str),
             proxies.iter().map(Name::as_str),
             me.as_str(),
         );
+        prefixes.insert(key::CONFIG.to_owned());
         self.groups.retain(|prefix, reader| {
             let is_kept = prefixes.contains(prefix);
             if !is_kept {
@@ -206,8 +208,8 @@
         self.observe_gap("drains", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
+            Outcome::Snapshot(range) => self.hub.on_partial_range(&range.entries),
+            Outcome::Changes(changes) => self.hub.on_partial_changes(&changes),
             // The reader of all records logs the error.
             _ => {
                 self.drains_failing = true;
@@ -222,14 +224,14 @@
         self.notify_readers(revision);
     }
 
-    /// Applies an update of the drain requests of few VMs. It proves nothing about those of
-    /// others, so it doesn't count as contact, which ends withdrawn drains of all VMs.
+    /// Applies an update of the drain requests of few VMs, or of the configuration. It proves
+    /// nothing about the drains of others, so it doesn't count as contact, which ends withdrawn drains of all VMs.
     fn on_group_update(&mut self, _: CX![], update: Update) {
         self.observe_gap("group", update.gap);
         let revision = revision(&update.outcome);
         match update.outcome {
-            Outcome::Snapshot(range) => self.hub.on_drains(&range.entries),
-            Outcome::Changes(changes) => self.hub.on_drain_changes(&changes),
+            Outcome::Snapshot(range) => self.hub.on_partial_range(&range.entries),
+            Outcome::Changes(changes) => self.hub.on_partial_changes(&changes),
             // The reader of all records logs the error.
             _ => return,
         }
--- a/crates/proxy/src/hub.rs
+++ b/crates/proxy/src/hub.rs
@@ -68,17 +68,17 @@
         self.record_sync(sent);
     }
 
-    /// Applies a read of operators' drain requests.
-    pub fn on_drains(&self, drains: &[Entry]) {
-        let effects = self.view.borrow_mut().on_drains(drains);
+    /// Applies a read of drain requests or of the configuration.
+    pub fn on_partial_range(&self, entries: &[Entry]) {
+        let effects = self.view.borrow_mut().on_partial_range(entries);
         if !effects.is_empty() {
             self.apply_effects("the store", effects);
         }
     }
 
-    /// Applies changes of operators' drain requests from a watch.
-    pub fn on_drain_changes(&self, changes: &Changes) {
-        let effects = self.view.borrow_mut().on_drain_changes(changes);
+    /// Applies changes of drain requests or of the configuration from a watch.
+    pub fn on_partial_changes(&self, changes: &Changes) {
+        let effects = self.view.borrow_mut().on_partial_changes(changes);
         if !effects.is_empty() {
             self.apply_effects("the store", effects);
         }
--- a/crates/proxy/src/membership.rs
+++ b/crates/proxy/src/membership.rs
@@ -31,7 +31,8 @@
     pub watch_store: Arc<dyn Store>,
     /// The store on separate connections, for the watch of drain requests.
     pub drain_watch_store: Arc<dyn Store>,
-    /// The store on separate connections, for the watches of few VMs' drain requests.
+    /// The store on separate connections, for the watches of few VMs' drain requests and
+    /// of the configuration.
     pub group_watch_store: Arc<dyn Store>,
     /// Threads for blocking calls.
     pub pool: Pool,
--- a/crates/proxy/src/view/drain.rs
+++ b/crates/proxy/src/view/drain.rs
@@ -98,22 +98,22 @@
         effects
     }
 
-    /// Applies a read of all operators' drain requests. A request that is not newer than
-    /// the last read of all records is withdrawn or already known; withdrawn ones are
-    /// left to such a read.
-    pub fn on_drains(&mut self, drains: &[Entry]) -> Vec<Effect> {
+    /// Applies a read of drain requests or of the configuration. An entry that is not newer
+    /// than the last read of all records is deleted or already known; deleted ones are left
+    /// to such a read.
+    pub fn on_partial_range(&mut self, entries: &[Entry]) -> Vec<Effect> {
         let mut effects = Vec::new();
         let synced = self.synced_revision;
-        for entry in drains.iter().filter(|entry| entry.revision.0 > synced) {
+        for entry in entries.iter().filter(|entry| entry.revision.0 > synced) {
             self.apply_entry(entry, &mut effects);
         }
         effects
     }
 
-    /// Applies changes of operators' drain requests. Those that are not newer than the last
-    /// read of all records are known or undone. The synced revision does not change, because
-    /// other records may have changed as well.
-    pub fn on_drain_changes(&mut self, changes: &Changes) -> Vec<Effect> {
+    /// Applies changes of drain requests or of the configuration. Those that are not newer
+    /// than the last read of all records are known or undone. The synced revision does not
+    /// change, because other records may have changed as well.
+    pub fn on_partial_changes(&mut self, changes: &Changes) -> Vec<Effect> {
         let synced = self.synced_revision;
         self.apply_changes(changes.changes.iter().filter(|change| change.revision.0 > synced))
     }
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -402,8 +402,8 @@
     let mut view = View::default();
     view.on_range(&range(vec![vm(Phase::Serving, 0, 2)], 2));
     view.on_contact_lost();
-    view.on_drain_changes(&changes(vec![drain_request(7)], 7));
-    view.on_drain_changes(&withdrawal(9));
+    view.on_partial_changes(&changes(vec![drain_request(7)], 7));
+    view.on_partial_changes(&withdrawal(9));
     let effects = view.on_changes(&changes(vec![vm(Phase::Draining, 1, 4)], 4));
     assert_eq!(last_vm(&effects), Some(router_vm(4, false).epoch(1)));
     assert_eq!(view.on_changes(&changes(vec![vm(Phase::Serving, 1, 6)], 6)), []);
@@ -418,7 +418,7 @@
     let mut view = View::default();
     view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
     view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 20));
-    assert_eq!(view.on_drain_changes(&changes(vec![drain_request(7)], 8)), []);
+    assert_eq!(view.on_partial_changes(&changes(vec![drain_request(7)], 8)), []);
     assert_eq!(view.pending_drains(), []);
 }
 
@@ -461,7 +461,7 @@
 fn drain_changes_keep_store_revision() {
     let mut view = View::default();
     view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 4));
-    let effects = view.on_drain_changes(&changes(vec![drain_request(7)], 7));
+    let effects = view.on_partial_changes(&changes(vec![drain_request(7)], 7));
     assert_eq!(last_vm(&effects), Some(router_vm(7, false)));
     assert_eq!(view.store_revision(), 4);
     assert_eq!(view.on_changes(&changes(vec![drain_request(7)], 7)), [], "reported twice");
@@ -473,8 +473,8 @@
 fn drains_older_than_last_read_are_ignored() {
     let mut view = View::default();
     view.on_range(&range(vec![vm(Phase::Serving, 0, 4)], 9));
-    assert_eq!(view.on_drains(&[drain_request(7)]), []);
-    assert_eq!(last_vm(&view.on_drains(&[drain_request(11)])), Some(router_vm(11, false)));
+    assert_eq!(view.on_partial_range(&[drain_request(7)]), []);
+    assert_eq!(last_vm(&view.on_partial_range(&[drain_request(11)])), Some(router_vm(11, false)));
 }
 
 #[test]
