--- a/crates/proxy/tests/feed.rs
+++ b/crates/proxy/tests/feed.rs
@@ -56,9 +56,14 @@
     }
 }
 
+/// Returns the result of a call that the feed does not make.
+fn unscripted<T>() -> Result<T, Error> {
+    Err(Error::Unavailable("not scripted".to_owned()))
+}
+
 impl Store for ScriptedStore {
     fn get(&self, _: &str) -> Result<Lookup, Error> {
-        unimplemented!()
+        unscripted()
     }
 
     fn range(&self, prefix: &str) -> Result<Range, Error> {
@@ -70,11 +75,11 @@
     }
 
     fn put(&self, _: &str, _: &str, _: Expect, _: Option<LeaseId>) -> Result<Revision, Error> {
-        unimplemented!()
+        unscripted()
     }
 
     fn delete(&self, _: &str, _: Expect) -> Result<Revision, Error> {
-        unimplemented!()
+        unscripted()
     }
 
     fn watch(&self, prefix: &str, after: Revision, _: Duration) -> Result<Changes, Error> {
@@ -86,15 +91,15 @@
     }
 
     fn grant(&self, _: Duration) -> Result<LeaseId, Error> {
-        unimplemented!()
+        unscripted()
     }
 
     fn renew(&self, _: LeaseId) -> Result<(), Error> {
-        unimplemented!()
+        unscripted()
     }
 
     fn revoke(&self, _: LeaseId) -> Result<(), Error> {
-        unimplemented!()
+        unscripted()
     }
 }
 
