--- a/crates/e2e/tests/unheard.rs
+++ b/crates/e2e/tests/unheard.rs
@@ -260,7 +260,8 @@
 #[test]
 fn leaving_after_another_record_answered_the_watches_of_all_records() {
     // Guards against an accepted drain that no process hears of because the write of
-    // another shared record has just answered the watches of all records.
+    // another shared record has just answered the watches of all records. The watches of
+    // drains alone are waiting then, also without those of single VMs.
     check_drain_after("a VM record written", |system, other| rewrite(system, &vm_key(other)));
 }
 
