Tell once why a proxy watches few VMs apart

The feed repeated the reason that the module watch gives, and its comment on the duration of those watches said the longest and the shortest the wrong way round. Comments only.

--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -27,8 +27,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_secs(1);
 /// The interval between two comparisons of the watched groups with the known VMs.
 const GROUP_INTERVAL: Duration = Duration::from_secs(1);
-/// The longest duration of a watch of one group, and half of the shortest. All are sent at
-/// once after an outage; with one duration they would end at once as well. Silent
+/// The longest duration of a watch of one group; each reader draws its own, at least half of
+/// this. All watches are sent at once after an outage, and would end at once as well. Silent
 /// connections are noticed by the shorter watches of the other readers.
 const GROUP_WAIT: Duration = Duration::from_secs(10);
 /// The waits of the readers of groups after failures. They are woken when another reader
@@ -46,12 +46,9 @@
 
 /// Applies the updates of the threads that watch the store.
 ///
-/// One thread watches all shared records, another one only the drain requests, and some
-/// only the drain requests of a few VMs, by [`watch::drain_prefixes`]. One write answers all
-/// watches that wait for its key, and a later write is seen only once they are sent again.
-/// If the store goes down in between, an accepted drain has reached no process, and its
-/// VM gets requests for the whole outage. The watches of other VMs still wait then. The
-/// configuration is watched apart for the same reason.
+/// One thread watches all shared records, another one only the drain requests. Because a
+/// write answers all watches that wait for its key, others watch only the drain requests of
+/// a few VMs each, and one only the configuration: see [`watch`].
 ///
 /// After an outage, the first process that reaches the store notifies all others with its
 /// first update. With only one process watching, a write between two of its watches would
@@ -225,7 +222,8 @@
     }
 
     /// Applies an update of the drain requests of few VMs, or of the configuration. It proves
-    /// nothing about the drains of others, so it doesn't count as contact, which ends withdrawn drains of all VMs.
+    /// nothing about the drains of other VMs, so it doesn't count as contact, which ends the
+    /// withdrawn drains of all.
     fn on_group_update(&mut self, _: CX![], update: Update) {
         self.observe_gap("group", update.gap);
         let revision = revision(&update.outcome);
@@ -243,7 +241,7 @@
         self.hub.waker.wake_recovered();
     }
 
-    /// Wakes the other reader, and after an outage notifies the peers of each newer
+    /// Wakes the other readers, and after an outage notifies the peers of each newer
     /// revision.
     fn notify_readers(&self, revision: u64) {
         let is_newer = self.hub.waker.wake(revision);
