--- a/crates/entry/src/owner/advise.rs
+++ b/crates/entry/src/owner/advise.rs
@@ -33,7 +33,7 @@
 impl Owner {
     /// Sends a request through each entry VM that has none of this owner's in flight.
     pub(super) fn ask_advice(self: &Rc<Self>) {
-        if self.node.settings.advice.is_none() {
+        if self.node.settings.advice.is_none() || !self.pool.borrow().uses_advice() {
             return;
         }
         let free = self.free_advisers();
@@ -69,11 +69,10 @@
         self.busy_advisers.borrow_mut().remove(&adviser);
         if advice == Advice::Lost {
             self.failed_advisers.borrow_mut().insert(adviser, clock::now() + AVOID_TIME);
-            self.node.trace.line(
-                "advice request failed",
+            self.node.trace.line("advice request failed", || {
                 json!({ "job": query.task.job.to_string(), "step": query.task.step,
-                    "through": adviser, "took_ms": ms(clock::now() - started) }),
-            );
+                    "through": adviser, "took_ms": ms(clock::now() - started) })
+            });
         }
         self.pool.borrow_mut().handle_advice(clock::now(), &query, &advice);
         self.wake.notify_one();
@@ -115,7 +114,7 @@
     pub async fn advise(&self, task: Name, workers: &[String], within: Duration) -> Advice {
         let Some(address) = self.settings.advice else { return Advice::Lost };
         let call = wire::query(task, workers);
-        match self.client.call(address, &call, within).await {
+        match self.client.call("advice", address, &call, within).await {
             Ok((status, body)) => wire::parse(status, &body).unwrap_or(Advice::Lost),
             Err(_) => Advice::Lost,
         }
--- /dev/null
+++ b/crates/jobs/benches/plan.rs
@@ -0,0 +1,232 @@
+//! The cost of one decision of a pool's owner, by waiting tasks and workers.
+//!
+//! ```sh
+//! cargo bench -p corianderfork-jobs --bench plan
+//! ```
+//!
+//! Prints one line of CSV for each size, with medians in microseconds:
+//!
+//! - `idle`: a plan between two events, while no worker has room.
+//! - `exit`: a worker reports the exit of a run, and a plan starts a waiting task in its place.
+//! - `racks`: a plan between two events, while there is room, but every waiting task waits for
+//!   room in the full rack of its data.
+//! - `load`: the pool's load, as the fleet's planner requests it.
+//! - `shrink`: a request of the planner to release no worker.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use corianderfork_jobs::job::Room;
+use corianderfork_jobs::pool::{Action, Answer, Config, Order, Pool, Report};
+use corianderfork_jobs::queue::Queue;
+use corianderfork_jobs::task::{Exit, Name, Outcome, Run};
+use corianderfork_jobs::worker::{Key, Registration};
+use corianderfork_jobs::{Job, JobId, Record, Step};
+use corianderfork_model::Time;
+
+const FENCE: u64 = 7;
+const WAITING: [u64; 4] = [10, 100, 1_000, 10_000];
+const WORKERS: [u16; 3] = [30, 300, 1_100];
+/// Jobs that have ended and whose state is kept.
+const ENDED: [u64; 2] = [0, 2_000];
+/// Tasks of a step.
+const WIDTH: u32 = 8;
+/// Tasks that a worker has room for.
+const TASKS_PER_WORKER: u64 = 7;
+const WORKERS_PER_RACK: u16 = 12;
+const TASK_ROOM: Room = Room { cpu: 8_900, memory_mb: 1_000, gpu: 0 };
+const WORKER_ROOM: Room = Room { cpu: 64_000, memory_mb: 256_000, gpu: 0 };
+const SAMPLES: usize = 201;
+
+/// A run on a simulated worker.
+type Running = BTreeMap<Name, u64>;
+
+struct Bench {
+    now: u64,
+    pool: Pool,
+    keys: Vec<Key>,
+    running: HashMap<Key, Running>,
+    exits: HashMap<Key, u64>,
+    next_job: u64,
+}
+
+impl Bench {
+    fn new(workers: u16) -> Self {
+        let mut pool = Pool::new(Config::new(FENCE, Time::ZERO).remote_factor(3.0));
+        let queue = Queue { attempts: 2, slack: Duration::from_secs(600), ..Queue::default() };
+        pool.set_queues(HashMap::from([("q".to_owned(), queue)]));
+        let registrations: Vec<Registration> = (0..workers).map(registration).collect();
+        pool.set_workers(Time::from_millis(1), &registrations);
+        if let Some(locations) = pool.roster_update() {
+            pool.confirm_roster(locations);
+        }
+        let keys: Vec<Key> = pool.workers().collect();
+        let running = keys.iter().map(|key| (*key, Running::new())).collect();
+        let exits = keys.iter().map(|key| (*key, 0)).collect();
+        let mut bench = Self { now: 1_000, pool, keys, running, exits, next_job: 1 };
+        bench.poll_all();
+        bench
+    }
+
+    fn at(&self) -> Time {
+        Time::from_millis(self.now)
+    }
+
+    fn add_jobs(&mut self, tasks: u64, rack: Option<&str>) {
+        for _ in 0..tasks.div_ceil(u64::from(WIDTH)) {
+            let mut step = Step::new(WIDTH);
+            step.needs = TASK_ROOM;
+            step.estimate_ms = 640;
+            step.preferred_rack = rack.map(str::to_owned);
+            let steps = vec![step, Step::new(WIDTH).after(0)];
+            let job = Job::new(String::new(), steps).expect("the job is valid");
+            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0 };
+            let id = JobId(self.next_job);
+            self.next_job += 1;
+            self.pool.accept(self.at(), Duration::ZERO, id, &record, None, FENCE + 1);
+        }
+    }
+
+    fn plan(&mut self) -> Vec<Order> {
+        self.pool.plan(self.at(), self.now)
+    }
+
+    fn carry_out(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            let running = self.running.entry(order.worker).or_default();
+            match order.action {
+                Action::Start { .. } => drop(running.insert(order.task, order.run)),
+                Action::Stop => drop(running.remove(&order.task)),
+                Action::Pace(_) => {}
+            }
+            self.pool.handle_order_answer(self.at(), &order, &Answer::Done(self.now));
+        }
+    }
+
+    fn poll(&mut self, key: Key, exits: Vec<Exit>) {
+        let running = self.running[&key].iter().map(|(task, run)| Run {
+            task: *task,
+            run: *run,
+            saved: String::new(),
+            percent: u32::try_from(self.now / 10 % 100).expect("below 100"),
+            gauge: 0,
+        });
+        let report = Report { clock_ms: self.now, running: running.collect(), exits };
+        let at = self.at();
+        self.pool.next_poll(at, key);
+        self.pool.handle_poll_answer(at, at, key, &Answer::Done(report));
+    }
+
+    fn poll_all(&mut self) {
+        for key in self.keys.clone() {
+            self.poll(key, Vec::new());
+        }
+    }
+
+    /// Ends one run and reports it.
+    fn end_run(&mut self, index: usize) {
+        let key = self.keys[index % self.keys.len()];
+        let Some((task, run)) = self.running.get_mut(&key).and_then(BTreeMap::pop_first) else {
+            return;
+        };
+        let number = self.exits.entry(key).or_default();
+        *number += 1;
+        let exit =
+            Exit { number: *number, task, run, outcome: Outcome::Done, saved: String::new() };
+        self.poll(key, vec![exit]);
+    }
+
+    fn write(&mut self) {
+        loop {
+            let at = self.at() + Duration::from_secs(1);
+            let batch = self.pool.next_batch(at, self.now, 28);
+            if batch.is_empty() {
+                return;
+            }
+            self.pool.confirm_batch(&batch);
+        }
+    }
+
+    /// Returns the median duration of `run` in microseconds, with polls in between.
+    fn measure(&mut self, mut run: impl FnMut(&mut Self, usize)) -> f64 {
+        let mut samples = Vec::with_capacity(SAMPLES);
+        for index in 0..SAMPLES {
+            self.now += 3;
+            let started = Instant::now();
+            run(self, index);
+            samples.push(started.elapsed().as_secs_f64() * 1e6);
+            if index % 100 == 99 {
+                self.poll_all();
+                self.write();
+            }
+        }
+        samples.sort_by(f64::total_cmp);
+        samples[SAMPLES / 2]
+    }
+}
+
+fn registration(index: u16) -> Registration {
+    let rack = format!("rack-{}", index / WORKERS_PER_RACK);
+    Registration {
+        id: format!("worker-{index}"),
+        address: ([10, 0, (index / 250) as u8, (index % 250) as u8], 80).into(),
+        labels: vec!["general".to_owned(), rack.clone()],
+        rack,
+        room: WORKER_ROOM,
+        draining: false,
+        revision: 1,
+    }
+}
+
+fn main() {
+    println!("workers,ended,waiting,idle_us,exit_us,racks_us,load_us,shrink_us");
+    for workers in WORKERS {
+        for ended in ENDED {
+            for waiting in WAITING {
+                let [idle, exit, load, shrink] = measure_full(workers, ended, waiting);
+                let racks = measure_racks(workers, waiting);
+                println!(
+                    "{workers},{ended},{waiting},{idle:.1},{exit:.1},{racks:.1},{load:.1},{shrink:.1}"
+                );
+            }
+        }
+    }
+}
+
+/// Measures a pool whose workers are all full.
+fn measure_full(workers: u16, ended: u64, waiting: u64) -> [f64; 4] {
+    let mut bench = Bench::new(workers);
+    for _ in 0..ended {
+        bench.add_jobs(1, None);
+        let id = JobId(bench.next_job - 1);
+        bench.pool.cancel(bench.at(), id);
+    }
+    bench.write();
+    bench.add_jobs(u64::from(workers) * TASKS_PER_WORKER + waiting, None);
+    let orders = bench.plan();
+    bench.carry_out(orders);
+    let idle = bench.measure(|bench, _| drop(black_box(bench.plan())));
+    let exit = bench.measure(|bench, index| {
+        bench.end_run(index);
+        let orders = bench.plan();
+        bench.carry_out(orders);
+    });
+    let load = bench.measure(|bench, _| {
+        black_box(bench.pool.load(bench.at()));
+    });
+    let shrink = bench.measure(|bench, _| {
+        black_box(bench.pool.shrink(bench.at(), u32::MAX, Duration::from_secs(1)));
+    });
+    [idle, exit, load, shrink]
+}
+
+/// Measures a pool in which only the rack of the waiting tasks' data is full.
+fn measure_racks(workers: u16, waiting: u64) -> f64 {
+    let mut bench = Bench::new(workers);
+    let in_rack = u64::from(workers.min(WORKERS_PER_RACK)) * TASKS_PER_WORKER;
+    bench.add_jobs(in_rack + waiting, Some("rack-0"));
+    let orders = bench.plan();
+    bench.carry_out(orders);
+    bench.measure(|bench, _| drop(black_box(bench.plan())))
+}
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -1,6 +1,7 @@
 //! The state and the decisions of the owner of one pool of workers.
 
 mod advice;
+mod agenda;
 mod batch;
 mod choose;
 mod crash;
@@ -21,6 +22,7 @@
 mod reserve;
 mod runs;
 mod shrink;
+mod unmet;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -34,18 +36,21 @@
 pub use explain::{Explanation, StepExplanation};
 pub use load::Load;
 pub use order::{Action, Answer, Order};
+pub use plan::Effort;
 pub use poll::{Poll, Report};
 
 use crate::estimate::Estimator;
-use crate::feature::Feature;
 use crate::flow::Flow;
 use crate::id::JobId;
 use crate::queue::Queue;
 use crate::record::State;
 use crate::task;
 use crate::worker::{self, Worker};
+use agenda::Agenda;
 use departed::EndedInstances;
 use entry::Entry;
+use plan::Gate;
+use ranking::Ranking;
 
 slotmap::new_key_type! {
     /// A job of a pool.
@@ -121,6 +126,18 @@
     by_id: HashMap<String, worker::Key>,
     jobs: SlotMap<JobKey, Entry>,
     by_job: HashMap<JobId, JobKey>,
+    /// Jobs that have not ended.
+    active: BTreeSet<JobKey>,
+    /// Long-running jobs with a task that has no worker, as of the last plan.
+    unplaced: BTreeSet<JobKey>,
+    /// Ended jobs, by when they ended.
+    ended: BTreeSet<(Time, JobId)>,
+    agenda: Agenda,
+    ranking: Ranking,
+    /// Whether tasks could be started at the last plan, and whether only new ones.
+    gate: Gate,
+    /// What the last plan looked at.
+    effort: Effort,
     /// Every job that was accepted before this time is known.
     jobs_known_until: Time,
     /// Jobs with unwritten changes, by the time at which the write is due.
@@ -130,10 +147,12 @@
     /// When this owner first planned evacuations.
     first_planned: Option<Time>,
     written_roster: BTreeSet<worker::Location>,
+    /// Whether the written roster may differ from the workers.
+    is_roster_outdated: bool,
+    /// Number of workers that have joined so far.
+    joined_workers: u64,
     notes: Vec<Note>,
     departed: EndedInstances,
-    /// Features that waiting tasks need and that not every worker has, as of the last plan.
-    requested_features: BTreeSet<Feature>,
     /// The worker on which room is reserved for a long-running task.
     reservations: BTreeMap<task::Name, worker::Key>,
     /// Tracked runs of tasks that are suspected of a crash.
@@ -165,15 +184,23 @@
             by_id: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_job: HashMap::new(),
+            active: BTreeSet::new(),
+            unplaced: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            agenda: Agenda::default(),
+            ranking: Ranking::default(),
+            gate: Gate::default(),
+            effort: Effort::default(),
             jobs_known_until: Time::ZERO,
             dirty: BTreeSet::new(),
             start_count: 0,
             deposed: false,
             first_planned: None,
             written_roster: BTreeSet::new(),
+            is_roster_outdated: false,
+            joined_workers: 0,
             notes: Vec::new(),
             departed: EndedInstances::default(),
-            requested_features: BTreeSet::new(),
             reservations: BTreeMap::new(),
             suspects: BTreeMap::new(),
         }
@@ -182,6 +209,7 @@
     /// Sets the configuration of the queues.
     pub fn set_queues(&mut self, queues: HashMap<String, Queue>) {
         self.queues = queues;
+        self.mark_all_changed();
     }
 
     /// The owner's fence.
@@ -220,7 +248,12 @@
     /// Returns the number of jobs of `queue` without a started task.
     pub fn queued_jobs(&self, queue: &str) -> usize {
         let is_queued = |entry: &&Entry| entry.queue == queue && entry.state == State::Queued;
-        self.jobs.values().filter(is_queued).count()
+        self.active_jobs().filter(is_queued).count()
+    }
+
+    /// Returns the number of jobs that haven't ended.
+    pub fn active_count(&self) -> usize {
+        self.active.len()
     }
 
     /// Returns and clears the events since the last call.
@@ -243,9 +276,23 @@
         self.by_job.get(&id).and_then(|key| self.jobs.get(*key))
     }
 
+    /// Returns a job in order to change it; the next plan looks at it.
     fn entry_mut(&mut self, id: JobId) -> Option<&mut Entry> {
-        let key = self.by_job.get(&id)?;
-        self.jobs.get_mut(*key)
+        let key = *self.by_job.get(&id)?;
+        let entry = self.jobs.get_mut(key)?;
+        self.agenda.add_changed(key, entry);
+        Some(entry)
+    }
+
+    /// Like [`Pool::entry_mut`], for a change that no plan depends on.
+    fn entry_mut_unmarked(&mut self, id: JobId) -> Option<&mut Entry> {
+        let key = *self.by_job.get(&id)?;
+        self.jobs.get_mut(key)
+    }
+
+    /// Returns the jobs that have not ended.
+    fn active_jobs(&self) -> impl Iterator<Item = &Entry> {
+        self.active.iter().filter_map(|key| self.jobs.get(*key))
     }
 
     fn queue(&self, name: &str) -> Queue {
--- a/crates/jobs/src/pool/advice.rs
+++ b/crates/jobs/src/pool/advice.rs
@@ -102,9 +102,10 @@
     /// Returns the queries to send now, at most `max_queries`, most urgent first. The response
     /// to each is passed to [`Pool::handle_advice`].
     pub fn advice_queries(&mut self, now: Time, max_queries: usize) -> Vec<Query> {
-        if max_queries == 0 || !self.queues.values().any(|queue| queue.advice.is_some()) {
+        if max_queries == 0 || !self.uses_advice() {
             return Vec::new();
         }
+        self.update_changed_ranks(now);
         let mut step_keys = self.ranked_steps(now);
         step_keys.extend(self.steps_to_evacuate());
         step_keys.extend(self.upcoming_steps());
@@ -118,6 +119,11 @@
         queries
     }
 
+    /// Returns whether a service decides about the workers of any queue.
+    pub fn uses_advice(&self) -> bool {
+        self.queues.values().any(|queue| queue.advice.is_some())
+    }
+
     /// Returns the steps with long-running tasks that have to leave their worker.
     fn steps_to_evacuate(&self) -> Vec<StepKey> {
         self.steps_where(|known, _| known.is_wanted_early)
@@ -131,7 +137,8 @@
 
     fn steps_where(&self, is_selected: impl Fn(&StepAdvice, bool) -> bool) -> Vec<StepKey> {
         let mut step_keys = Vec::new();
-        for (job, entry) in self.jobs.iter().filter(|(_, entry)| !entry.state.is_final()) {
+        for job in self.active.iter().copied() {
+            let Some(entry) = self.jobs.get(job) else { continue };
             for (number, occurrence) in &entry.occurrences {
                 for (step, state) in occurrence.steps.iter().enumerate() {
                     let is_next =
@@ -224,9 +231,14 @@
         key: worker::Key,
     ) -> bool {
         let Some(entry) = self.entry(task.job) else { return false };
-        let needs_no_advice =
-            self.queues.get(&entry.queue).is_none_or(|queue| queue.advice.is_none());
-        needs_no_advice || entry.advice(task).is_some_and(|known| known.has_valid_ticket(now, key))
+        !self.needs_advice(task)
+            || entry.advice(task).is_some_and(|known| known.has_valid_ticket(now, key))
+    }
+
+    /// Returns whether a service decides which workers may run a task.
+    pub(super) fn needs_advice(&self, task: task::Name) -> bool {
+        let queue = self.entry(task.job).and_then(|entry| self.queues.get(&entry.queue));
+        queue.is_some_and(|queue| queue.advice.is_some())
     }
 
     /// Returns the ticket for the start of a task on a worker.
--- a/crates/jobs/src/pool/batch.rs
+++ b/crates/jobs/src/pool/batch.rs
@@ -56,7 +56,7 @@
         // Once one write is due, later ones are included at no extra cost.
         let all: Vec<JobId> = self.dirty.iter().map(|(_, id)| *id).collect();
         for id in all {
-            let Some(entry) = self.entry_mut(id) else { continue };
+            let Some(entry) = self.entry_mut_unmarked(id) else { continue };
             if entry.state.is_final() && entry.ended_ms == 0 {
                 entry.ended_ms = wall_ms;
             }
@@ -76,9 +76,9 @@
 
     fn delete_old(&mut self, now: Time, max_keys: usize, batch: &mut Batch) {
         let remember = self.config.remember;
-        let is_old = |ended: Option<Time>| ended.is_some_and(|at| now - at > remember);
-        let old = self.jobs.values().filter(|e| is_old(e.ended) && e.written_version == e.version);
-        batch.deletions = old.map(|entry| entry.id).take(max_keys / 2).collect();
+        let old = self.ended.iter().take_while(|(at, _)| now - *at > remember).map(|(_, id)| *id);
+        let written = old.filter(|id| self.is_written(*id));
+        batch.deletions = written.take(max_keys / 2).collect();
         // A transaction for a few deletions isn't worth its cost.
         if batch.deletions.len() < max_keys / 4 {
             batch.deletions.clear();
@@ -91,9 +91,7 @@
             self.confirm_update(update);
         }
         for id in &batch.deletions {
-            if let Some(key) = self.by_job.remove(id) {
-                self.jobs.remove(key);
-            }
+            self.remove_job(*id);
         }
         let keys: Vec<worker::Key> = self.workers.keys().collect();
         for key in keys {
@@ -102,10 +100,12 @@
     }
 
     fn confirm_update(&mut self, update: &Update) {
-        let Some(entry) = self.entry_mut(update.id) else { return };
+        let Some(entry) = self.entry_mut_unmarked(update.id) else { return };
         entry.written_version = entry.written_version.max(update.version);
-        if entry.written_version == entry.version {
-            self.dirty.retain(|(_, id)| *id != update.id);
+        if entry.written_version == entry.version
+            && let Some(due) = entry.write_due.take()
+        {
+            self.dirty.remove(&(due, update.id));
         }
     }
 }
--- a/crates/jobs/src/pool/choose.rs
+++ b/crates/jobs/src/pool/choose.rs
@@ -37,6 +37,7 @@
         rack: Option<&str>,
     ) -> Option<worker::Key> {
         let room = step.room();
+        let needs_advice = self.needs_advice(name);
         let preferred = step
             .preferred_rack
             .as_deref()
@@ -52,7 +53,8 @@
                     || worker.expected_siblings(name) < step.max_per_worker)
         };
         let candidates = self.workers.iter().filter(|(_, worker)| can_run(worker));
-        let candidates = candidates.filter(|(key, _)| self.is_allowed_by_advice(now, name, *key));
+        let candidates = candidates
+            .filter(|(key, _)| !needs_advice || self.is_allowed_by_advice(now, name, *key));
         let candidates = candidates.filter(|(key, _)| self.may_start_beside_suspects(name, *key));
         let is_suspect = self.crashes(name) > 0;
         // A suspect of a crash prefers a worker without starting runs, so that it is the only
@@ -71,7 +73,13 @@
     /// as long as it saves, if a worker in the rack could run it once it has room. With a factor of
     /// three and half of the jobs near some rack, full pools earn 0.16 to 0.21 more of the possible
     /// earnings.
-    fn waits_for_rack(&self, now: Time, name: task::Name, step: &Step, rack: &str) -> bool {
+    pub(super) fn waits_for_rack(
+        &self,
+        now: Time,
+        name: task::Name,
+        step: &Step,
+        rack: &str,
+    ) -> bool {
         let could_run = |worker: &Worker| {
             worker.is_usable(now)
                 && worker.rack == rack
@@ -115,7 +123,7 @@
         let mut score = -i64::try_from(free).unwrap_or(i64::MAX);
         score -= i64::from(worker.failures_in_row) * FAILURE_COST;
         if step.backfill {
-            score -= i64::from(self.serving_tasks(worker)) * NEIGHBOUR_COST;
+            score -= i64::from(worker.serving) * NEIGHBOUR_COST;
         } else if self.hosts_long_running(worker) {
             // The worker stays in the pool anyway.
             score += LONG_RUNNING_BONUS;
@@ -129,17 +137,7 @@
 
     /// Returns whether a worker has a feature that waiting tasks need and not every worker has.
     fn has_requested_feature(&self, worker: &Worker) -> bool {
-        self.requested_features
-            .iter()
-            .any(|feature| feature.is_provided_by(&worker.labels, &worker.room))
-    }
-
-    fn serving_tasks(&self, worker: &Worker) -> u32 {
-        let is_serving = |name: &&task::Name| {
-            let step = self.entry(name.job).and_then(|entry| entry.step(**name));
-            step.is_some_and(|step| step.target_ms > 0)
-        };
-        u32::try_from(worker.allocations.keys().filter(is_serving).count()).unwrap_or(u32::MAX)
+        self.ranking.features().any(|feature| feature.is_provided_by(&worker.labels, &worker.room))
     }
 }
 
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -7,6 +7,7 @@
 use corianderfork_model::Time;
 
 use super::advice::StepAdvice;
+use super::ranking::Position;
 use crate::id::JobId;
 use crate::job::{Job, Step};
 use crate::record::State;
@@ -49,6 +50,14 @@
     /// Increases with each change that has to be written.
     pub version: u64,
     pub written_version: u64,
+    /// When the write of its changes is due, if it has any.
+    pub write_due: Option<Time>,
+    /// Whether it is marked as changed.
+    pub is_changed: bool,
+    /// When the next plan has to look at it, unless it changes before.
+    pub due_at: Option<Time>,
+    /// The positions of its ready steps in the ranking.
+    pub positions: Vec<Position>,
 }
 
 /// One execution of the steps.
@@ -312,5 +321,9 @@
         finished_occurrences: 0,
         version: 0,
         written_version: 0,
+        write_due: None,
+        is_changed: false,
+        due_at: None,
+        positions: Vec::new(),
     }
 }
--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -1,12 +1,13 @@
 //! Tasks that have to leave their worker, because the worker leaves or they make no progress.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use corianderfork_model::Time;
 
-use super::Pool;
 use super::entry::{Entry, Phase, Placement, StepState, TaskState};
 use super::exits::AVOID_TIME;
+use super::{JobKey, Pool};
 use crate::feature::Feature;
 use crate::job::Step;
 use crate::task;
@@ -32,9 +33,10 @@
     ///
     /// A worker whose tasks all stall looks healthy and would hold them until their callers
     /// gave up.
-    pub(super) fn stop_stalled(&mut self, now: Time) {
+    pub(super) fn stop_stalled(&mut self, now: Time, due: &BTreeSet<JobKey>) {
         let mut stalled = Vec::new();
-        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
+        let due = due.iter().filter_map(|key| self.jobs.get(*key));
+        for entry in due.filter(|entry| !entry.state.is_final()) {
             for name in entry.placed_tasks() {
                 if let (Some(step), Some(placement)) = (entry.step(name), entry.placement(name))
                     && is_stalled(now, step, placement)
@@ -108,18 +110,16 @@
     /// long-running tasks never release their room.
     fn worker_to_unblock(&self, now: Time) -> Option<worker::Key> {
         let is_blocked = |state: &StepState| {
-            state.waiting_since.is_some_and(|since| now - since > BLOCKED_AFTER)
+            let since = state.waiting_since.filter(|_| state.waiting > 0);
+            since.is_some_and(|since| now - since > BLOCKED_AFTER)
         };
-        let blocked =
-            self.jobs.values().filter(|entry| !entry.state.is_final()).find_map(|entry| {
-                let steps = entry
-                    .occurrences
-                    .values()
-                    .flat_map(|occurrence| entry.steps.iter().zip(&occurrence.steps));
-                steps
-                    .filter(|(_, state)| state.waiting > 0 && is_blocked(state))
-                    .find_map(|(step, _)| Some((Feature::of(step)?, step.room())))
-            });
+        let selective = self.ranking.candidates().filter(|candidate| candidate.has_feature);
+        let blocked = selective.map(|candidate| candidate.key).find_map(|key| {
+            let entry = self.jobs.get(key.job)?;
+            let state = entry.occurrences.get(&key.occurrence)?.steps.get(key.step)?;
+            let step = entry.steps.get(key.step).filter(|_| is_blocked(state))?;
+            Some((Feature::of(step)?, step.room()))
+        });
         let (feature, needed) = blocked?;
         let has_feature = |worker: &Worker| {
             worker.is_usable(now) && feature.is_provided_by(&worker.labels, &worker.room)
@@ -213,14 +213,18 @@
 }
 
 fn is_stalled(now: Time, step: &Step, placement: &Placement) -> bool {
-    let Phase::Running { .. } = placement.phase else { return false };
+    stalls_at(step, placement).is_some_and(|at| now > at)
+}
+
+/// Returns after which time a run counts as stalled unless it makes progress.
+pub(super) fn stalls_at(step: &Step, placement: &Placement) -> Option<Time> {
+    let Phase::Running { .. } = placement.phase else { return None };
     if step.gang || step.backfill {
-        return false;
+        return None;
     }
     if step.long_running {
-        return placement.percent < READY_PERCENT
-            && now - placement.since > STARTUP_TIMEOUT
-            && now - placement.progressed > STALL_TIMEOUT;
+        let at = (placement.since + STARTUP_TIMEOUT).max(placement.progressed + STALL_TIMEOUT);
+        return (placement.percent < READY_PERCENT).then_some(at);
     }
-    now - placement.progressed > STALL_TIMEOUT + Duration::from_millis(step.estimate_ms / 40)
+    Some(placement.progressed + STALL_TIMEOUT + Duration::from_millis(step.estimate_ms / 40))
 }
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -10,7 +10,7 @@
 use super::ranking::StepKey;
 use crate::job::Step;
 use crate::task;
-use crate::worker;
+use crate::worker::{self, Allocation};
 
 impl Pool {
     /// Starts all tasks of a gang or none, in one rack if the step requires that.
@@ -76,7 +76,7 @@
         for name in names {
             let Some(key) = self.choose(now, *name, step, rack) else { break };
             if let Some(worker) = self.workers.get_mut(key) {
-                worker.allocate(*name, 0, step.room());
+                worker.allocate(*name, Allocation::new(0, step));
             }
             workers.push(key);
         }
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -4,14 +4,14 @@
 
 use corianderfork_model::Time;
 
-use super::entry::{Phase, TaskState, new_entry};
+use super::entry::{Entry, Phase, TaskState, new_entry};
 use super::{JobKey, Pool};
 use crate::id::JobId;
 use crate::job::{Job, Step, chain_ms};
 use crate::record::{Progress, Record, State};
 use crate::task;
 use crate::work::Work;
-use crate::worker::{self, Pending};
+use crate::worker::{self, Pending, Worker};
 
 impl Pool {
     /// Adds an accepted job with its written progress, if any. Does nothing if the job is
@@ -53,8 +53,7 @@
             entry.ended = Some(now);
             entry.occurrences.clear();
         }
-        let key = self.jobs.insert(entry);
-        self.by_job.insert(id, key);
+        let key = self.insert_job(entry);
         if !is_final {
             self.complete_if_done(now, id, key);
         }
@@ -110,8 +109,31 @@
         let mut entry = new_entry(id, &job, &progress.queue, 0);
         entry.restore(progress);
         entry.ended = Some(now);
+        self.insert_job(entry);
+    }
+
+    fn insert_job(&mut self, entry: Entry) -> JobKey {
+        let (id, ended) = (entry.id, entry.ended);
         let key = self.jobs.insert(entry);
         self.by_job.insert(id, key);
+        match ended {
+            Some(at) => drop(self.ended.insert((at, id))),
+            None => drop(self.active.insert(key)),
+        }
+        self.mark_changed(key);
+        key
+    }
+
+    pub(super) fn remove_job(&mut self, id: JobId) {
+        let Some(key) = self.by_job.remove(&id) else { return };
+        self.remove_rank(key);
+        self.active.remove(&key);
+        self.unplaced.remove(&key);
+        let Some(entry) = self.jobs.remove(key) else { return };
+        self.agenda.remove(key, &entry);
+        if let Some(at) = entry.ended {
+            self.ended.remove(&(at, id));
+        }
     }
 
     /// Completes a job whose last exit was written, but not that the job is completed.
@@ -141,9 +163,15 @@
     }
 
     pub(super) fn end_job(&mut self, now: Time, id: JobId, state: State) {
+        let Some(key) = self.by_job.get(&id).copied() else { return };
+        self.remove_rank(key);
+        self.active.remove(&key);
         let Some(entry) = self.entry_mut(id) else { return };
         entry.state = state;
-        entry.ended = Some(now);
+        if let Some(before) = entry.ended.replace(now) {
+            self.ended.remove(&(before, id));
+        }
+        self.ended.insert((now, id));
         let why = format!("{state:?}");
         self.mark_dirty(now, id, true);
         let task = task::Name { job: id, occurrence: 0, step: 0, index: 0 };
@@ -175,14 +203,16 @@
     /// [`super::batch::WRITE_DELAY`].
     pub(super) fn mark_dirty(&mut self, now: Time, id: JobId, urgent: bool) -> u64 {
         let Some(entry) = self.entry_mut(id) else { return 0 };
-        let is_clean = entry.version == entry.written_version;
         entry.version += 1;
         let version = entry.version;
-        if urgent {
-            self.dirty.retain(|(_, dirty)| *dirty != id);
-            self.dirty.insert((Time::ZERO, id));
-        } else if is_clean || !self.dirty.iter().any(|(_, dirty)| *dirty == id) {
-            self.dirty.insert((now + super::batch::WRITE_DELAY, id));
+        let due = if urgent { Time::ZERO } else { now + super::batch::WRITE_DELAY };
+        let before = entry.write_due;
+        if before.is_none_or(|before| due < before) {
+            entry.write_due = Some(due);
+            if let Some(before) = before {
+                self.dirty.remove(&(before, id));
+            }
+            self.dirty.insert((due, id));
         }
         version
     }
@@ -198,7 +228,9 @@
 
     /// Handles the exits of a job that arrived before the job was known.
     fn adopt_orphans(&mut self, now: Time, id: JobId) {
-        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        let has_orphans = |(_, worker): &(worker::Key, &Worker)| !worker.orphans.is_empty();
+        let keys: Vec<worker::Key> =
+            self.workers.iter().filter(has_orphans).map(|(key, _)| key).collect();
         for key in keys {
             let Some(worker) = self.workers.get_mut(key) else { continue };
             let (own, others) = std::mem::take(&mut worker.orphans)
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -8,7 +8,6 @@
 use super::entry::{Entry, Occurrence};
 use super::{Pool, advice, evacuate};
 use crate::job::{Room, Step, chain_ms};
-use crate::task;
 use crate::work::Work;
 use crate::worker::{self, Worker};
 
@@ -70,7 +69,7 @@
             load.surplus += u32::from(is_surplus);
         }
         let (mut workload, mut largest) = (Workload::default(), Work::default());
-        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
+        for entry in self.active_jobs() {
             entry.add_waiting(&mut load.waiting);
             let (unrunnable, refused) = self.unrunnable(now, entry);
             load.unfit += entry.unplaced_tasks(now) + unrunnable;
@@ -165,24 +164,14 @@
     /// Returns the room that long-running tasks use on a worker or have reserved. It doesn't
     /// become free by itself.
     pub(super) fn long_running_room(&self, worker: &Worker) -> Room {
-        let is_long_running = |name: &task::Name| {
-            let step = self.entry(name.job).and_then(|entry| entry.step(*name));
-            step.is_some_and(|step| step.long_running)
-        };
-        let mut room = Room::default();
-        let long_running = worker.allocations.iter().filter(|(name, _)| is_long_running(name));
-        long_running.for_each(|(_, allocation)| room.add(&allocation.room));
+        let mut room = worker.long_running_room;
         worker.reserved.values().for_each(|reserved| room.add(reserved));
         room
     }
 
     /// Returns whether a worker hosts long-running tasks or has room reserved for them.
     pub(crate) fn hosts_long_running(&self, worker: &Worker) -> bool {
-        let is_long_running = |name: &task::Name| {
-            let step = self.entry(name.job).and_then(|entry| entry.step(*name));
-            step.is_some_and(|step| step.long_running)
-        };
-        !worker.reserved.is_empty() || worker.allocations.keys().any(is_long_running)
+        !worker.reserved.is_empty() || worker.long_running > 0
     }
 }
 
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -1,14 +1,15 @@
 //! Orders to workers, and the handling of their answers.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_model::Time;
 
-use super::Pool;
 use super::entry::{Phase, TaskState};
 use super::exits::AVOID_TIME;
+use super::{JobKey, Pool};
 use crate::job::Room;
 use crate::task;
 use crate::worker::{self, Worker};
@@ -204,9 +205,14 @@
     }
 
     /// Sends unanswered starts and outstanding stops.
-    pub(super) fn resend_orders(&mut self, now: Time, orders: &mut Vec<Order>) {
-        let placed: Vec<task::Name> =
-            self.jobs.values().flat_map(super::entry::Entry::placed_tasks).collect();
+    pub(super) fn resend_orders(
+        &mut self,
+        now: Time,
+        due: &BTreeSet<JobKey>,
+        orders: &mut Vec<Order>,
+    ) {
+        let due = due.iter().filter_map(|key| self.jobs.get(*key));
+        let placed: Vec<task::Name> = due.flat_map(super::entry::Entry::placed_tasks).collect();
         for name in placed {
             let Some(placement) = self.entry(name.job).and_then(|entry| entry.placement(name))
             else {
--- a/crates/jobs/src/pool/pace.rs
+++ b/crates/jobs/src/pool/pace.rs
@@ -8,7 +8,7 @@
 use super::entry::Phase;
 use super::order::{Action, Order};
 use crate::task;
-use crate::worker;
+use crate::worker::{self, Worker};
 
 /// Minimum time between two changes of a worker's pace: the gauge covers half a second, and a
 /// new pace takes effect a tenth of a second after the order.
@@ -26,7 +26,9 @@
     /// Slows down backfill tasks where a serving task is close to its target, and speeds them
     /// up again where it is far below it.
     pub(super) fn pace(&mut self, now: Time, orders: &mut Vec<Order>) {
-        let keys: Vec<worker::Key> = self.workers.keys().collect();
+        let has_backfill = |(_, worker): &(worker::Key, &Worker)| worker.backfill > 0;
+        let keys: Vec<worker::Key> =
+            self.workers.iter().filter(has_backfill).map(|(key, _)| key).collect();
         for key in keys {
             self.pace_worker(now, key, orders);
         }
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -1,17 +1,25 @@
 //! The order in which ready steps get room.
+//!
+//! The order is kept between plans: a job is ranked anew when it changes or its urgency does.
 
+use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 use corianderfork_model::Time;
 
 use super::entry::{Entry, Occurrence};
 use super::{JobKey, Pool};
-use crate::job::chain_ms;
+use crate::feature::Feature;
+use crate::id::JobId;
+use crate::job::{Room, Step, chain_ms};
 
 /// How long before its expiry a late job is ranked before the others. A longer time serves more of
 /// the late jobs and fewer in time; between 0.5 s and 1.2 s the gain and the loss are equal in what
 /// users pay.
 const CRITICAL_MARGIN: Duration = Duration::from_millis(500);
+/// The resolution of [`Time`]: the delay from the last moment before a change to the change.
+const TICK: Duration = Duration::from_millis(1);
 
 /// The urgency of a job, most urgent first.
 ///
@@ -30,6 +38,25 @@
     Expired,
 }
 
+/// The position of a ready step, by the operators' priority, then by [`Urgency`], then by
+/// deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Position {
+    priority: u32,
+    urgency: Urgency,
+    deadline: Time,
+    job: JobId,
+    occurrence: u32,
+    step: usize,
+}
+
+impl Position {
+    /// Returns the occurrence and the index of the step.
+    pub fn step(&self) -> (u32, usize) {
+        (self.occurrence, self.step)
+    }
+}
+
 /// Identifies a step of an occurrence.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StepKey {
@@ -38,65 +65,197 @@
     pub step: usize,
 }
 
+/// A ready step with waiting tasks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub key: StepKey,
+    /// The room that each of its tasks needs.
+    pub room: Room,
+    /// Whether only some workers may run it.
+    pub has_feature: bool,
+}
+
+/// The ready steps with waiting tasks, in the order in which they get room.
+#[derive(Debug, Default)]
+pub(super) struct Ranking {
+    candidates: BTreeMap<Position, Candidate>,
+    /// The number of candidates that need each feature.
+    features: BTreeMap<Feature, usize>,
+    /// The number of candidates that need each amount of CPU.
+    cpu: BTreeMap<u64, usize>,
+}
+
+impl Ranking {
+    fn insert(&mut self, position: Position, candidate: Candidate, step: &Step) {
+        if self.candidates.insert(position, candidate).is_some() {
+            return;
+        }
+        *self.cpu.entry(candidate.room.cpu).or_default() += 1;
+        if let Some(feature) = Feature::of(step) {
+            *self.features.entry(feature).or_default() += 1;
+        }
+    }
+
+    fn remove(&mut self, position: &Position, step: Option<&Step>) {
+        let Some(candidate) = self.candidates.remove(position) else { return };
+        decrement(&mut self.cpu, &candidate.room.cpu);
+        if let Some(feature) = step.and_then(Feature::of) {
+            decrement(&mut self.features, &feature);
+        }
+    }
+
+    /// Returns the least CPU that a ready step needs, or `None` if no step is ready.
+    pub fn least_cpu(&self) -> Option<u64> {
+        self.cpu.first_key_value().map(|(cpu, _)| *cpu)
+    }
+
+    /// Returns the ready steps, most urgent first.
+    pub fn candidates(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates.values()
+    }
+
+    /// Returns the ready steps behind a position, most urgent first.
+    pub fn behind(
+        &self,
+        position: Option<Position>,
+    ) -> impl Iterator<Item = (&Position, &Candidate)> {
+        let start = position.map_or(Bound::Unbounded, Bound::Excluded);
+        self.candidates.range((start, Bound::Unbounded))
+    }
+
+    /// Returns the features that ready steps need.
+    pub fn features(&self) -> impl Iterator<Item = &Feature> {
+        self.features.keys()
+    }
+}
+
 impl Pool {
-    /// Returns the ready steps with waiting tasks in the order in which they get room: by the
-    /// operators' priority, then by [`Urgency`], then by deadline.
+    /// Returns the ready steps with waiting tasks that may be started, most urgent first.
     pub(super) fn ranked_steps(&self, now: Time) -> Vec<StepKey> {
         let is_recovering = self.is_recovering(now);
+        let is_safe = |candidate: &&Candidate| {
+            let entry = self.jobs.get(candidate.key.job);
+            entry.is_some_and(|entry| self.is_safe_to_start(is_recovering, entry))
+        };
+        self.ranking.candidates().filter(is_safe).map(|candidate| candidate.key).collect()
+    }
+
+    /// Returns whether tasks of a job may be started: a run that a predecessor may have started
+    /// may still be alive where this owner can't see it.
+    pub(super) fn is_safe_to_start(&self, is_recovering: bool, entry: &Entry) -> bool {
+        !is_recovering || entry.revision > self.config.fence
+    }
+
+    /// Updates the positions of a job's steps. Returns when they change by themselves.
+    pub(super) fn update_rank(&mut self, now: Time, key: JobKey) -> Option<Time> {
+        let entry = self.jobs.get(key)?;
+        let (ranked, changes) =
+            if entry.state.is_final() { (Vec::new(), None) } else { self.rank(now, key, entry) };
+        let positions: Vec<Position> = ranked.iter().map(|(position, _)| *position).collect();
+        let entry = self.jobs.get_mut(key)?;
+        if positions != entry.positions {
+            let steps = entry.steps.clone();
+            for position in std::mem::replace(&mut entry.positions, positions) {
+                self.ranking.remove(&position, steps.get(position.step));
+            }
+            for (position, candidate) in ranked {
+                self.ranking.insert(position, candidate, &steps[position.step]);
+            }
+        }
+        changes
+    }
+
+    /// Removes the positions of a job's steps.
+    pub(super) fn remove_rank(&mut self, key: JobKey) {
+        let Some(entry) = self.jobs.get_mut(key) else { return };
+        let steps = entry.steps.clone();
+        for position in std::mem::take(&mut entry.positions) {
+            self.ranking.remove(&position, steps.get(position.step));
+        }
+    }
+
+    /// Returns the positions of a job's ready steps, and when its urgency changes.
+    fn rank(
+        &self,
+        now: Time,
+        key: JobKey,
+        entry: &Entry,
+    ) -> (Vec<(Position, Candidate)>, Option<Time>) {
+        let priority = self.queues.get(&entry.queue).map_or(u32::MAX, |queue| queue.priority);
         let mut ranked = Vec::new();
-        for (job, entry) in &self.jobs {
-            let is_active = !entry.state.is_final();
-            // A run that a predecessor may have started may still be alive where this owner
-            // can't see it.
-            let is_safe_to_start = !is_recovering || entry.revision > self.config.fence;
-            if is_active && is_safe_to_start {
-                let priority = self.queues.get(&entry.queue).map_or(u32::MAX, |q| q.priority);
-                for (number, occurrence) in &entry.occurrences {
-                    let urgency = self.urgency(now, entry, occurrence);
-                    let rank = (priority, urgency, entry.deadline(occurrence), entry.id, *number);
-                    ready_steps(job, entry, *number, occurrence, |step_key| {
-                        ranked.push((rank, step_key))
-                    });
-                }
+        let mut changes: Option<Time> = None;
+        for (number, occurrence) in &entry.occurrences {
+            let mut ready = ready_steps(entry, occurrence).peekable();
+            if ready.peek().is_none() {
+                continue;
+            }
+            let (urgency, change) = self.urgency(now, entry, occurrence);
+            changes = changes.into_iter().chain(change).min();
+            let deadline = entry.deadline(occurrence);
+            for (index, step) in ready {
+                let (job, occurrence) = (entry.id, *number);
+                let position =
+                    Position { priority, urgency, deadline, job, occurrence, step: index };
+                let key = StepKey { job: key, occurrence, step: index };
+                let has_feature = Feature::of(step).is_some();
+                ranked.push((position, Candidate { key, room: step.room(), has_feature }));
             }
         }
-        ranked.sort_by_key(|(rank, step_key)| (*rank, step_key.step));
-        ranked.into_iter().map(|(_, step_key)| step_key).collect()
+        (ranked, changes)
     }
 
-    fn urgency(&self, now: Time, entry: &Entry, occurrence: &Occurrence) -> Urgency {
+    /// Returns the urgency of an occurrence, and when it changes.
+    fn urgency(
+        &self,
+        now: Time,
+        entry: &Entry,
+        occurrence: &Occurrence,
+    ) -> (Urgency, Option<Time>) {
         if entry.long_running {
-            return Urgency::Critical;
+            return (Urgency::Critical, None);
         }
         let left = chain_ms(&entry.steps, |index, step| {
             let is_unfinished =
                 occurrence.steps.get(index).is_some_and(|state| state.unfinished > 0);
             if is_unfinished { self.predict(&entry.queue, step) } else { 0 }
         });
-        let finish = now + Duration::from_millis(left);
-        if finish <= entry.deadline(occurrence) {
-            Urgency::InTime
-        } else if finish > entry.expiry(occurrence) {
-            Urgency::Expired
-        } else if finish + CRITICAL_MARGIN > entry.expiry(occurrence) {
-            Urgency::Critical
+        let left = Duration::from_millis(left);
+        let finish = now + left;
+        let (deadline, expiry) = (entry.deadline(occurrence), entry.expiry(occurrence));
+        // Returns the first moment at which the job would finish after `at`.
+        let start_limit = |at: Time| {
+            let start = at.as_millis().saturating_sub(finish.as_millis());
+            Some(now + Duration::from_millis(start) + TICK)
+        };
+        if finish <= deadline {
+            (Urgency::InTime, start_limit(deadline))
+        } else if finish > expiry {
+            (Urgency::Expired, None)
+        } else if finish + CRITICAL_MARGIN > expiry {
+            (Urgency::Critical, start_limit(expiry))
         } else {
-            Urgency::Late
+            let margin = u64::try_from(CRITICAL_MARGIN.as_millis()).unwrap_or(0);
+            let critical = Time::from_millis(expiry.as_millis().saturating_sub(margin));
+            (Urgency::Late, start_limit(critical))
         }
     }
 }
 
-fn ready_steps(
-    job: JobKey,
-    entry: &Entry,
-    number: u32,
-    occurrence: &Occurrence,
-    mut found: impl FnMut(StepKey),
-) {
-    for (step, state) in occurrence.steps.iter().enumerate() {
-        let is_ready = entry.steps.get(step).is_some_and(|step| occurrence.is_ready(step));
-        if state.waiting > 0 && is_ready {
-            found(StepKey { job, occurrence: number, step });
+/// Decrements the count of a key, and removes the key at zero.
+fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
         }
     }
 }
+
+fn ready_steps<'a>(
+    entry: &'a Entry,
+    occurrence: &'a Occurrence,
+) -> impl Iterator<Item = (usize, &'a Step)> {
+    let steps = entry.steps.iter().zip(&occurrence.steps).enumerate();
+    let ready = steps.filter(|(_, (step, state))| state.waiting > 0 && occurrence.is_ready(step));
+    ready.map(|(index, (step, _))| (index, step))
+}
--- a/crates/jobs/src/pool/reserve.rs
+++ b/crates/jobs/src/pool/reserve.rs
@@ -126,16 +126,15 @@
     /// Returns the long-running tasks that need a reservation and have none, each with the time
     /// since which it has waited.
     fn tasks_without_room(&self, now: Time) -> Vec<(Time, task::Name)> {
-        if !self.is_every_worker_polled() {
+        if !self.is_every_inherited_worker_polled() {
             return Vec::new();
         }
         let is_recovering = self.is_recovering(now);
-        let may_reserve = |entry: &&Entry| {
-            let is_safe_to_start = !is_recovering || entry.revision > self.config.fence;
-            entry.long_running && !entry.state.is_final() && is_safe_to_start
-        };
+        let may_reserve =
+            |entry: &&Entry| !entry.state.is_final() && self.is_safe_to_start(is_recovering, entry);
         let mut found = Vec::new();
-        for entry in self.jobs.values().filter(may_reserve) {
+        let unplaced = self.unplaced.iter().filter_map(|key| self.jobs.get(*key));
+        for entry in unplaced.filter(may_reserve) {
             entry.tasks_without_room(now, &mut found);
         }
         found.retain(|(_, name)| !self.reservations.contains_key(name));
@@ -267,7 +266,7 @@
 }
 
 /// Returns whether a task has no worker, or is being stopped on the one it has.
-fn lacks_worker(state: &TaskState) -> bool {
+pub(super) fn lacks_worker(state: &TaskState) -> bool {
     match state {
         TaskState::Waiting => true,
         TaskState::Placed(placement) => matches!(placement.phase, Phase::Stopping { .. }),
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -15,7 +15,7 @@
     /// Handles a run that a worker lists.
     pub(super) fn handle_running(&mut self, now: Time, key: worker::Key, running: &Run) {
         let name = running.task;
-        let Some(entry) = self.entry_mut(name.job) else {
+        let Some(entry) = self.entry_mut_unmarked(name.job) else {
             return self.track_stray(now, key, running);
         };
         let is_final = entry.state.is_final();
@@ -26,39 +26,40 @@
             TaskState::Placed(placement)
                 if placement.worker == key && placement.run == running.run =>
             {
-                placement.update(now, running);
+                let is_changed = placement.update(now, running);
                 if !running.saved.is_empty() && *task.saved != *running.saved {
                     task.saved = Rc::from(running.saved.as_str());
                 }
-                self.mark_running(name);
+                if entry.state == State::Queued {
+                    entry.state = State::Running;
+                }
+                // Further progress only puts off when the run counts as stalled.
+                if is_changed {
+                    self.entry_mut(name.job);
+                }
             }
             TaskState::Waiting if !is_final => self.adopt(now, key, running),
             _ => self.track_stray(now, key, running),
         }
     }
 
-    fn mark_running(&mut self, name: task::Name) {
-        let Some(entry) = self.entry_mut(name.job) else { return };
-        if entry.state == State::Queued {
-            entry.state = State::Running;
-        }
-    }
-
     /// Adopts a run that a predecessor started.
     fn adopt(&mut self, now: Time, key: worker::Key, running: &Run) {
         let name = running.task;
         self.remove_crash(name, running.run);
         let Some(entry) = self.entry_mut(name.job) else { return };
-        let Some(room) = entry.step(name).map(super::super::job::Step::room) else { return };
+        let Some(step) = entry.step(name).cloned() else { return };
         let mut placement =
             Placement::new(key, running.run, now, Phase::Running { confirmed: now });
         placement.update(now, running);
         entry.set_task_state(name, TaskState::Placed(placement));
+        if entry.state == State::Queued {
+            entry.state = State::Running;
+        }
         if let Some(worker) = self.workers.get_mut(key) {
             worker.strays.remove(&name);
-            worker.allocate(name, running.run, room);
+            worker.allocate(name, Allocation::new(running.run, &step));
         }
-        self.mark_running(name);
         self.track_suspect(now, name, key, running.run);
         self.note("task adopted", Some(name), Some(key), format!("run {}", running.run));
     }
@@ -66,16 +67,14 @@
     /// Tracks a run that this owner didn't order: its job has ended or isn't known yet. The run
     /// occupies room nevertheless.
     fn track_stray(&mut self, now: Time, key: worker::Key, running: &Run) {
-        let step = self.entry(running.task.job).and_then(|entry| entry.step(running.task));
-        let known_room = step.map(super::super::job::Step::room);
-        let room = known_room.unwrap_or_default();
+        let step = self.entry(running.task.job).and_then(|entry| entry.step(running.task)).cloned();
         let is_job_over = self.entry(running.task.job).is_some_and(|entry| entry.state.is_final());
         let Some(worker) = self.workers.get_mut(key) else { return };
         let new = Stray {
             run: running.run,
             since: now,
             stop_sent: None,
-            is_room_known: known_room.is_some(),
+            is_room_known: step.is_some(),
             is_job_over,
         };
         let stray = worker.strays.entry(running.task).or_insert(new);
@@ -88,7 +87,8 @@
             .get(&running.task)
             .is_some_and(|allocation| allocation.run == running.run);
         if !is_allocated {
-            worker.allocate(running.task, running.run, room);
+            let allocation = Allocation::new(running.run, &step.unwrap_or_default());
+            worker.allocate(running.task, allocation);
         }
     }
 
@@ -180,14 +180,19 @@
         }
     }
 
-    fn update(&mut self, now: Time, running: &Run) {
-        if let Phase::Starting { .. } = self.phase {
+    /// Updates the progress. Returns whether anything else changed: the run is confirmed, or has
+    /// fallen back.
+    fn update(&mut self, now: Time, running: &Run) -> bool {
+        let is_unconfirmed = matches!(self.phase, Phase::Starting { .. });
+        if is_unconfirmed {
             self.phase = Phase::Running { confirmed: now };
         }
+        let has_fallen_back = running.percent < self.percent;
         if running.percent != self.percent {
             self.percent = running.percent;
             self.progressed = now;
         }
         self.gauge = running.gauge;
+        is_unconfirmed || has_fallen_back
     }
 }
--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -75,7 +75,7 @@
     fn required_workers(&self, candidates: &[Candidate]) -> HashSet<worker::Key> {
         let least = self.least_room(candidates);
         let mut required: HashSet<worker::Key> = HashSet::new();
-        for entry in self.jobs.values().filter(|entry| !entry.state.is_final()) {
+        for entry in self.active_jobs() {
             for occurrence in entry.occurrences.values() {
                 let unfinished = entry
                     .steps
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -1,6 +1,7 @@
 //! Workers that join, leave, fall silent or end.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -14,9 +15,17 @@
         let id = location.id.clone();
         let key = self.workers.insert(Worker::new(location, inherited_until));
         self.by_id.insert(id, key);
+        self.is_roster_outdated = true;
+        self.joined_workers += 1;
         key
     }
 
+    /// Returns the number of workers that have joined so far. It changes whenever
+    /// [`Pool::workers`] returns a new one.
+    pub fn joined_workers(&self) -> u64 {
+        self.joined_workers
+    }
+
     /// Updates the workers from the complete list of the pool's workers.
     pub fn set_workers(&mut self, now: Time, entries: &[Registration]) {
         let listed: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
@@ -27,11 +36,12 @@
         for (key, worker) in &mut self.workers {
             if !listed.contains(worker.id.as_str()) {
                 worker.missing_since.get_or_insert(now);
-                missing.push((key, worker.id.clone(), worker.address));
+                missing.push((key, worker.address));
             }
         }
-        for (key, _, address) in missing {
-            if entries.iter().any(|entry| entry.address == address) {
+        let addresses: HashSet<SocketAddr> = entries.iter().map(|entry| entry.address).collect();
+        for (key, address) in missing {
+            if addresses.contains(&address) {
                 self.remove_worker(now, key, "another worker instance has its address");
             }
         }
@@ -72,10 +82,14 @@
         for location in &locations {
             if !self.by_id.contains_key(&location.id) {
                 let until = self.config.inherited_until;
-                self.add_worker(location.clone(), until);
+                let key = self.add_worker(location.clone(), until);
+                if let Some(worker) = self.workers.get_mut(key) {
+                    worker.is_inherited = true;
+                }
             }
         }
         self.written_roster = locations.into_iter().collect();
+        self.is_roster_outdated = true;
     }
 
     /// Limits the leases of a predecessor to the remaining times that it reported, in
@@ -130,6 +144,7 @@
         self.requeue_tasks(now, key, names, why);
         let Some(worker) = self.workers.remove(key) else { return };
         self.by_id.remove(&worker.id);
+        self.is_roster_outdated = true;
         self.departed.add(now, worker.id);
     }
 
@@ -160,9 +175,7 @@
                 continue;
             }
             let names: Vec<task::Name> = worker.allocations.keys().copied().collect();
-            worker.allocations.clear();
-            worker.strays.clear();
-            worker.used = crate::job::Room::default();
+            worker.clear_allocations();
             self.requeue_tasks(now, key, names, "silent past its lease");
         }
     }
@@ -177,6 +190,9 @@
     /// Locations of ended instances are removed: a successor would poll them without an answer and
     /// wait until their last possible lease has ended.
     pub fn roster_update(&self) -> Option<Vec<Location>> {
+        if !self.is_roster_outdated {
+            return None;
+        }
         let locations: BTreeSet<Location> = self.workers.values().map(Worker::location).collect();
         (locations != self.written_roster).then(|| locations.into_iter().collect())
     }
@@ -192,6 +208,8 @@
         for worker in self.workers.values_mut() {
             worker.rostered = self.written_roster.contains(&worker.location());
         }
+        self.is_roster_outdated = self.written_roster.len() != self.workers.len()
+            || self.workers.values().any(|worker| !worker.rostered);
     }
 
     /// Stops placing tasks on a worker for `time`, so that it can be emptied. Returns whether
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::JobId;
-use crate::job::Room;
+use crate::job::{Room, Step};
 use crate::task;
 
 slotmap::new_key_type! {
@@ -80,6 +80,23 @@
 pub(crate) struct Allocation {
     pub run: u64,
     pub room: Room,
+    is_long_running: bool,
+    /// Whether it serves users of its own, with a target for their latency.
+    is_serving: bool,
+    is_backfill: bool,
+}
+
+impl Allocation {
+    /// Returns the allocation of a run of a task of `step`.
+    pub fn new(run: u64, step: &Step) -> Self {
+        Self {
+            run,
+            room: step.room(),
+            is_long_running: step.long_running,
+            is_serving: step.target_ms > 0,
+            is_backfill: step.backfill,
+        }
+    }
 }
 
 /// A run that the worker lists and this owner didn't order.
@@ -109,6 +126,8 @@
     pub(crate) missing_since: Option<Time>,
     /// Whether it has answered under this owner's fence.
     pub(crate) fenced: bool,
+    /// Whether a predecessor may have started tasks on it.
+    pub(crate) is_inherited: bool,
     /// Whether it has been polled, successfully or not.
     pub(crate) is_polled: bool,
     /// Whether the written roster contains it.
@@ -128,6 +147,12 @@
     pub(crate) pending: BTreeMap<u64, Pending>,
     pub(crate) orphans: Vec<task::Exit>,
     pub(crate) allocations: HashMap<task::Name, Allocation>,
+    /// The numbers of allocations of long-running, serving and backfill tasks.
+    pub(crate) long_running: u32,
+    pub(crate) serving: u32,
+    pub(crate) backfill: u32,
+    /// The room that long-running tasks use.
+    pub(crate) long_running_room: Room,
     pub(crate) strays: HashMap<task::Name, Stray>,
     /// Room reserved for tasks that are to start here.
     pub(crate) reserved: BTreeMap<task::Name, Room>,
@@ -157,6 +182,7 @@
             draining: false,
             missing_since: None,
             fenced: false,
+            is_inherited: false,
             is_polled: false,
             rostered: false,
             unanswered_polls: 0,
@@ -168,6 +194,10 @@
             pending: BTreeMap::new(),
             orphans: Vec::new(),
             allocations: HashMap::new(),
+            long_running: 0,
+            serving: 0,
+            backfill: 0,
+            long_running_room: Room::default(),
             strays: HashMap::new(),
             reserved: BTreeMap::new(),
             vacate_until: Time::ZERO,
@@ -225,11 +255,36 @@
     }
 
     /// Allocates room to a run, whether or not it fits: the run exists.
-    pub(crate) fn allocate(&mut self, task: task::Name, run: u64, room: Room) {
-        if let Some(old) = self.allocations.insert(task, Allocation { run, room }) {
-            self.used.sub(&old.room);
+    pub(crate) fn allocate(&mut self, task: task::Name, allocation: Allocation) {
+        if let Some(old) = self.allocations.insert(task, allocation) {
+            self.uncount(&old);
+        }
+        self.used.add(&allocation.room);
+        self.long_running += u32::from(allocation.is_long_running);
+        self.serving += u32::from(allocation.is_serving);
+        self.backfill += u32::from(allocation.is_backfill);
+        if allocation.is_long_running {
+            self.long_running_room.add(&allocation.room);
         }
-        self.used.add(&room);
+    }
+
+    fn uncount(&mut self, allocation: &Allocation) {
+        self.used.sub(&allocation.room);
+        self.long_running -= u32::from(allocation.is_long_running);
+        self.serving -= u32::from(allocation.is_serving);
+        self.backfill -= u32::from(allocation.is_backfill);
+        if allocation.is_long_running {
+            self.long_running_room.sub(&allocation.room);
+        }
+    }
+
+    /// Releases the room of all runs.
+    pub(crate) fn clear_allocations(&mut self) {
+        self.allocations.clear();
+        self.strays.clear();
+        self.used = Room::default();
+        (self.long_running, self.serving, self.backfill) = (0, 0, 0);
+        self.long_running_room = Room::default();
     }
 
     /// Releases the room of a run. Another run of the same task keeps its room.
@@ -237,7 +292,7 @@
         if self.allocations.get(&task).is_some_and(|allocation| allocation.run == run)
             && let Some(old) = self.allocations.remove(&task)
         {
-            self.used.sub(&old.room);
+            self.uncount(&old);
         }
     }
 
