Report what an owner uses, next to its limits

Cause: the log of an owner that answers late didn't tell whether its processor, its event loop, its link or its descriptors were the limit.

Change: calls in flight, calls and bytes by kind, open connections, the delay of the event loop, the time of decisions and what they looked at, as metrics and as one line a second (`usage`) of daemons that hold duties or are late. `duty begun` tells how long each part of a takeover took. Fields of lines beyond the log's rate are no longer built.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -80,7 +80,7 @@
                 Ok(store::Update::Compacted) => {
                     node.trace.line(
                         "watch history compacted",
-                        json!({ "prefix": prefix, "after": after }),
+                        || json!({ "prefix": prefix, "after": after }),
                     );
                     break;
                 }
@@ -96,11 +96,10 @@
 /// Counts and logs a failed read of the followed keys, with the time since it started.
 fn log_failed_read(node: &Node, prefix: &str, call: &'static str, started: Time, error: &Error) {
     node.metrics.event("read failed");
-    node.trace.line(
-        "read failed",
+    node.trace.line("read failed", || {
         json!({ "prefix": prefix, "call": call, "took_ms": ms(clock::now() - started),
-            "why": error.to_string() }),
-    );
+            "why": error.to_string() })
+    });
 }
 
 /// Follows the keys that operators write.
@@ -166,7 +165,7 @@
                 update_entry(&target, &event.key, value, event.revision);
                 target.trace.line(
                     "duty or member changed",
-                    json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
+                    || json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
                 );
             }
             Update::KnownUntil(at) => return target.duties_known_at.set(at),
@@ -225,7 +224,7 @@
 /// Logs and counts an entry that can't be decoded. The log limits the number of such lines.
 fn log_unreadable(node: &Node, key: &str, revision: u64, why: &str) {
     node.metrics.event("entry unreadable");
-    node.trace.line("entry unreadable", json!({ "key": key, "revision": revision, "why": why }));
+    node.trace.line("entry unreadable", || json!({ "key": key, "revision": revision, "why": why }));
 }
 
 /// Follows the workers' entries while this daemon owns a pool.
@@ -281,7 +280,7 @@
     match listed {
         Some(listed) => drop(node.listed_workers.borrow_mut().insert(id.to_owned(), listed)),
         None if node.listed_workers.borrow_mut().remove(id).is_some() => {
-            node.trace.line("worker unlisted", json!({ "worker": id, "revision": revision }));
+            node.trace.line("worker unlisted", || json!({ "worker": id, "revision": revision }));
         }
         None => {}
     }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -93,7 +93,7 @@
         if request.method != "GET" || response.status >= 400 {
             self.node.trace.line(
                 "request answered",
-                json!({ "method": request.method, "path": request.path, "status": response.status, "why": why,
+                || json!({ "method": request.method, "path": request.path, "status": response.status, "why": why,
                     "took_ms": ms(took), "deadline_ms": request.deadline_ms,
                     "config": self.node.config.borrow().as_ref().map(|config| config.version) }),
             );
@@ -185,7 +185,7 @@
         let (silent, failures) = self.node.store.evidence();
         self.node.trace.line(
             "submission refused while the store is down",
-            json!({ "job": id, "silent_ms": ms(silent), "failures": failures }),
+            || json!({ "job": id, "silent_ms": ms(silent), "failures": failures }),
         );
         refuse("the store is away; nothing was done; come back")
     }
--- a/crates/entry/src/gateway/state.rs
+++ b/crates/entry/src/gateway/state.rs
@@ -77,7 +77,7 @@
         if event == UNKNOWN {
             self.node.trace.unlimited(event, fields);
         } else {
-            self.node.trace.line(event, fields);
+            self.node.trace.line(event, || fields);
         }
     }
 
--- a/crates/entry/src/gateway/uncertain.rs
+++ b/crates/entry/src/gateway/uncertain.rs
@@ -43,7 +43,7 @@
         if missed > 0 {
             self.node
                 .trace
-                .line("uncertain write not reported", json!({ "job": id, "missed": missed }));
+                .line("uncertain write not reported", || json!({ "job": id, "missed": missed }));
         }
     }
 
@@ -70,7 +70,7 @@
         if may_be {
             self.node.trace.line(
                 "job may be stored, write unanswered",
-                json!({ "job": id, "a_peer_says_so": is_unsure, "answers": answers }),
+                || json!({ "job": id, "a_peer_says_so": is_unsure, "answers": answers }),
             );
         }
         may_be
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_adapter::Call;
@@ -17,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::traffic::Traffic;
 
 /// The largest response body: a page of the store is about 1 MB, encoded as text.
 const MAX_RESPONSE: usize = 8 << 20;
@@ -78,18 +80,32 @@
     max_idle: usize,
     /// Responses that timed out after part of their body had arrived.
     truncated_responses: Cell<usize>,
+    traffic: Traffic,
+    open: Rc<Cell<usize>>,
 }
 
-impl Default for Client {
-    fn default() -> Self {
-        Self::with_max_idle(DEFAULT_MAX_IDLE)
+impl Client {
+    /// Returns a client that counts its calls in `traffic`.
+    pub fn new(traffic: Traffic) -> Self {
+        Self {
+            idle: RefCell::default(),
+            max_idle: DEFAULT_MAX_IDLE,
+            truncated_responses: Cell::new(0),
+            traffic,
+            open: Rc::default(),
+        }
     }
-}
 
-impl Client {
-    /// Returns a client that keeps `max_idle` unused connections for each address.
-    pub fn with_max_idle(max_idle: usize) -> Self {
-        Self { idle: RefCell::default(), max_idle, truncated_responses: Cell::new(0) }
+    /// Sets the number of unused connections that are kept for each address.
+    #[must_use]
+    pub fn with_max_idle(mut self, max_idle: usize) -> Self {
+        self.max_idle = max_idle;
+        self
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
     }
 
     /// Returns the number of responses that timed out after part of their body had arrived.
@@ -97,7 +113,8 @@
         self.truncated_responses.get()
     }
 
-    /// Sends `call` to `address` and waits for the whole response.
+    /// Sends `call` to `address` and waits for the whole response. It is counted as a call of
+    /// `kind`.
     ///
     /// # Errors
     ///
@@ -105,12 +122,13 @@
     /// closed: a late one would be taken for the response to the next call.
     pub async fn call(
         &self,
+        kind: &'static str,
         address: SocketAddr,
         call: &Call,
         within: Duration,
     ) -> Result<(u16, Bytes), CallError> {
         let timeouts = Timeouts { head: within, stall: within, total: within };
-        self.call_with_timeouts(address, call, timeouts, |_| {}).await
+        self.call_with_timeouts(kind, address, call, timeouts, |_| {}).await
     }
 
     /// Like [`Client::call`], for a response that may be large: `within` bounds the time
@@ -126,6 +144,7 @@
     /// As [`Client::call`]; also if the body stalls or takes too long.
     pub async fn call_large(
         &self,
+        kind: &'static str,
         address: SocketAddr,
         call: &Call,
         within: Duration,
@@ -133,24 +152,29 @@
     ) -> Result<(u16, Bytes), CallError> {
         let timeouts =
             Timeouts { head: within, stall: STALL_TIMEOUT, total: within + BODY_TIMEOUT };
-        self.call_with_timeouts(address, call, timeouts, on_head).await
+        self.call_with_timeouts(kind, address, call, timeouts, on_head).await
     }
 
     async fn call_with_timeouts(
         &self,
+        kind: &'static str,
         address: SocketAddr,
         call: &Call,
         timeouts: Timeouts,
         on_head: impl FnOnce(u16),
     ) -> Result<(u16, Bytes), CallError> {
+        let counted = self.traffic.begin(kind);
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, timeouts.head.min(CONNECT_TIMEOUT)).await?,
+            None => self.connect(address, timeouts.head.min(CONNECT_TIMEOUT)).await?,
         };
+        counted.add_sent(call.target.len() + call.body.len());
         let request = build_request(address, call).ok_or(CallError::Unsent)?;
         let received = Cell::new(0);
         let response = exchange(&mut sender, request, timeouts, on_head, &received);
-        match timeout(timeouts.total, response).await.unwrap_or(Err(ExchangeError::TimedOut)) {
+        let response = timeout(timeouts.total, response).await;
+        counted.add_received(received.get());
+        match response.unwrap_or(Err(ExchangeError::TimedOut)) {
             Ok(response) => {
                 self.put_idle(address, sender);
                 Ok(response)
@@ -172,6 +196,23 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    async fn connect(&self, address: SocketAddr, within: Duration) -> Result<Sender, CallError> {
+        let stream = timeout(within, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| CallError::Unsent)?.map_err(|_| CallError::Unsent)?;
+        // Small requests must not wait for the response to the previous one.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Unsent)?;
+        let open = self.open.clone();
+        open.set(open.get() + 1);
+        spawn_local(async move {
+            // The sender notices when the connection ends.
+            let _ = connection.await;
+            open.set(open.get() - 1);
+        });
+        Ok(sender)
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
@@ -193,20 +234,6 @@
     }
 }
 
-async fn connect(address: SocketAddr, within: Duration) -> Result<Sender, CallError> {
-    let stream = timeout(within, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| CallError::Unsent)?.map_err(|_| CallError::Unsent)?;
-    // Small requests must not wait for the response to the previous one.
-    let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Unsent)?;
-    spawn_local(async move {
-        // The sender notices when the connection ends.
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
-
 fn build_request(address: SocketAddr, call: &Call) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::builder()
         .method(call.method)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod queue_counts;
 pub mod rendezvous;
 pub mod settings;
+pub mod traffic;
 pub mod wave_ages;
 
 mod clock;
@@ -38,5 +39,6 @@
 mod server;
 mod store;
 mod trace;
+mod usage;
 
 pub use run::run;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns the number of accepted connections that are open.
+    pub fn connections(&self) -> usize {
+        let all = [&self.callers, &self.peers, &self.readiness, &self.metrics];
+        all.iter().map(|gauge| gauge.connections.get()).sum()
+    }
+
     /// Listens on all addresses of a daemon and serves them.
     ///
     /// # Errors
@@ -66,7 +72,14 @@
         let callers = server::listen(node.settings.callers).await?;
         self.peers.max_body.set(MAX_PEER_BODY);
         let serve = |listener, gauge: &Gauge, handler| {
-            spawn_local(server::serve(listener, gauge.clone(), handler, node.trace.clone()));
+            let traffic = node.traffic.clone();
+            spawn_local(server::serve(
+                listener,
+                gauge.clone(),
+                handler,
+                traffic,
+                node.trace.clone(),
+            ));
         };
         serve(readiness, &self.readiness, ready_handler(node));
         serve(metrics, &self.metrics, metrics_handler(node, self));
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,10 +1,13 @@
 //! The daemon's metrics.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use corianderfork_runtime::metrics;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
+use crate::traffic::Tally;
+
 /// Counters, gauges and histograms. Clones share the same values.
 #[derive(Clone)]
 pub struct Metrics {
@@ -12,6 +15,9 @@
     store: HistogramVec,
     requests: HistogramVec,
     worker_calls: HistogramVec,
+    plans: HistogramVec,
+    calls: IntGaugeVec,
+    call_bytes: IntGaugeVec,
     events: IntCounterVec,
     gauges: IntGaugeVec,
 }
@@ -35,6 +41,13 @@
                 "Calls to workers",
                 &["kind", "outcome"],
             ),
+            plans: all.duration_histogram("plan_seconds", "Decisions of an owner", &["duty"]),
+            calls: all.gauge("calls_in_flight", "Calls in progress, by kind", &["kind"]),
+            call_bytes: all.gauge(
+                "call_bytes",
+                "Bytes of calls since the start, by kind",
+                &["kind", "direction"],
+            ),
             events: all.counter("events", "Decisions and beliefs, by kind", &["event"]),
             gauges: all.gauge("state", "What is held", &["what"]),
             all,
@@ -59,6 +72,21 @@
         self.worker_calls.with_label_values(&[kind, outcome]).observe(took.as_secs_f64());
     }
 
+    /// Records a decision of the owner of a pool.
+    pub fn plan(&self, duty: &str, took: Duration) {
+        self.plans.with_label_values(&[duty]).observe(took.as_secs_f64());
+    }
+
+    /// Sets the counts of calls and bytes.
+    pub fn set_traffic(&self, tallies: &BTreeMap<&'static str, Tally>) {
+        let to_i64 = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        for (kind, tally) in tallies {
+            self.calls.with_label_values(&[kind]).set(to_i64(tally.in_flight));
+            self.call_bytes.with_label_values(&[kind, &"sent"]).set(to_i64(tally.sent));
+            self.call_bytes.with_label_values(&[kind, &"received"]).set(to_i64(tally.received));
+        }
+    }
+
     /// Counts an event.
     pub fn event(&self, event: &str) {
         self.events.with_label_values(&[event]).inc();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -24,6 +24,7 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::trace::Trace;
+use crate::traffic::Traffic;
 
 /// The length of a member's lease. A holder that died is replaced when it expires;
 /// several renewals with their round trips must fit into it.
@@ -61,6 +62,8 @@
     pub trace: Trace,
     /// The metrics.
     pub metrics: Metrics,
+    /// Counts of calls and bytes.
+    pub traffic: Traffic,
     /// The configuration in force.
     pub config: RefCell<Option<Rc<Config>>>,
     /// Waves by number, each with the time at which it was first seen.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -15,6 +15,7 @@
 use corianderfork_jobs::pool::{Config, Pool};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
+use serde::Serialize;
 use serde_json::json;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -44,6 +45,27 @@
 /// How long workers are expected after the planner last announced them.
 const WORKERS_EXPECTED_TTL: Duration = Duration::from_millis(500);
 
+/// The decisions of an owner during some time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Decisions {
+    /// The number of decisions.
+    pub count: u32,
+    /// The processor time that they took, in microseconds.
+    pub total_us: u64,
+    /// The longest one, in microseconds.
+    pub longest_us: u64,
+    /// The number of jobs that they looked at.
+    pub jobs: usize,
+    /// The number of steps for which they searched a worker.
+    pub steps: usize,
+    /// The number of orders that they led to.
+    pub orders: usize,
+    /// The number of jobs that haven't ended, at the end.
+    pub active_jobs: usize,
+    /// The number of known workers, at the end.
+    pub workers: usize,
+}
+
 /// Owns the work of a pool.
 pub struct Owner {
     node: Rc<Node>,
@@ -64,6 +86,8 @@
     loaded: Cell<bool>,
     retired: Cell<bool>,
     polled_workers: RefCell<HashSet<worker::Key>>,
+    /// [`Pool::joined_workers`] when polls were last started.
+    joined_workers: Cell<u64>,
     /// Advisers with a request in flight.
     busy_advisers: RefCell<HashSet<advise::Adviser>>,
     /// Advisers whose last request failed, and until when they are avoided.
@@ -73,6 +97,8 @@
     write_revision: Cell<u64>,
     last_write_number: Cell<u64>,
     accepted_count: Cell<usize>,
+    /// The decisions since the last report.
+    decisions: Cell<Decisions>,
 }
 
 impl Owner {
@@ -103,12 +129,14 @@
             loaded: Cell::new(false),
             retired: Cell::new(false),
             polled_workers: RefCell::default(),
+            joined_workers: Cell::new(0),
             busy_advisers: RefCell::default(),
             failed_advisers: RefCell::default(),
             cancel_waiters: RefCell::default(),
             write_revision: Cell::new(0),
             last_write_number: Cell::new(0),
             accepted_count: Cell::new(0),
+            decisions: Cell::default(),
         });
         spawn_local(owner.clone().run());
         owner
@@ -119,6 +147,18 @@
         self.loaded.get() && !self.retired.get()
     }
 
+    /// Returns the name of the pool.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the decisions since the last call.
+    pub fn take_decisions(&self) -> Decisions {
+        let pool = self.pool.borrow();
+        let decisions = self.decisions.take();
+        Decisions { active_jobs: pool.active_count(), workers: pool.workers().count(), ..decisions }
+    }
+
     /// Returns the fence.
     pub fn fence(&self) -> u64 {
         self.pool.borrow().fence()
@@ -132,9 +172,10 @@
     /// Stops giving orders, and keeps the granted leases to report them to a successor.
     pub fn retire(&self, why: &str) {
         if !self.retired.replace(true) {
-            self.node
-                .trace
-                .line("duty left", json!({ "duty": self.name, "fence": self.fence(), "why": why }));
+            self.node.trace.line(
+                "duty left",
+                || json!({ "duty": self.name, "fence": self.fence(), "why": why }),
+            );
             let at = clock::now();
             if let Some(remaining_ms) = self.pool.borrow().granted_leases(at) {
                 let retired_grants = RetiredGrants { fence: self.fence(), at, remaining_ms };
@@ -147,7 +188,7 @@
 
     async fn run(self: Rc<Self>) {
         let started = clock::now();
-        self.load().await;
+        let times = self.load().await;
         if self.retired.get() {
             return;
         }
@@ -155,7 +196,7 @@
         self.node.trace.unlimited(
             "duty begun",
             json!({ "duty": self.name, "fence": self.fence(), "jobs": self.accepted_count.get(),
-                "took_ms": ms(clock::now() - started) }),
+                "took_ms": ms(clock::now() - started), "parts": times }),
         );
         spawn_local(self.clone().follow_predecessors());
         spawn_local(self.clone().write_loop());
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -8,6 +8,7 @@
 use corianderfork_jobs::JobId;
 use corianderfork_jobs::record::{Progress, Record};
 use corianderfork_jobs::worker::Location;
+use serde::Serialize;
 use serde_json::json;
 
 use super::{Owner, ROSTER_PREFIX, WRITE_PREFIX, ms};
@@ -20,12 +21,26 @@
 /// the owner itself; the watch only covers lost notifications.
 const JOBS_BATCH_PAUSE: Duration = Duration::from_millis(250);
 
+/// How long the parts of a takeover took, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct LoadTimes {
+    /// Queries of former owners.
+    predecessors_ms: u64,
+    /// Reading the pool's jobs.
+    jobs_ms: u64,
+    /// Reading the workers' entries, after the jobs.
+    workers_ms: u64,
+}
+
 impl Owner {
-    pub(super) async fn load(self: &Rc<Self>) {
+    /// Reads the jobs and the workers of the pool. Returns how long each part took.
+    pub(super) async fn load(self: &Rc<Self>) -> LoadTimes {
+        let started = clock::now();
         self.query_predecessors().await;
+        let queried = clock::now();
         loop {
             if self.retired.get() {
-                return;
+                return LoadTimes::default();
             }
             match self.read().await {
                 Ok((roster, jobs, runs)) => {
@@ -35,15 +50,21 @@
                 Err(error) => {
                     self.node.trace.line(
                         "load failed",
-                        json!({ "duty": self.name, "why": error.to_string() }),
+                        || json!({ "duty": self.name, "why": error.to_string() }),
                     );
                     tokio::time::sleep(Duration::from_millis(100)).await;
                 }
             }
         }
+        let read = clock::now();
         while !self.node.workers_loaded.get() && !self.retired.get() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
+        LoadTimes {
+            predecessors_ms: ms(queried - started),
+            jobs_ms: ms(read - queried),
+            workers_ms: ms(clock::now() - read),
+        }
     }
 
     async fn read(&self) -> Result<(Vec<Location>, Vec<Item>, Vec<Item>), Error> {
@@ -88,7 +109,7 @@
     }
 
     fn log_unreadable(&self, key: &str, why: &str) {
-        self.node.trace.line("record unreadable", json!({ "key": key, "why": why }));
+        self.node.trace.line("record unreadable", || json!({ "key": key, "why": why }));
     }
 
     pub(super) fn accept_item(
@@ -118,11 +139,10 @@
             self.accepted_count.set(self.accepted_count.get() + 1);
             // The jobs read by a takeover are logged in a single line.
             if self.loaded.get() {
-                self.node.trace.line(
-                    "accepted job added",
+                self.node.trace.line("accepted job added", || {
                     json!({ "job": id.to_string(), "queue": record.queue, "revision": revision,
-                        "age_ms": ms(age), "fence": self.fence() }),
-                );
+                        "age_ms": ms(age), "fence": self.fence() })
+                });
             }
             self.wake.notify_one();
         }
--- a/crates/entry/src/owner/predecessors.rs
+++ b/crates/entry/src/owner/predecessors.rs
@@ -80,7 +80,7 @@
         }
         self.node.trace.line(
             "grants of former owners known",
-            json!({ "duty": self.name, "fence": self.fence(), "took_ms": ms(clock::now() - started) }),
+            || json!({ "duty": self.name, "fence": self.fence(), "took_ms": ms(clock::now() - started) }),
         );
     }
 }
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -1,7 +1,7 @@
 //! Polls of workers, and orders to them.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use corianderfork_adapter::worker as wire;
 use corianderfork_jobs::pool::{Answer, Order, Poll};
@@ -54,7 +54,9 @@
         self.start_polls();
         self.ask_advice();
         if self.node.may_order() {
+            let started = Instant::now();
             let orders = self.pool.borrow_mut().plan(now, clock::wall_ms());
+            self.note_decision(started.elapsed(), orders.len());
             for order in orders {
                 spawn_local(self.clone().send(order));
             }
@@ -67,6 +69,20 @@
         self.write_wake.notify_one();
     }
 
+    fn note_decision(&self, took: Duration, orders: usize) {
+        self.node.metrics.plan(&self.name, took);
+        let effort = self.pool.borrow().effort();
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let mut decisions = self.decisions.get();
+        decisions.count += 1;
+        decisions.total_us += took_us;
+        decisions.longest_us = decisions.longest_us.max(took_us);
+        decisions.jobs += effort.jobs;
+        decisions.steps += effort.steps;
+        decisions.orders += orders;
+        self.decisions.set(decisions);
+    }
+
     fn log_notes(&self) {
         let notes = self.pool.borrow_mut().take_notes();
         for note in notes {
@@ -74,12 +90,16 @@
             let task = note.task.map(wire::format_task);
             self.node.trace.line(
                 note.event,
-                json!({ "task": task, "worker": note.worker, "why": note.why, "fence": self.fence() }),
+                || json!({ "task": task, "worker": note.worker, "why": note.why, "fence": self.fence() }),
             );
         }
     }
 
     fn start_polls(self: &Rc<Self>) {
+        let joined = self.pool.borrow().joined_workers();
+        if self.joined_workers.replace(joined) == joined {
+            return;
+        }
         let keys: Vec<worker::Key> = self.pool.borrow().workers().collect();
         for key in keys {
             if self.polled_workers.borrow_mut().insert(key) {
@@ -136,7 +156,7 @@
         let started = clock::now();
         let within =
             if poll.deadline_ms.is_some() { RESPONSE_TIMEOUT } else { FIRST_RESPONSE_TIMEOUT };
-        let answer = self.node.client.call(poll.address, &call, poll.wait + within).await;
+        let answer = self.node.client.call("poll", poll.address, &call, poll.wait + within).await;
         self.count("look", started, answer.is_ok());
         match answer {
             Ok((status, body)) => wire::parse_poll(status, &body).unwrap_or(Answer::Lost),
@@ -147,18 +167,17 @@
     async fn send(self: Rc<Self>, order: Order) {
         let call = wire::order(&order);
         let started = clock::now();
-        let answer = self.node.client.call(order.address, &call, RESPONSE_TIMEOUT).await;
+        let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
         self.count("order", started, answer.is_ok());
         let answer = match answer {
             Ok((status, body)) => wire::parse_order(status, &body).unwrap_or(Answer::Lost),
             Err(CallError::Unsent | CallError::Lost) => Answer::Lost,
         };
         if !matches!(answer, Answer::Done(_)) {
-            self.node.trace.line(
-                "order not confirmed",
+            self.node.trace.line("order not confirmed", || {
                 json!({ "task": wire::format_task(order.task), "run": order.run, "worker": order.id,
-                    "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) }),
-            );
+                    "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) })
+            });
         }
         self.pool.borrow_mut().handle_order_answer(clock::now(), &order, &answer);
         self.wake.notify_one();
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -114,7 +114,7 @@
                     if failures == 1 {
                         self.node.trace.line(
                             "write not confirmed",
-                            json!({ "duty": self.name, "write": token }),
+                            || json!({ "duty": self.name, "write": token }),
                         );
                     }
                     tokio::time::sleep(Duration::from_millis(80)).await;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -24,6 +24,9 @@
 /// and the next request follows soon.
 pub const SHORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The kind of calls to peers, in counts.
+const KIND: &str = "peer";
+
 /// A request or notification to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "ask", rename_all = "kebab-case")]
@@ -242,7 +245,7 @@
     message: &Message,
     within: Duration,
 ) -> Result<Reply, CallError> {
-    parse_reply(client.call(peer, &build_call(message), within).await?)
+    parse_reply(client.call(KIND, peer, &build_call(message), within).await?)
 }
 
 /// Like [`send`], for a reply that may be large: `within` bounds the time until the head of
@@ -257,7 +260,7 @@
     message: &Message,
     within: Duration,
 ) -> Result<Reply, CallError> {
-    parse_reply(client.call_large(peer, &build_call(message), within, |_| {}).await?)
+    parse_reply(client.call_large(KIND, peer, &build_call(message), within, |_| {}).await?)
 }
 
 fn build_call(message: &Message) -> Call {
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -94,7 +94,7 @@
 /// Calls the fleet service.
 async fn call(node: &Node, call: &Call) -> Option<(u16, hyper::body::Bytes)> {
     let address = node.settings.fleet?;
-    node.client.call(address, call, RESPONSE_TIMEOUT).await.ok()
+    node.client.call("fleet", address, call, RESPONSE_TIMEOUT).await.ok()
 }
 
 /// Plans until another process holds the duty.
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -166,7 +166,7 @@
             let (load, request) = (demand.load, demand.request);
             self.node.trace.line(
                 "pool sized",
-                json!({ "pool": demand.pool, "target": target, "now": request.current, "held": request.peak,
+                || json!({ "pool": demand.pool, "target": target, "now": request.current, "held": request.peak,
                     "workers": load.workers, "surplus": load.surplus, "coming": demand.stock.coming, "rooted": load.rooted, "unfit": load.unfit, "refused": load.refused,
                     "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
                     "needed": load.needed, "noise": load.noise,
@@ -246,11 +246,10 @@
             .get_mut(&vm.pool)
             .is_some_and(|sizing| sizing.exchange.note_departure(clock::now()))
         {
-            self.node.trace.line(
-                "worker released",
+            self.node.trace.line("worker released", || {
                 json!({ "pool": vm.pool, "vm": vm.name, "worker": vm.worker,
-                    "why": "a step is allowed on none of the pool's workers, and no VM is free" }),
-            );
+                    "why": "a step is allowed on none of the pool's workers, and no VM is free" })
+            });
         }
         let call = fleet::transfer(&vm.name, &pool, &self.holder);
         self.arrivals.order(clock::now(), &vm.name, &pool);
@@ -263,11 +262,10 @@
 
     fn handle_transfer_answer(&mut self, vm: &Vm, answer: Option<Answer>) {
         let pool = self.arrivals.pool_of(&vm.name);
-        self.node.trace.line(
-            "move ordered",
+        self.node.trace.line("move ordered", || {
             json!({ "vm": vm.name, "from": vm.pool, "pool": pool, "worker": vm.worker,
-                "fence": self.holder.fence, "answer": format!("{answer:?}") }),
-        );
+                "fence": self.holder.fence, "answer": format!("{answer:?}") })
+        });
         match answer {
             Some(Answer::Fenced) => self.node.planner.set(None),
             Some(Answer::Done | Answer::Unknown) | None => {}
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -140,11 +140,10 @@
     }
 
     fn handle_maintenance_answer(&mut self, wave: u64, vm: &Vm, answer: Option<Answer>) -> bool {
-        self.node.trace.line(
-            "maintenance ordered",
+        self.node.trace.line("maintenance ordered", || {
             json!({ "vm": vm.name, "pool": vm.pool, "worker": vm.worker, "wave": wave,
-                "fence": self.holder.fence, "answer": format!("{answer:?}") }),
-        );
+                "fence": self.holder.fence, "answer": format!("{answer:?}") })
+        });
         match answer {
             Some(Answer::Done) => {
                 self.report_gone_workers(std::slice::from_ref(vm));
@@ -180,7 +179,7 @@
         match self.node.store.txn(&txn).await {
             Ok(Outcome::Written(_)) => {
                 if progress.completed {
-                    self.node.trace.line("wave completed", json!({ "wave": number }));
+                    self.node.trace.line("wave completed", || json!({ "wave": number }));
                 }
                 self.waves.insert(number, progress);
             }
@@ -188,9 +187,10 @@
             Err(error) => {
                 // Written again with the next change, or at the next tick.
                 self.announced_waves.remove(&number);
-                self.node
-                    .trace
-                    .line("wave not written", json!({ "wave": number, "why": error.to_string() }));
+                self.node.trace.line(
+                    "wave not written",
+                    || json!({ "wave": number, "why": error.to_string() }),
+                );
             }
         }
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -20,7 +20,8 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::trace::Trace;
-use crate::{clock, follow, member, relay};
+use crate::traffic::Traffic;
+use crate::{clock, follow, member, relay, usage};
 
 /// Unused connections kept to each peer. A request takes milliseconds, and each connection kept by
 /// any entry VM is open at the receiver. With 24 to each peer and 44 entry VMs, unused connections
@@ -51,8 +52,9 @@
 fn node(settings: Settings) -> Rc<Node> {
     let trace = Trace::start(settings.name.as_str());
     let metrics = Metrics::default();
-    let client = Rc::new(Client::default());
-    let peers = Rc::new(Client::with_max_idle(MAX_IDLE_PER_PEER));
+    let traffic = Traffic::default();
+    let client = Rc::new(Client::new(traffic.clone()));
+    let peers = Rc::new(Client::new(traffic.clone()).with_max_idle(MAX_IDLE_PER_PEER));
     let store = Store::new(settings.store, client.clone(), trace.clone(), metrics.clone());
     Rc::new(Node {
         settings,
@@ -62,6 +64,7 @@
         store,
         trace,
         metrics,
+        traffic,
         config: RefCell::default(),
         waves: RefCell::default(),
         table: RefCell::default(),
@@ -101,6 +104,7 @@
     spawn_local(member::maintain_duties(node.clone()));
     let membership = spawn_local(member::maintain_membership(node.clone()));
     spawn_local(watch_settings(node.clone(), path));
+    spawn_local(usage::report(node.clone(), gauges.clone()));
     wait_for_stop().await;
     stop(&node, &gauges.callers, membership).await;
     ExitCode::SUCCESS
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::task::spawn_local;
 
 use crate::trace::Trace;
+use crate::traffic::Traffic;
 
 /// How long a client may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -97,19 +98,26 @@
 }
 
 /// Serves connections until the process ends.
-pub async fn serve(listener: TcpListener, gauge: Gauge, handler: Handler, trace: Trace) {
+pub async fn serve(
+    listener: TcpListener,
+    gauge: Gauge,
+    handler: Handler,
+    traffic: Traffic,
+    trace: Trace,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 // Beyond the limit a connection is closed at once: descriptors are needed
                 // for the store and the workers.
                 if gauge.connections.get() < gauge.max_connections.get() {
-                    spawn_local(handle_connection(stream, gauge.clone(), handler.clone()));
+                    let (gauge, traffic) = (gauge.clone(), traffic.clone());
+                    spawn_local(handle_connection(stream, gauge, handler.clone(), traffic));
                 } else {
                     gauge.rejected.set(gauge.rejected.get() + 1);
                     trace.line(
                         "connection rejected",
-                        json!({ "address": gauge.name, "open": gauge.connections.get() }),
+                        || json!({ "address": gauge.name, "open": gauge.connections.get() }),
                     );
                 }
             }
@@ -133,15 +141,18 @@
     }
 }
 
-async fn handle_connection(stream: TcpStream, gauge: Gauge, handler: Handler) {
+async fn handle_connection(stream: TcpStream, gauge: Gauge, handler: Handler, traffic: Traffic) {
     let _open = CountGuard::new(&gauge.connections);
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
-        let (gauge, handler) = (gauge.clone(), handler.clone());
+        let (gauge, handler, traffic) = (gauge.clone(), handler.clone(), traffic.clone());
         async move {
             let _busy = CountGuard::new(&gauge.requests);
+            let counted = traffic.begin(gauge.name);
             let http_request = read_request(request, gauge.max_body.get()).await;
+            counted.add_received(http_request.body.as_ref().map_or(0, Bytes::len));
             let http_response = handler(http_request).await;
+            counted.add_sent(http_response.body.len());
             build_response(http_response, gauge.closing.get())
         }
     });
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -37,6 +37,10 @@
     pub fleet_orders: f64,
     /// This VM's capacity, in thousandths of a core.
     pub capacity: u64,
+    /// The share of a core that this process may use, in percent.
+    pub cpu_percent: u64,
+    /// The bandwidth of this VM's link, in Mbit/s.
+    pub network_mbps: f64,
     /// The limit of open descriptors.
     pub max_fds: usize,
     /// The time from SIGTERM to the end of the process.
@@ -90,6 +94,8 @@
             advice: advice.parse().ok(),
             fleet_orders: file.get_or("fleet", "orders_per_s", 10.0_f64).clamp(0.1, 1e6),
             capacity: (share.min(network * CORES_PER_MBPS).clamp(0.001, 64.0) * 1_000.0) as u64,
+            cpu_percent: (share.clamp(0.0, 64.0) * 100.0) as u64,
+            network_mbps: network,
             max_fds: usize::try_from(file.number("limits", "max_fds", 1_024, 64..=1_000_000))
                 .unwrap_or(1_024),
             grace: seconds(file.get_or("bounds", "grace_s", 6.0)),
--- a/crates/entry/src/store/routing.rs
+++ b/crates/entry/src/store/routing.rs
@@ -83,7 +83,7 @@
                 self.outage.borrow_mut().note_contact(clock::now());
             }
         };
-        let answer = self.client.call_large(self.address, call, within, on_head).await;
+        let answer = self.client.call_large(kind, self.address, call, within, on_head).await;
         let outcome = match &answer {
             Ok((status, _)) if is_refusal(*status) => "refused",
             Ok(_) => "answered",
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -45,8 +45,9 @@
         self.send(event, &fields);
     }
 
-    /// Writes a line unless the rate limit is exceeded.
-    pub fn line(&self, event: &'static str, fields: Value) {
+    /// Writes a line unless the rate limit is exceeded. Then `fields` isn't called: a busy owner
+    /// exceeds the limit by several times.
+    pub fn line(&self, event: &'static str, fields: impl FnOnce() -> Value) {
         if !self.take_budget() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
@@ -55,7 +56,7 @@
         if dropped > 0 {
             self.send("lines dropped", &serde_json::json!({ "lines": dropped }));
         }
-        self.send(event, &fields);
+        self.send(event, &fields());
     }
 
     fn send(&self, event: &'static str, fields: &Value) {
--- /dev/null
+++ b/crates/entry/src/usage.rs
@@ -0,0 +1,123 @@
+//! What a daemon uses of its VM, next to the limits.
+//!
+//! An owner that is at a limit answers late, whatever the limit is. The report tells them apart:
+//! the processor (`cpu_percent`), the event loop (`loop_late_ms`), the link (`out_kb` and `in_kb`
+//! by kind of call), and descriptors (`connections`).
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::clock;
+use crate::listen::Gauges;
+use crate::node::Node;
+use crate::owner::{Decisions, ms};
+use crate::traffic::Tally;
+
+/// How often usage is reported.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+/// How often the delay of the event loop is sampled.
+const LOOP_SAMPLE: Duration = Duration::from_millis(50);
+/// The delay of the event loop from which on a daemon without duties reports its usage.
+const LATE: Duration = Duration::from_millis(100);
+/// Bytes of a page of memory.
+const PAGE: u64 = 4_096;
+
+/// The traffic of one kind of call during one interval.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+struct Share {
+    calls: u64,
+    in_flight: u64,
+    out_kb: u64,
+    in_kb: u64,
+}
+
+/// Logs the usage of a daemon that holds duties or whose event loop is late, once per
+/// [`INTERVAL`], and exports it as metrics.
+pub async fn report(node: Rc<Node>, gauges: Gauges) {
+    let mut cpu = processor_time();
+    let mut tallies = node.traffic.tallies();
+    loop {
+        let late = measure_delay().await;
+        let (cpu_before, tallies_before) = (cpu, tallies);
+        cpu = processor_time();
+        tallies = node.traffic.tallies();
+        node.metrics.set_traffic(&tallies);
+        node.metrics.set("loop late ms", usize::try_from(ms(late)).unwrap_or(usize::MAX));
+        let owners: Vec<_> = node.owners.borrow().values().cloned().collect();
+        let decisions: BTreeMap<String, Decisions> =
+            owners.iter().map(|owner| (owner.name().to_owned(), owner.take_decisions())).collect();
+        let is_planner = node.planner.get().is_some();
+        if decisions.is_empty() && !is_planner && late < LATE {
+            continue;
+        }
+        let shares = shares(&tallies_before, &tallies);
+        let cpu_used = cpu.saturating_sub(cpu_before);
+        node.trace.unlimited(
+            "usage",
+            json!({
+                "cpu_percent": percent(cpu_used, INTERVAL + late),
+                "cpu_limit_percent": node.settings.cpu_percent,
+                "loop_late_ms": ms(late),
+                "link_mbps": node.settings.network_mbps,
+                "memory_mb": resident_bytes() >> 20,
+                "connections": { "workers and store": node.client.open_connections(),
+                    "peers": node.peers.open_connections(), "accepted": gauges.connections() },
+                "planner": is_planner,
+                "decisions": decisions,
+                "traffic": shares,
+            }),
+        );
+    }
+}
+
+/// Returns the longest delay of a timer during one interval.
+async fn measure_delay() -> Duration {
+    let end = clock::now() + INTERVAL;
+    let mut longest = Duration::ZERO;
+    while clock::now() < end {
+        let due = clock::now() + LOOP_SAMPLE;
+        tokio::time::sleep(LOOP_SAMPLE).await;
+        longest = longest.max(clock::now() - due);
+    }
+    longest
+}
+
+/// Returns the traffic between two tallies, without kinds that were not used.
+fn shares(
+    before: &BTreeMap<&'static str, Tally>,
+    after: &BTreeMap<&'static str, Tally>,
+) -> BTreeMap<&'static str, Share> {
+    let share = |(kind, tally): (&&'static str, &Tally)| {
+        let before = before.get(kind).copied().unwrap_or_default();
+        let share = Share {
+            calls: tally.calls - before.calls,
+            in_flight: tally.in_flight,
+            out_kb: (tally.sent - before.sent) >> 10,
+            in_kb: (tally.received - before.received) >> 10,
+        };
+        (share.calls > 0 || share.in_flight > 0).then_some((*kind, share))
+    };
+    after.iter().filter_map(share).collect()
+}
+
+fn percent(part: Duration, whole: Duration) -> u64 {
+    u64::try_from(part.as_millis() * 100 / whole.as_millis().max(1)).unwrap_or(u64::MAX)
+}
+
+fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
+/// Returns the resident memory of this process; 0 if the system doesn't report it.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
