Keep the room of a start that may still be carried out

Symptom: a worker is given more than it has room for (LIMIT).

Cause, from a trace: a start is delayed on its way to the worker and counts as unconfirmed. The task is then done elsewhere. Its run became a stray that is to be stopped, but the next poll, which lists no such run, released its room and forgot the stop. Other tasks were started there, and then the delayed start arrived.

Change: such a stray keeps its room until the worker has confirmed a stop and a later poll doesn't list the run, or the lease has ended. The exit of another run of the task doesn't end it.

--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -6,7 +6,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
-use super::entry::TaskState;
+use super::entry::{Phase, TaskState};
 use crate::record::State;
 use crate::task::{self, Exit, Outcome};
 use crate::worker::{self, Pending, Stray};
@@ -31,7 +31,9 @@
             return;
         }
         worker.last_exit = exit.number;
-        worker.strays.remove(&exit.task);
+        if worker.strays.get(&exit.task).is_some_and(|stray| stray.run == exit.run) {
+            worker.strays.remove(&exit.task);
+        }
         self.handle_exit(now, key, exit);
     }
 
@@ -138,13 +140,25 @@
     /// occupies room until then, so it becomes a stray.
     fn mark_done(&mut self, now: Time, name: task::Name, is_member: bool) {
         let Some(entry) = self.entry_mut(name.job) else { return };
-        let placement = entry.placement(name).map(|placement| (placement.worker, placement.run));
+        let placement = entry.placement(name).map(|placement| {
+            let is_start_pending = matches!(placement.phase, Phase::Starting { .. })
+                || placement.is_start_unconfirmed
+                    && matches!(placement.phase, Phase::Stopping { .. });
+            (placement.worker, placement.run, is_start_pending)
+        });
         entry.set_task_state(name, TaskState::Done);
         // The members of a gang end by themselves, together.
-        let Some((key, run)) = placement.filter(|_| !is_member) else { return };
+        let Some((key, run, is_start_pending)) = placement.filter(|_| !is_member) else { return };
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let stray =
-            Stray { run, since: now, stop_sent: None, is_room_known: true, is_job_over: true };
+        let stray = Stray {
+            run,
+            since: now,
+            stop_sent: None,
+            is_room_known: true,
+            is_job_over: true,
+            is_start_pending,
+            stop_confirmed: None,
+        };
         worker.strays.insert(name, stray);
         self.note(
             "task done elsewhere",
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -169,6 +169,13 @@
                 confirmed.get_or_insert(now);
             }
         }
+        let worker = self.workers.get_mut(order.worker);
+        let stray = worker.and_then(|worker| worker.strays.get_mut(&order.task));
+        if let Some(stray) = stray.filter(|stray| stray.run == order.run)
+            && matches!(answer, Answer::Done(_))
+        {
+            stray.stop_confirmed.get_or_insert(now);
+        }
     }
 
     fn handle_pace_answer(&mut self, order: &Order, percent: u32, answer: &Answer<u64>) {
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -76,6 +76,8 @@
             stop_sent: None,
             is_room_known: step.is_some(),
             is_job_over,
+            is_start_pending: false,
+            stop_confirmed: None,
         };
         let stray = worker.strays.entry(running.task).or_insert(new);
         if stray.run != running.run {
@@ -103,6 +105,12 @@
         report: &Report,
     ) {
         let Some(worker) = self.workers.get(key) else { return };
+        let is_pending = |name: &task::Name, run: u64| {
+            let stray = worker.strays.get(name).filter(|stray| stray.run == run);
+            stray.is_some_and(|stray| {
+                stray.is_start_pending && stray.stop_confirmed.is_none_or(|at| at >= sent)
+            })
+        };
         let is_listed = |name: &task::Name, run: u64| {
             report.running.iter().any(|r| r.task == *name && r.run == run)
         };
@@ -110,6 +118,7 @@
             .allocations
             .iter()
             .filter(|(name, allocation)| !is_listed(name, allocation.run))
+            .filter(|(name, allocation)| !is_pending(name, allocation.run))
             .map(|(name, allocation)| (*name, *allocation))
             .collect();
         for (name, allocation) in unlisted {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -110,6 +110,10 @@
     pub is_room_known: bool,
     /// Whether its job is known to have ended.
     pub is_job_over: bool,
+    /// Whether the worker may carry out its start at any time until it confirms a stop.
+    pub is_start_pending: bool,
+    /// When the worker confirmed a stop.
+    pub stop_confirmed: Option<Time>,
 }
 
 /// A worker.
