Relay calls to the store through peers that work

Cause: while the store rejects a third of the entry VMs, each call of a rejected VM went through a random peer, which often was rejected or unreachable itself.

Change: peers through which calls reach the store are used again, up to three of them; one that failed is avoided for two seconds. Up to three peers are tried.

tests/relays.rs: with the choice at random (simulated by taking `working` away) a third of 1,000 calls fail; now each rejected peer at most once.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod predecessor;
 pub mod queue_counts;
+pub mod relays;
 pub mod rendezvous;
 pub mod settings;
 pub mod traffic;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -21,6 +21,7 @@
 use crate::peer::{self, Message, Reply};
 use crate::placement::{QueueRecord, Search, queue_key};
 use crate::queue_counts::QueueCounts;
+use crate::relays::Relays;
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::trace::Trace;
@@ -102,6 +103,8 @@
     pub changed: Notify,
     /// The last known number of queued jobs of each queue.
     pub queue_counts: RefCell<QueueCounts>,
+    /// The peers that relay calls to the store.
+    pub relays: RefCell<Relays>,
     /// Attempts to store jobs.
     pub attempts: Rc<RefCell<Attempts>>,
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,18 +1,20 @@
 //! Calls to the store through peers, for a VM that the store rejects.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_adapter::Call;
 use hyper::body::Bytes;
 
+use crate::clock;
 use crate::http::CallError;
 use crate::node::Node;
 use crate::peer::{self, Message, Reply};
 use crate::store::Relay;
 
 /// How many peers are tried for a call, one after the other.
-const MAX_RELAYS: usize = 2;
+const MAX_RELAYS: usize = 3;
 
 /// Makes a call to the store for a peer.
 pub async fn relayed(
@@ -53,16 +55,17 @@
     within: Duration,
 ) -> Result<(u16, Bytes), CallError> {
     let me = node.settings.name.as_str();
-    let mut peers: Vec<std::net::SocketAddr> = {
+    let peers: Vec<SocketAddr> = {
         let table = node.table.borrow();
         table.members.iter().filter(|(name, _)| *name != me).map(|(_, m)| m.peers).collect()
     };
     let mut is_lost = false;
-    for _ in 0..MAX_RELAYS {
-        if peers.is_empty() {
-            break;
-        }
-        let peer = peers.swap_remove(random_index(peers.len()));
+    let mut tried = Vec::new();
+    while tried.len() < MAX_RELAYS {
+        let random = corianderfork_runtime::clock::seed();
+        let chosen = node.relays.borrow_mut().choose(clock::now(), &peers, &tried, random);
+        let Some(peer) = chosen else { break };
+        tried.push(peer);
         let message = Message::Store {
             method: call.method.to_owned(),
             target: call.target.clone(),
@@ -70,10 +73,12 @@
             within_ms: crate::owner::ms(within),
         };
         let slack = Duration::from_millis(100);
-        match peer::send_large(&node.peers, peer, &message, within + slack).await {
-            Ok(Reply::Store { status, body, .. })
-                if status != 0 && status != 429 && status != 503 =>
-            {
+        let reply = peer::send_large(&node.peers, peer, &message, within + slack).await;
+        let is_answer = |status: u16| status != 0 && status != 429 && status != 503;
+        let has_reached = matches!(&reply, Ok(Reply::Store { status, .. }) if is_answer(*status));
+        node.relays.borrow_mut().note(clock::now(), peer, has_reached);
+        match reply {
+            Ok(Reply::Store { status, body, .. }) if is_answer(status) => {
                 return Ok((status, Bytes::from(body)));
             }
             Ok(Reply::Store { sent, status, .. }) => is_lost |= sent && status == 0,
@@ -83,9 +88,3 @@
     }
     Err(if is_lost { CallError::Lost } else { CallError::Unsent })
 }
-
-/// Draws a number below `bound`, so that relayed calls are spread over peers.
-fn random_index(bound: usize) -> usize {
-    let seed = corianderfork_runtime::clock::seed() % (bound.max(1) as u64);
-    usize::try_from(seed).unwrap_or(0)
-}
