Send few orders at a time to each worker

Change: two orders to a worker are in flight, the others wait. Connections to workers that have left are closed.

tests/lanes.rs.

--- /dev/null
+++ b/crates/entry/src/lanes.rs
@@ -0,0 +1,93 @@
+//! Order of the calls that carry orders to workers: few at a time to each worker.
+
+use std::collections::{HashMap, VecDeque};
+
+use corianderfork_jobs::pool::{Action, Order};
+use corianderfork_jobs::worker;
+
+/// How many orders to one worker are in flight at once. Each needs a connection of its own, and a
+/// worker that joins a busy pool is sent as many orders at once as it has room for tasks.
+const MAX_IN_FLIGHT: usize = 2;
+
+/// Orders that wait for a call to their worker, and the calls in flight. It does no I/O.
+///
+/// Without it an owner opens a connection for each order of a burst. As a queue's busy time begins
+/// hundreds of workers join, and connections to them take most of the owner's descriptors and
+/// processor time.
+///
+/// ```
+/// use corianderfork_entry::lanes::Lanes;
+/// # use corianderfork_jobs::{JobId, pool::{Action, Order}, task::Name, worker};
+/// # let order = |index| Order {
+/// #     worker: worker::Key::default(),
+/// #     id: "w".to_owned(),
+/// #     address: ([127, 0, 0, 1], 80).into(),
+/// #     fence: 1,
+/// #     task: Name { job: JobId(1), occurrence: 0, step: 0, index },
+/// #     run: u64::from(index),
+/// #     action: Action::Stop,
+/// # };
+/// let mut lanes = Lanes::default();
+/// assert!(lanes.push(order(1)).is_some());
+/// assert!(lanes.push(order(2)).is_some());
+/// assert_eq!(lanes.push(order(3)), None, "two calls are in flight");
+/// assert_eq!(lanes.next(worker::Key::default()), Some(order(3)));
+/// assert_eq!(lanes.next(worker::Key::default()), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct Lanes {
+    workers: HashMap<worker::Key, Lane>,
+}
+
+#[derive(Debug, Default)]
+struct Lane {
+    in_flight: usize,
+    waiting: VecDeque<Order>,
+}
+
+impl Lanes {
+    /// Adds an order. Returns it if it is to be sent now; else it waits. An order that waits
+    /// already is replaced by its repetition, whose lease ends later.
+    pub fn push(&mut self, order: Order) -> Option<Order> {
+        let lane = self.workers.entry(order.worker).or_default();
+        if lane.in_flight < MAX_IN_FLIGHT {
+            lane.in_flight += 1;
+            return Some(order);
+        }
+        match lane.waiting.iter_mut().find(|waiting| is_repetition(waiting, &order)) {
+            Some(waiting) => *waiting = order,
+            None => lane.waiting.push_back(order),
+        }
+        None
+    }
+
+    /// Ends a call to a worker. Returns the next order to send there, if any waits.
+    pub fn next(&mut self, worker: worker::Key) -> Option<Order> {
+        let lane = self.workers.get_mut(&worker)?;
+        let next = lane.waiting.pop_front();
+        if next.is_none() {
+            lane.in_flight = lane.in_flight.saturating_sub(1);
+            if lane.in_flight == 0 {
+                self.workers.remove(&worker);
+            }
+        }
+        next
+    }
+
+    /// Removes the starts that wait for a worker that doesn't answer. They have certainly not been
+    /// carried out; their tasks can start elsewhere.
+    pub fn take_waiting_starts(&mut self, worker: worker::Key) -> Vec<Order> {
+        let Some(lane) = self.workers.get_mut(&worker) else { return Vec::new() };
+        let is_start = |order: &Order| matches!(order.action, Action::Start { .. });
+        let (starts, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut lane.waiting).into_iter().partition(is_start);
+        lane.waiting = others.into();
+        starts
+    }
+}
+
+fn is_repetition(first: &Order, second: &Order) -> bool {
+    let is_same_action =
+        std::mem::discriminant(&first.action) == std::mem::discriminant(&second.action);
+    (first.task, first.run) == (second.task, second.run) && is_same_action
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempts;
 pub mod duty;
 pub mod exchange;
+pub mod lanes;
 pub mod lookup;
 pub mod outage;
 pub mod placement;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::duty::HolderHistory;
+use crate::lanes::Lanes;
 use crate::lookup::{job_key, run_key};
 use crate::node::{Node, RetiredGrants};
 use crate::peer::{Message, Reply};
@@ -88,6 +89,7 @@
     polled_workers: RefCell<HashSet<worker::Key>>,
     /// [`Pool::joined_workers`] when polls were last started.
     joined_workers: Cell<u64>,
+    lanes: RefCell<Lanes>,
     /// Advisers with a request in flight.
     busy_advisers: RefCell<HashSet<advise::Adviser>>,
     /// Advisers whose last request failed, and until when they are avoided.
@@ -130,6 +132,7 @@
             retired: Cell::new(false),
             polled_workers: RefCell::default(),
             joined_workers: Cell::new(0),
+            lanes: RefCell::default(),
             busy_advisers: RefCell::default(),
             failed_advisers: RefCell::default(),
             cancel_waiters: RefCell::default(),
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -33,6 +33,11 @@
 const POLL_PAUSE_PER_WORKER: Duration = Duration::from_micros(250);
 /// The pause after a poll that returned only ends that are already being written.
 const POLL_PAUSE_NOTHING_NEW: Duration = Duration::from_millis(40);
+/// How much longer the pause is for each listed end that is already being written: while the store
+/// is away the lists grow, and reading them again and again would take the processor from orders.
+const POLL_PAUSE_PER_KNOWN_END: Duration = Duration::from_millis(2);
+/// The longest pause for known ends.
+const MAX_POLL_PAUSE_KNOWN_ENDS: Duration = Duration::from_millis(400);
 const POLL_PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(200);
 
 impl Owner {
@@ -58,7 +63,10 @@
             let orders = self.pool.borrow_mut().plan(now, clock::wall_ms());
             self.note_decision(started.elapsed(), orders.len());
             for order in orders {
-                spawn_local(self.clone().send(order));
+                let order = self.lanes.borrow_mut().push(order);
+                if let Some(order) = order {
+                    spawn_local(self.clone().send_orders(order));
+                }
             }
         }
         self.log_notes();
@@ -109,7 +117,7 @@
     }
 
     async fn poll_loop(self: Rc<Self>, key: worker::Key) {
-        let mut newest = None;
+        let (mut newest, mut address) = (None, None);
         while !self.retired.get() && !self.halted.get() {
             if !self.node.may_order() {
                 tokio::time::sleep(POLL_PAUSE_AFTER_FAILURE).await;
@@ -117,6 +125,7 @@
             }
             let sent = clock::now();
             let Some(poll) = self.pool.borrow_mut().next_poll(sent, key) else { break };
+            address = Some(poll.address);
             let answer = self.poll(&poll).await;
             if self.retired.get() || self.halted.get() {
                 break;
@@ -131,13 +140,17 @@
                     }
                 }
                 Answer::Done(report) => {
-                    let last = report.exits.iter().map(|ended| ended.number).max();
-                    let is_new = last > newest;
-                    newest = newest.max(last);
+                    let known = report.exits.iter().filter(|e| Some(e.number) <= newest).count();
+                    let is_new = known < report.exits.len();
+                    newest = newest.max(report.exits.iter().map(|ended| ended.number).max());
                     let worker_count =
                         u32::try_from(self.polled_workers.borrow().len()).unwrap_or(u32::MAX);
-                    let pause =
-                        POLL_PAUSE_AFTER_ENDS + POLL_PAUSE_PER_WORKER.saturating_mul(worker_count);
+                    let for_known = POLL_PAUSE_PER_KNOWN_END
+                        .saturating_mul(u32::try_from(known).unwrap_or(u32::MAX))
+                        .min(MAX_POLL_PAUSE_KNOWN_ENDS);
+                    let pause = POLL_PAUSE_AFTER_ENDS
+                        + POLL_PAUSE_PER_WORKER.saturating_mul(worker_count)
+                        + for_known;
                     tokio::time::sleep(if is_new {
                         pause
                     } else {
@@ -149,6 +162,12 @@
             }
         }
         self.polled_workers.borrow_mut().remove(&key);
+        // Connections to a worker that has left would take descriptors until they time out.
+        if let Some(address) = address
+            && !self.retired.get()
+        {
+            self.node.client.close_idle(address);
+        }
     }
 
     async fn poll(&self, poll: &Poll) -> Answer<corianderfork_jobs::pool::Report> {
@@ -164,8 +183,29 @@
         }
     }
 
-    async fn send(self: Rc<Self>, order: Order) {
-        let call = wire::order(&order);
+    /// Sends an order to a worker, then those that wait for it.
+    async fn send_orders(self: Rc<Self>, first: Order) {
+        let key = first.worker;
+        let mut next = Some(first);
+        while let Some(order) = next {
+            if self.send(&order).await == Answer::Lost {
+                self.return_waiting_starts(key);
+            }
+            next = self.lanes.borrow_mut().next(key);
+        }
+    }
+
+    /// Returns the starts that wait for a worker that doesn't answer: nothing was sent.
+    fn return_waiting_starts(&self, key: worker::Key) {
+        let starts = self.lanes.borrow_mut().take_waiting_starts(key);
+        let mut pool = self.pool.borrow_mut();
+        for start in starts {
+            pool.handle_order_answer(clock::now(), &start, &Answer::Unhealthy);
+        }
+    }
+
+    async fn send(&self, order: &Order) -> Answer<u64> {
+        let call = wire::order(order);
         let started = clock::now();
         let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
         self.count("order", started, answer.is_ok());
@@ -179,8 +219,9 @@
                     "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) })
             });
         }
-        self.pool.borrow_mut().handle_order_answer(clock::now(), &order, &answer);
+        self.pool.borrow_mut().handle_order_answer(clock::now(), order, &answer);
         self.wake.notify_one();
+        answer
     }
 
     pub(super) fn count(&self, kind: &str, started: Time, is_answered: bool) {
--- /dev/null
+++ b/crates/entry/tests/lanes.rs
@@ -0,0 +1,76 @@
+//! Orders to workers that wait for a call.
+#![allow(clippy::expect_used)]
+
+use corianderfork_entry::lanes::Lanes;
+use corianderfork_jobs::JobId;
+use corianderfork_jobs::pool::{Action, Order};
+use corianderfork_jobs::task::Name;
+use corianderfork_jobs::worker::Key;
+
+fn order(index: u32, action: Action) -> Order {
+    Order {
+        worker: Key::default(),
+        id: "w1".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        fence: 1,
+        task: Name { job: JobId(1), occurrence: 0, step: 0, index },
+        run: u64::from(index),
+        action,
+    }
+}
+
+fn start(index: u32, deadline_ms: u64) -> Order {
+    let action = Action::Start { spec: "".into(), deadline_ms, saved: "".into(), ticket: None };
+    order(index, action)
+}
+
+/// Returns lanes with two orders in flight and the starts 3 and 4 waiting.
+fn busy() -> Lanes {
+    let mut lanes = Lanes::default();
+    assert!(lanes.push(start(1, 10)).is_some());
+    assert!(lanes.push(start(2, 10)).is_some());
+    assert_eq!(lanes.push(start(3, 10)), None);
+    assert_eq!(lanes.push(start(4, 10)), None);
+    lanes
+}
+
+// Guards against a connection for each order of a burst: hundreds of workers join as a queue's busy
+// time begins, and each is sent as many orders as it has room for.
+#[test]
+fn push_of_a_burst_sends_few_at_once() {
+    let mut lanes = busy();
+    assert_eq!(lanes.next(Key::default()), Some(start(3, 10)));
+    assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
+    assert_eq!(lanes.next(Key::default()), None);
+    assert!(lanes.push(start(5, 10)).is_some(), "one call has ended");
+}
+
+// Guards against a start that is sent twice, first with a lease that has ended meanwhile.
+#[test]
+fn push_of_a_repetition_replaces_the_waiting_order() {
+    let mut lanes = busy();
+    assert_eq!(lanes.push(start(3, 99)), None);
+    assert_eq!(lanes.next(Key::default()), Some(start(3, 99)));
+    assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
+    assert_eq!(lanes.next(Key::default()), None);
+}
+
+// Guards against a stop that replaces the start of the same run, or the other way round.
+#[test]
+fn push_of_a_stop_keeps_the_start() {
+    let mut lanes = busy();
+    assert_eq!(lanes.push(order(3, Action::Stop)), None);
+    assert_eq!(lanes.next(Key::default()), Some(start(3, 10)));
+    assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
+    assert_eq!(lanes.next(Key::default()), Some(order(3, Action::Stop)));
+}
+
+// Guards against tasks that wait behind a worker that doesn't answer, one timeout after the other.
+#[test]
+fn take_waiting_starts_leaves_stops() {
+    let mut lanes = busy();
+    assert_eq!(lanes.push(order(7, Action::Stop)), None);
+    assert_eq!(lanes.take_waiting_starts(Key::default()), [start(3, 10), start(4, 10)]);
+    assert_eq!(lanes.next(Key::default()), Some(order(7, Action::Stop)));
+    assert!(lanes.take_waiting_starts(Key::default()).is_empty());
+}
