Start tasks while new workers are not polled yet

Cause: an owner started nothing while any listed worker had not been polled, as a predecessor may have just started the same task there. As a busy time begins hundreds of workers join, and each held up all starts until its first answer.

Change: only workers of the roster that the owner has read can have runs of a predecessor, which orders nothing on others and writes no roster once it is replaced. Only these are waited for.

`plan_starts_tasks_while_a_new_worker_is_not_polled` failed before (checked by taking the filter away).

--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -242,7 +242,7 @@
     /// unpolled worker by the previous owner. It started none on workers that its roster doesn't
     /// name, and wrote no roster after this owner took over.
     pub(super) fn is_every_inherited_worker_polled(&self) -> bool {
-        let mut inherited = self.workers.values();
+        let mut inherited = self.workers.values().filter(|worker| worker.is_inherited);
         inherited.all(|worker| worker.is_polled || worker.missing_since.is_some())
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -146,6 +146,22 @@
     assert_eq!(sim.plan().len(), 1);
 }
 
+// Guards against tasks that wait beside idle workers as a queue's busy time begins: hundreds of
+// workers join one after the other, and nothing was started while any of them was not polled yet.
+#[test]
+fn plan_starts_tasks_while_a_new_worker_is_not_polled() {
+    let mut sim = Simulation::new(1);
+    sim.registrations.push(common::registration("new", 9_900, "r9"));
+    sim.workers.insert("new".to_owned(), common::Worker::default());
+    sim.list_workers();
+    sim.submit(1, vec![step(12, 1_000)]);
+    let orders = sim.plan();
+    assert_eq!(orders.len(), 8, "as many as w0 has room for");
+    assert!(orders.iter().all(|order| order.id == "w0"));
+    sim.poll_all();
+    assert_eq!(sim.plan().len(), 4);
+}
+
 // Guards against waiting for a predecessor's leases on a worker that already rejects the
 // predecessor.
 #[test]
