Drop waiting orders that are not needed any more

Cause: an order that waits for a call to its worker may be obsolete when its turn comes: its job was cancelled, or this daemon has stopped giving orders.

Change: before a waiting order is sent, the owner checks that it may still order and that the start's run is still to be started.

--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -188,13 +188,20 @@
         let key = first.worker;
         let mut next = Some(first);
         while let Some(order) = next {
-            if self.send(&order).await == Answer::Lost {
+            if self.may_send(&order) && self.send(&order).await == Answer::Lost {
                 self.return_waiting_starts(key);
             }
             next = self.lanes.borrow_mut().next(key);
         }
     }
 
+    /// Returns whether an order that may have waited is still to be sent. One that isn't is
+    /// repeated by a later plan if it is still needed.
+    fn may_send(&self, order: &Order) -> bool {
+        let has_ended = self.retired.get() || self.halted.get();
+        !has_ended && self.node.may_order() && self.pool.borrow().is_needed(order)
+    }
+
     /// Returns the starts that wait for a worker that doesn't answer: nothing was sent.
     fn return_waiting_starts(&self, key: worker::Key) {
         let starts = self.lanes.borrow_mut().take_waiting_starts(key);
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -150,6 +150,18 @@
         }
     }
 
+    /// Returns whether an order that was not sent yet is still needed: the start of a run that is
+    /// to be stopped meanwhile isn't.
+    pub fn is_needed(&self, order: &Order) -> bool {
+        let is_start = matches!(order.action, Action::Start { .. });
+        let placement = self.entry(order.task.job).and_then(|entry| entry.placement(order.task));
+        let is_starting = placement.is_some_and(|placement| {
+            let is_same = placement.run == order.run && placement.worker == order.worker;
+            is_same && matches!(placement.phase, Phase::Starting { .. })
+        });
+        !is_start || is_starting
+    }
+
     /// Undoes a start that was certainly not carried out.
     fn undo_start(&mut self, now: Time, order: &Order, pause: Duration) {
         if let Some(worker) = self.workers.get_mut(order.worker) {
