Search a compact list of workers when placing tasks

Cause: each task that was placed, and each waiting one that fits nowhere, was compared with all workers of the pool, by strings (rack, label) and maps.

Change: once a plan has something to place, it lists the usable workers with their free room, their rack as a small key, and by rack. A step knows how long it waits for the rack of its data. A gang is searched for only where its tasks may fit at once.

--- a/crates/entry/tests/relays.rs
+++ b/crates/entry/tests/relays.rs
@@ -20,7 +20,7 @@
 #[test]
 fn choose_while_a_third_of_the_peers_is_rejected() {
     let peers = peers(48);
-    let is_rejected = |peer: &SocketAddr| peer.port() % 3 == 0;
+    let is_rejected = |peer: &SocketAddr| peer.port().is_multiple_of(3);
     let mut relays = Relays::default();
     let mut failures = 0;
     for call in 0..1_000u64 {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -226,6 +226,14 @@
             && used.gpu.saturating_add(needed.gpu) <= self.gpu
     }
 
+    /// Returns how many times `each` fits into this room.
+    pub(crate) fn count_of(&self, each: &Self) -> u64 {
+        let times = |part: u64, each: u64| part.checked_div(each).unwrap_or(u64::MAX);
+        times(self.cpu, each.cpu)
+            .min(times(self.memory_mb, each.memory_mb))
+            .min(times(self.gpu, each.gpu))
+    }
+
     /// Returns this room multiplied by `count`.
     #[must_use]
     pub fn times(&self, count: u32) -> Self {
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -15,6 +15,7 @@
 mod load;
 mod order;
 mod pace;
+mod place;
 mod plan;
 mod poll;
 mod progress;
@@ -22,6 +23,8 @@
 mod reserve;
 mod runs;
 mod shrink;
+mod space;
+pub(crate) mod symbol;
 mod unmet;
 mod workers;
 
@@ -51,6 +54,7 @@
 use entry::Entry;
 use plan::Gate;
 use ranking::Ranking;
+use symbol::Symbols;
 
 slotmap::new_key_type! {
     /// A job of a pool.
@@ -134,6 +138,7 @@
     ended: BTreeSet<(Time, JobId)>,
     agenda: Agenda,
     ranking: Ranking,
+    symbols: Symbols,
     /// Whether tasks could be started at the last plan, and whether only new ones.
     gate: Gate,
     /// What the last plan looked at.
@@ -189,6 +194,7 @@
             ended: BTreeSet::new(),
             agenda: Agenda::default(),
             ranking: Ranking::default(),
+            symbols: Symbols::default(),
             gate: Gate::default(),
             effort: Effort::default(),
             jobs_known_until: Time::ZERO,
--- a/crates/jobs/src/pool/choose.rs
+++ b/crates/jobs/src/pool/choose.rs
@@ -6,6 +6,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
+use super::entry::Entry;
 use crate::feature::Feature;
 use crate::job::{Room, Step};
 use crate::task;
@@ -26,6 +27,39 @@
 /// inaccurate estimates.
 const MAX_RACK_WAIT: Duration = Duration::from_millis(1_500);
 
+/// The score of a worker for a task; higher is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Score {
+    /// Whether the worker is in the rack of the task's data.
+    pub is_near: bool,
+    /// Whether tasks without special requirements leave features to those that wait for them.
+    pub leaves_features_free: bool,
+    /// Whether a long-running step keeps at least two workers.
+    pub is_spread: bool,
+    /// The points for its load.
+    pub points: i64,
+}
+
+/// Returns the points of a worker for a task of a step, in thousandths of a core: tasks are packed
+/// onto the workers with the least unused CPU.
+pub(super) fn points(
+    step: &Step,
+    unused_cpu: u64,
+    failures: u32,
+    serving: u32,
+    hosts_long_running: bool,
+) -> i64 {
+    let mut points = -i64::try_from(unused_cpu).unwrap_or(i64::MAX);
+    points -= i64::from(failures) * FAILURE_COST;
+    if step.backfill {
+        points -= i64::from(serving) * NEIGHBOUR_COST;
+    } else if hosts_long_running {
+        // The worker stays in the pool anyway.
+        points += LONG_RUNNING_BONUS;
+    }
+    points
+}
+
 impl Pool {
     /// Returns the best worker for a task among those that meet its requirements and have room,
     /// or `None` if there is none. `rack` restricts the choice to one rack.
@@ -95,9 +129,16 @@
         let occurrence = entry.occurrences.get(&name.occurrence);
         let state = occurrence.and_then(|occurrence| occurrence.steps.get(name.step as usize));
         let since = state.and_then(|state| state.waiting_since).unwrap_or(now);
+        now - since < self.rack_wait(entry, step)
+    }
+
+    /// Returns how long a task of a step waits for a worker in the rack of its data.
+    pub(super) fn rack_wait(&self, entry: &Entry, step: &Step) -> Duration {
+        if step.long_running {
+            return Duration::ZERO;
+        }
         let duration = Duration::from_millis(self.predict(&entry.queue, step));
-        let saved = duration.mul_f64(self.config.remote_factor - 1.0);
-        now - since < saved.min(MAX_RACK_WAIT) && !step.long_running
+        duration.mul_f64(self.config.remote_factor - 1.0).min(MAX_RACK_WAIT)
     }
 
     /// Returns whether a step may run on workers that are to be maintained and could not be
@@ -110,33 +151,33 @@
         !self.workers.values().filter(has_feature).any(|worker| worker.is_usable(now))
     }
 
-    /// Returns the score of a worker for a task; higher is better.
+    /// Returns the score of a worker for a task.
     ///
     /// Tasks are packed onto the workers with the least free CPU, so that others run empty and
     /// can leave the pool. Long-running tasks of one step are spread over at least two workers
     /// if possible, so that the loss of one worker doesn't stop all of them.
-    fn score(&self, worker: &Worker, name: task::Name, step: &Step) -> (bool, bool, bool, i64) {
-        let is_near = step.preferred_rack.as_ref().is_some_and(|rack| worker.rack == *rack);
+    fn score(&self, worker: &Worker, name: task::Name, step: &Step) -> Score {
         let is_spread =
             !step.long_running || worker.expected_siblings(name) < step.count.div_ceil(2);
-        let free = worker.room.cpu.saturating_sub(worker.used.cpu);
-        let mut score = -i64::try_from(free).unwrap_or(i64::MAX);
-        score -= i64::from(worker.failures_in_row) * FAILURE_COST;
-        if step.backfill {
-            score -= i64::from(worker.serving) * NEIGHBOUR_COST;
-        } else if self.hosts_long_running(worker) {
-            // The worker stays in the pool anyway.
-            score += LONG_RUNNING_BONUS;
+        let unused_cpu = worker.room.cpu.saturating_sub(worker.used.cpu);
+        let hosts_long_running = self.hosts_long_running(worker);
+        Score {
+            is_near: step.preferred_rack.as_ref().is_some_and(|rack| worker.rack == *rack),
+            leaves_features_free: Feature::of(step).is_some()
+                || !self.has_requested_feature(worker),
+            is_spread,
+            points: points(
+                step,
+                unused_cpu,
+                worker.failures_in_row,
+                worker.serving,
+                hosts_long_running,
+            ),
         }
-        // Tasks without special requirements avoid workers with features that other tasks wait
-        // for.
-        let leaves_features_free =
-            Feature::of(step).is_some() || !self.has_requested_feature(worker);
-        (is_near, leaves_features_free, is_spread, score)
     }
 
     /// Returns whether a worker has a feature that waiting tasks need and not every worker has.
-    fn has_requested_feature(&self, worker: &Worker) -> bool {
+    pub(super) fn has_requested_feature(&self, worker: &Worker) -> bool {
         self.ranking.features().any(|feature| feature.is_provided_by(&worker.labels, &worker.room))
     }
 }
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -114,6 +114,11 @@
 
     fn insert_job(&mut self, entry: Entry) -> JobKey {
         let (id, ended) = (entry.id, entry.ended);
+        for step in entry.steps.iter() {
+            step.label.iter().chain(&step.preferred_rack).for_each(|text| {
+                self.symbols.intern(text);
+            });
+        }
         let key = self.jobs.insert(entry);
         self.by_job.insert(id, key);
         match ended {
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -5,14 +5,13 @@
 
 use corianderfork_model::Time;
 
-use super::entry::{Entry, Phase, Placement, StepState, TaskState, name};
+use super::entry::{Entry, Phase, Placement, StepState, TaskState};
 use super::order::{Action, Order};
-use super::ranking::{Candidate, Position, StepKey};
-use super::unmet::{Requirement, Unmet};
+use super::ranking::StepKey;
 use super::{JobKey, Pool};
-use crate::job::{Room, Step};
+use crate::job::Step;
 use crate::task;
-use crate::worker::{self, Allocation, Worker};
+use crate::worker::{self, Allocation};
 
 /// Delay until an unanswered start is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(1_000);
@@ -143,69 +142,8 @@
         }
     }
 
-    fn place_tasks(&mut self, now: Time, orders: &mut Vec<Order>) {
-        if !self.is_every_inherited_worker_polled() {
-            return;
-        }
-        let mut room = self.largest_room(now);
-        let mut unmet = Unmet::default();
-        let mut last = None;
-        while let Some((position, candidate)) = self.next_step_that_may_fit(last, &room) {
-            last = Some(position);
-            self.effort.steps += 1;
-            let needed = &candidate.room;
-            let is_too_large = room.cpu < needed.cpu || room.memory_mb < needed.memory_mb;
-            let step_key = candidate.key;
-            let Some(entry) = self.jobs.get(step_key.job).filter(|entry| self.may_start(entry))
-            else {
-                continue;
-            };
-            let steps = entry.steps.clone();
-            let Some(step) = steps.get(step_key.step) else { continue };
-            if is_too_large && !self.may_use_stranded(now, step) && !self.has_reservation(step_key)
-            {
-                continue;
-            }
-            let before = orders.len();
-            if step.gang {
-                self.place_gang(now, step_key, step, orders);
-            } else {
-                self.place_step(now, step_key, step, &mut unmet, orders);
-            }
-            if orders.len() > before {
-                self.clear_waiting(step_key);
-                room = self.largest_room(now);
-            }
-        }
-    }
-
-    /// Returns the most urgent ready step behind `last` that may fit if `room` is the largest that
-    /// any worker has left.
-    fn next_step_that_may_fit(
-        &self,
-        last: Option<Position>,
-        room: &Room,
-    ) -> Option<(Position, Candidate)> {
-        let is_selective = self.ranking.features().next().is_some();
-        let has_special = is_selective || !self.reservations.is_empty();
-        if !has_special && self.ranking.least_cpu().is_none_or(|least| room.cpu < least) {
-            return None;
-        }
-        let mut behind = self.ranking.behind(last);
-        let next = behind.find(|(_, candidate)| self.may_fit(room, candidate));
-        next.map(|(position, candidate)| (*position, *candidate))
-    }
-
-    /// Returns whether a step may fit into a worker if `room` is the largest that any has left. A
-    /// step that needs a feature may use other workers, and one with a reservation has room there.
-    fn may_fit(&self, room: &Room, candidate: &Candidate) -> bool {
-        let needed = &candidate.room;
-        let is_too_large = room.cpu < needed.cpu || room.memory_mb < needed.memory_mb;
-        !is_too_large || candidate.has_feature || !self.reservations.is_empty()
-    }
-
     /// Returns whether tasks of a job may be started as of the last [`Pool::update_gate`].
-    fn may_start(&self, entry: &Entry) -> bool {
+    pub(super) fn may_start(&self, entry: &Entry) -> bool {
         !entry.state.is_final() && self.is_safe_to_start(!self.gate.is_open_to_all, entry)
     }
 
@@ -224,7 +162,7 @@
         }
     }
 
-    fn clear_waiting(&mut self, step_key: StepKey) {
+    pub(super) fn clear_waiting(&mut self, step_key: StepKey) {
         if let Some(state) = self.step_state(step_key) {
             state.waiting_since = None;
         }
@@ -246,88 +184,6 @@
         inherited.all(|worker| worker.is_polled || worker.missing_since.is_some())
     }
 
-    /// Returns the largest free CPU and memory of any worker: a cheap check that skips the
-    /// search for tasks that fit nowhere.
-    fn largest_room(&self, now: Time) -> Room {
-        let mut largest = Room::default();
-        for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
-            let occupied = worker.occupied(|_| false);
-            largest.cpu = largest.cpu.max(worker.room.cpu.saturating_sub(occupied.cpu));
-            let memory = worker.room.memory_mb.saturating_sub(occupied.memory_mb);
-            largest.memory_mb = largest.memory_mb.max(memory);
-        }
-        largest
-    }
-
-    /// Returns whether room is reserved for a task of a step.
-    fn has_reservation(&self, step_key: StepKey) -> bool {
-        let Some(entry) = self.jobs.get(step_key.job) else { return false };
-        let task = name(entry.id, step_key.occurrence, step_key.step, 0);
-        self.reservations.keys().any(|reserved| reserved.is_sibling(&task))
-    }
-
-    fn place_step(
-        &mut self,
-        now: Time,
-        step_key: StepKey,
-        step: &Step,
-        unmet: &mut Unmet,
-        orders: &mut Vec<Order>,
-    ) {
-        let requirement = self.requirement(now, step_key, step);
-        let is_unmet = requirement.as_ref().is_some_and(|requirement| unmet.contains(requirement));
-        for index in 0..step.count as usize {
-            let Some(entry) = self.jobs.get(step_key.job) else { return };
-            let name = name(entry.id, step_key.occurrence, step_key.step, index);
-            let Some(task) = entry.task(name) else { return };
-            if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
-                continue;
-            }
-            if self.fail_at_crash_limit(now, name) {
-                return;
-            }
-            if is_unmet {
-                return;
-            }
-            let Some(key) = self.choose(now, name, step, None) else {
-                // A later task of the step may have a reservation.
-                if self.has_reservation(step_key) {
-                    continue;
-                }
-                // A worker that still runs this very task may run others.
-                let is_on_worker = |worker: &Worker| worker.allocations.contains_key(&name);
-                if let Some(requirement) = requirement
-                    && !self.workers.values().any(is_on_worker)
-                {
-                    unmet.insert(requirement);
-                }
-                return;
-            };
-            let run = self.next_run();
-            self.start(now, key, name, step, run, orders);
-        }
-    }
-
-    /// Returns what a worker has to meet to run a task of a step, or `None` if it depends on more
-    /// than the step.
-    fn requirement(&self, now: Time, step_key: StepKey, step: &Step) -> Option<Requirement> {
-        let entry = self.jobs.get(step_key.job)?;
-        let needs_advice =
-            self.queues.get(&entry.queue).is_some_and(|queue| queue.advice.is_some());
-        if needs_advice
-            || step.max_per_worker > 0
-            || !self.reservations.is_empty()
-            || !self.suspects.is_empty()
-            || self.may_use_stranded(now, step)
-        {
-            return None;
-        }
-        let task = name(entry.id, step_key.occurrence, step_key.step, 0);
-        let preferred = step.preferred_rack.as_ref();
-        let rack = preferred.filter(|rack| self.waits_for_rack(now, task, step, rack));
-        Some(Requirement { rack: rack.cloned(), label: step.label.clone(), room: step.room() })
-    }
-
     pub(super) fn start(
         &mut self,
         now: Time,
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -9,6 +9,7 @@
 use corianderfork_model::Time;
 
 use super::entry::{Entry, Occurrence};
+use super::symbol::Symbol;
 use super::{JobKey, Pool};
 use crate::feature::Feature;
 use crate::id::JobId;
@@ -73,6 +74,14 @@
     pub room: Room,
     /// Whether only some workers may run it.
     pub has_feature: bool,
+    /// The label that a worker must have.
+    pub label: Option<Symbol>,
+    /// The rack of its data.
+    pub rack: Option<Symbol>,
+    /// How long it waits for a worker there.
+    pub rack_wait: Duration,
+    /// Whether nothing but a worker's label, rack and room decides where its tasks run.
+    pub is_plain: bool,
 }
 
 /// The ready steps with waiting tasks, in the order in which they get room.
@@ -185,6 +194,7 @@
         let mut ranked = Vec::new();
         let mut changes: Option<Time> = None;
         for (number, occurrence) in &entry.occurrences {
+            let occurrence_state = occurrence;
             let mut ready = ready_steps(entry, occurrence).peekable();
             if ready.peek().is_none() {
                 continue;
@@ -197,13 +207,37 @@
                 let position =
                     Position { priority, urgency, deadline, job, occurrence, step: index };
                 let key = StepKey { job: key, occurrence, step: index };
-                let has_feature = Feature::of(step).is_some();
-                ranked.push((position, Candidate { key, room: step.room(), has_feature }));
+                ranked.push((position, self.candidate(key, entry, occurrence_state, step)));
             }
         }
         (ranked, changes)
     }
 
+    fn candidate(
+        &self,
+        key: StepKey,
+        entry: &Entry,
+        occurrence: &Occurrence,
+        step: &Step,
+    ) -> Candidate {
+        let symbol = |text: &Option<String>| text.as_ref().and_then(|text| self.symbols.get(text));
+        let has_crashes = occurrence
+            .steps
+            .get(key.step)
+            .is_some_and(|state| state.tasks.iter().any(|task| !task.crashed.is_empty()));
+        let needs_advice =
+            self.queues.get(&entry.queue).is_some_and(|queue| queue.advice.is_some());
+        Candidate {
+            key,
+            room: step.room(),
+            has_feature: Feature::of(step).is_some(),
+            label: symbol(&step.label),
+            rack: symbol(&step.preferred_rack),
+            rack_wait: self.rack_wait(entry, step),
+            is_plain: step.max_per_worker == 0 && !needs_advice && !has_crashes,
+        }
+    }
+
     /// Returns the urgency of an occurrence, and when it changes.
     fn urgency(
         &self,
--- a/crates/jobs/src/pool/unmet.rs
+++ b/crates/jobs/src/pool/unmet.rs
@@ -1,16 +1,17 @@
 //! Requirements that no worker meets at the moment.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
+use super::symbol::Symbol;
 use crate::job::Room;
 
 /// What a worker has to meet to run a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Requirement {
     /// The rack in which it has to be.
-    pub rack: Option<String>,
+    pub rack: Option<Symbol>,
     /// The label that it has to have.
-    pub label: Option<String>,
+    pub label: Option<Symbol>,
     /// The room that it has to have left.
     pub room: Room,
 }
@@ -21,7 +22,7 @@
 /// Without them, a plan searches all workers for each waiting task, again and again.
 #[derive(Debug, Default)]
 pub(super) struct Unmet {
-    rooms: HashMap<(Option<String>, Option<String>), Vec<Room>>,
+    rooms: BTreeMap<(Option<Symbol>, Option<Symbol>), Vec<Room>>,
 }
 
 impl Unmet {
@@ -35,11 +36,7 @@
 
     /// Returns whether no worker meets a requirement, since none met one that is no stricter.
     pub fn contains(&self, requirement: &Requirement) -> bool {
-        if self.rooms.is_empty() {
-            return false;
-        }
-        let key = (requirement.rack.clone(), requirement.label.clone());
-        let rooms = self.rooms.get(&key);
+        let rooms = self.rooms.get(&(requirement.rack, requirement.label));
         rooms.is_some_and(|rooms| {
             rooms.iter().any(|room| requirement.room.fits(&Room::default(), room))
         })
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -58,7 +58,10 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.rostered = is_rostered;
         worker.labels.clone_from(&entry.labels);
-        worker.rack.clone_from(&entry.rack);
+        if worker.rack != entry.rack {
+            worker.rack.clone_from(&entry.rack);
+            worker.rack_symbol = self.symbols.intern(&entry.rack);
+        }
         worker.room = entry.room;
         worker.missing_since = None;
         let is_new_drain = entry.draining && !worker.draining;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -9,6 +9,7 @@
 
 use crate::id::JobId;
 use crate::job::{Room, Step};
+use crate::pool::symbol::Symbol;
 use crate::task;
 
 slotmap::new_key_type! {
@@ -123,6 +124,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) labels: Vec<String>,
     pub(crate) rack: String,
+    pub(crate) rack_symbol: Symbol,
     pub(crate) room: Room,
     pub(crate) used: Room,
     pub(crate) draining: bool,
@@ -181,6 +183,7 @@
             address: location.address,
             labels: Vec::new(),
             rack: String::new(),
+            rack_symbol: Symbol::default(),
             room: Room::default(),
             used: Room::default(),
             draining: false,
