Read the configuration after a watch without an answer

A store that answers no watch at all kept a configuration out of force for good.

Change: a watch that timed out isn't made through peers as well, and is followed by a read of the keys. Relayed calls stop after the time of one call. The other followed keys (workers, members, jobs) keep their watch: reading 1,100 entries again would load the links.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -42,11 +42,22 @@
     KnownUntil(Time),
 }
 
+/// What follows a watch without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recovery {
+    /// The same watch again.
+    Watch,
+    /// A read of all keys. A store that answers reads but no watches delays changes by one watch
+    /// at most; the read costs as much as the keys are large.
+    Read,
+}
+
 /// Follows the keys with `prefix` for as long as `is_wanted`. After changes it pauses for
 /// `batch_pause`, so that further changes are read in one call.
 pub async fn follow(
     node: Rc<Node>,
     prefix: String,
+    recovery: Recovery,
     batch_pause: impl Fn() -> Duration,
     is_wanted: impl Fn() -> bool,
     mut apply: impl FnMut(Update),
@@ -86,6 +97,9 @@
                 }
                 Err(error) => {
                     log_failed_read(&node, &prefix, "watch", started, &error);
+                    if recovery == Recovery::Read {
+                        break;
+                    }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -118,7 +132,8 @@
         }
         Update::KnownUntil(_) => {}
     };
-    follow(node, config::PREFIX.to_owned(), || Duration::ZERO, || true, apply).await;
+    follow(node, config::PREFIX.to_owned(), Recovery::Read, || Duration::ZERO, || true, apply)
+        .await;
 }
 
 fn update_from_operators(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
@@ -172,7 +187,7 @@
         }
         target.changed.notify_waiters();
     };
-    follow(node, duty::PREFIX.to_owned(), || Duration::ZERO, || true, apply).await;
+    follow(node, duty::PREFIX.to_owned(), Recovery::Watch, || Duration::ZERO, || true, apply).await;
 }
 
 fn update_entry(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
@@ -261,7 +276,8 @@
             let is_expecting = clock::now() < expecting.workers_expected_until.get();
             if is_expecting { WORKER_BATCH_PAUSE_EXPECTING } else { WORKER_BATCH_PAUSE }
         };
-        follow(node.clone(), worker::PREFIX.to_owned(), batch_pause, is_wanted, apply).await;
+        let prefix = worker::PREFIX.to_owned();
+        follow(node.clone(), prefix, Recovery::Watch, batch_pause, is_wanted, apply).await;
     }
 }
 
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -13,7 +13,7 @@
 
 use super::{Owner, ROSTER_PREFIX, WRITE_PREFIX, ms};
 use crate::clock;
-use crate::follow::{Update, follow};
+use crate::follow::{Recovery, Update, follow};
 use crate::lookup::{JOB_PREFIX, RUN_PREFIX};
 use crate::store::Error;
 
@@ -167,6 +167,7 @@
         follow(
             self.node.clone(),
             prefix,
+            Recovery::Watch,
             || JOBS_BATCH_PAUSE,
             move || !watched.retired.get(),
             apply,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -61,7 +61,8 @@
     };
     let mut is_lost = false;
     let mut tried = Vec::new();
-    while tried.len() < MAX_RELAYS {
+    let started = clock::now();
+    while tried.len() < MAX_RELAYS && (tried.is_empty() || clock::now() - started < within) {
         let random = corianderfork_runtime::clock::seed();
         let chosen = node.relays.borrow_mut().choose(clock::now(), &peers, &tried, random);
         let Some(peer) = chosen else { break };
--- a/crates/entry/src/store/routing.rs
+++ b/crates/entry/src/store/routing.rs
@@ -108,8 +108,12 @@
         within: Duration,
     ) -> Result<(u16, Bytes), CallError> {
         if self.is_direct.get() {
+            let started = clock::now();
             let first = self.call_directly(call, kind, within).await;
-            return if is_response(&first) {
+            // A watch that timed out has used the time in which a change is to be known. The
+            // caller decides whether it repeats the watch.
+            let is_timed_out = kind == WATCH && clock::now() - started >= within;
+            return if is_response(&first) || is_timed_out {
                 first
             } else {
                 let is_lost = first == Err(CallError::Lost);
