Read the jobs of a pool in parallel when taking it over

Once it had begun it read all accepted jobs again, to follow them.

Change: what doesn't fit into one page is read in parallel by the first digit of the ids, and the jobs are followed from that read on.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -52,28 +52,48 @@
     Read,
 }
 
+/// An earlier read from which keys are followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// The store's revision of the read.
+    pub revision: u64,
+    /// When the read was requested.
+    pub at: Time,
+}
+
 /// Follows the keys with `prefix` for as long as `is_wanted`. After changes it pauses for
-/// `batch_pause`, so that further changes are read in one call.
+/// `batch_pause`, so that further changes are read in one call. Without `start`, all keys are read
+/// first.
 pub async fn follow(
     node: Rc<Node>,
     prefix: String,
     recovery: Recovery,
+    mut start: Option<Start>,
     batch_pause: impl Fn() -> Duration,
     is_wanted: impl Fn() -> bool,
     mut apply: impl FnMut(Update),
 ) {
     while is_wanted() {
-        let started = clock::now();
-        let (items, mut after) = match node.store.range(&prefix).await {
-            Ok(read) => read,
-            Err(error) => {
-                log_failed_read(&node, &prefix, "range", started, &error);
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
+        let mut after = match start.take() {
+            Some(Start { revision, at }) => {
+                apply(Update::KnownUntil(at));
+                revision
+            }
+            None => {
+                let started = clock::now();
+                let (items, revision) = match node.store.range(&prefix).await {
+                    Ok(read) => read,
+                    Err(error) => {
+                        log_failed_read(&node, &prefix, "range", started, &error);
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                        continue;
+                    }
+                };
+                apply(Update::All(items));
+                apply(Update::KnownUntil(started));
+                revision
             }
         };
-        apply(Update::All(items));
-        apply(Update::KnownUntil(started));
         while is_wanted() {
             let started = clock::now();
             match node.store.watch(&prefix, after, WATCH_WAIT).await {
@@ -132,8 +152,16 @@
         }
         Update::KnownUntil(_) => {}
     };
-    follow(node, config::PREFIX.to_owned(), Recovery::Read, || Duration::ZERO, || true, apply)
-        .await;
+    follow(
+        node,
+        config::PREFIX.to_owned(),
+        Recovery::Read,
+        None,
+        || Duration::ZERO,
+        || true,
+        apply,
+    )
+    .await;
 }
 
 fn update_from_operators(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
@@ -187,7 +215,8 @@
         }
         target.changed.notify_waiters();
     };
-    follow(node, duty::PREFIX.to_owned(), Recovery::Watch, || Duration::ZERO, || true, apply).await;
+    follow(node, duty::PREFIX.to_owned(), Recovery::Watch, None, || Duration::ZERO, || true, apply)
+        .await;
 }
 
 fn update_entry(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
@@ -277,7 +306,7 @@
             if is_expecting { WORKER_BATCH_PAUSE_EXPECTING } else { WORKER_BATCH_PAUSE }
         };
         let prefix = worker::PREFIX.to_owned();
-        follow(node.clone(), prefix, Recovery::Watch, batch_pause, is_wanted, apply).await;
+        follow(node.clone(), prefix, Recovery::Watch, None, batch_pause, is_wanted, apply).await;
     }
 }
 
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::duty::HolderHistory;
+use crate::follow::Start;
 use crate::lanes::Lanes;
 use crate::lookup::{job_key, run_key};
 use crate::node::{Node, RetiredGrants};
@@ -99,6 +100,8 @@
     write_revision: Cell<u64>,
     last_write_number: Cell<u64>,
     accepted_count: Cell<usize>,
+    /// The read of the accepted jobs from which they are followed.
+    jobs_read: Cell<Option<Start>>,
     /// The decisions since the last report.
     decisions: Cell<Decisions>,
 }
@@ -139,6 +142,7 @@
             write_revision: Cell::new(0),
             last_write_number: Cell::new(0),
             accepted_count: Cell::new(0),
+            jobs_read: Cell::new(None),
             decisions: Cell::default(),
         });
         spawn_local(owner.clone().run());
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -13,7 +13,7 @@
 
 use super::{Owner, ROSTER_PREFIX, WRITE_PREFIX, ms};
 use crate::clock;
-use crate::follow::{Recovery, Update, follow};
+use crate::follow::{Recovery, Start, Update, follow};
 use crate::lookup::{JOB_PREFIX, RUN_PREFIX};
 use crate::store::Error;
 
@@ -67,15 +67,25 @@
         }
     }
 
+    /// Reads what is stored of the pool.
     async fn read(&self) -> Result<(Vec<Location>, Vec<Item>, Vec<Item>), Error> {
         let store = &self.node.store;
-        let roster = store.get(&format!("{ROSTER_PREFIX}{}", self.name)).await?;
-        let locations = roster.and_then(|item| serde_json::from_slice(&item.value).ok());
-        let write = store.get(&format!("{WRITE_PREFIX}{}", self.name)).await?;
-        self.write_revision.set(write.map_or(0, |item| item.revision));
-        // Jobs first: when a job ends, only this owner moves it from one to the other.
-        let (jobs, _) = store.range(&format!("{JOB_PREFIX}{}/", self.name)).await?;
-        let (runs, _) = store.range(&format!("{RUN_PREFIX}{}/", self.name)).await?;
+        let at = clock::now();
+        let (roster_key, write_key) =
+            (format!("{ROSTER_PREFIX}{}", self.name), format!("{WRITE_PREFIX}{}", self.name));
+        let (job_prefix, run_prefix) =
+            (format!("{JOB_PREFIX}{}/", self.name), format!("{RUN_PREFIX}{}/", self.name));
+        let (roster, write, jobs) = tokio::join!(
+            store.get(&roster_key),
+            store.get(&write_key),
+            store.range_numbers(&job_prefix),
+        );
+        let locations = roster?.and_then(|item| serde_json::from_slice(&item.value).ok());
+        self.write_revision.set(write?.map_or(0, |item| item.revision));
+        let (jobs, revision) = jobs?;
+        self.jobs_read.set(Some(Start { revision, at }));
+        // Runs last: when a job ends, only its owner moves it from one to the other.
+        let (runs, _) = store.range_numbers(&run_prefix).await?;
         Ok((locations.unwrap_or_default(), jobs, runs))
     }
 
@@ -168,6 +178,7 @@
             self.node.clone(),
             prefix,
             Recovery::Watch,
+            self.jobs_read.take(),
             || JOBS_BATCH_PAUSE,
             move || !watched.retired.get(),
             apply,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -124,14 +124,19 @@
     ///
     /// Fails if the store doesn't respond.
     pub async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
+        self.range_after(prefix, None).await
+    }
+
+    async fn range_after(
+        &self,
+        prefix: &str,
+        start: Option<&str>,
+    ) -> Result<(Vec<Item>, u64), Error> {
         let mut items: Vec<Item> = Vec::new();
         let mut revision = None;
         for _ in 0..MAX_PAGES {
-            let after = items.last().map(|item| item.key.clone());
-            let call = store::range(prefix, after.as_deref(), false);
-            let (status, body) =
-                self.call(&call, "range", RESPONSE_TIMEOUT).await.map_err(from_call_error)?;
-            let page: Page = store::parse_range(status, &body).map_err(from_fault)?;
+            let last = items.last().map(|item| item.key.clone());
+            let page = self.page(prefix, last.as_deref().or(start)).await?;
             revision.get_or_insert(page.revision);
             let is_last = !page.more || page.items.is_empty();
             items.extend(page.items);
@@ -142,6 +147,60 @@
         Ok((items, revision.unwrap_or(0)))
     }
 
+    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, Error> {
+        let call = store::range(prefix, after, false);
+        let (status, body) =
+            self.call(&call, "range", RESPONSE_TIMEOUT).await.map_err(from_call_error)?;
+        store::parse_range(status, &body).map_err(from_fault)
+    }
+
+    /// Like [`Store::range`], for keys that consist of the prefix and a hexadecimal number. If they
+    /// don't fit into one page, the others are read in parallel by their first digit: a connection
+    /// carries far less than the link when the store is some milliseconds away.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store doesn't respond.
+    pub async fn range_numbers(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
+        let first = self.page(prefix, None).await?;
+        let mut items = first.items;
+        let last = items.last().filter(|_| first.more).map(|item| item.key.clone());
+        let Some(last) = last else { return Ok((items, first.revision)) };
+        let last_digit = last.as_bytes().get(prefix.len()).copied().unwrap_or(b'0');
+        let read = |digit: char| {
+            let (last, prefix) = (last.as_str(), format!("{prefix}{digit}"));
+            async move {
+                if !digit.is_ascii() || (digit as u8) < last_digit {
+                    return Ok((Vec::new(), 0));
+                }
+                let start = (digit as u8 == last_digit).then_some(last);
+                self.range_after(&prefix, start).await
+            }
+        };
+        let (a, b, c, d, e, f, g, h, i, j, k, l, m, n, o, p) = tokio::join!(
+            read('0'),
+            read('1'),
+            read('2'),
+            read('3'),
+            read('4'),
+            read('5'),
+            read('6'),
+            read('7'),
+            read('8'),
+            read('9'),
+            read('a'),
+            read('b'),
+            read('c'),
+            read('d'),
+            read('e'),
+            read('f'),
+        );
+        for part in [a, b, c, d, e, f, g, h, i, j, k, l, m, n, o, p] {
+            items.extend(part?.0);
+        }
+        Ok((items, first.revision))
+    }
+
     /// Waits for changes, for at most `wait`.
     ///
     /// # Errors
