Update ranked steps whose position stays

A step kept what was known of it (whether a service decides about its workers, whether a task of it crashed, how long it waits for a rack) until its position changed. After a configuration that lets a service decide, a step without advice was taken for one that fits nowhere, and all steps of its size behind it waited beside idle workers.

`plan_starts_others_behind_a_step_that_needs_advice_since` failed before.

--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -95,6 +95,7 @@
 }
 
 impl Ranking {
+    /// Adds a ready step, or updates it if its position is known.
     fn insert(&mut self, position: Position, candidate: Candidate, step: &Step) {
         if self.candidates.insert(position, candidate).is_some() {
             return;
@@ -162,14 +163,13 @@
             if entry.state.is_final() { (Vec::new(), None) } else { self.rank(now, key, entry) };
         let positions: Vec<Position> = ranked.iter().map(|(position, _)| *position).collect();
         let entry = self.jobs.get_mut(key)?;
-        if positions != entry.positions {
-            let steps = entry.steps.clone();
-            for position in std::mem::replace(&mut entry.positions, positions) {
-                self.ranking.remove(&position, steps.get(position.step));
-            }
-            for (position, candidate) in ranked {
-                self.ranking.insert(position, candidate, &steps[position.step]);
-            }
+        let steps = entry.steps.clone();
+        let before = std::mem::replace(&mut entry.positions, positions);
+        for position in before.iter().filter(|position| !entry.positions.contains(position)) {
+            self.ranking.remove(position, steps.get(position.step));
+        }
+        for (position, candidate) in ranked {
+            self.ranking.insert(position, candidate, &steps[position.step]);
         }
         changes
     }
@@ -194,7 +194,6 @@
         let mut ranked = Vec::new();
         let mut changes: Option<Time> = None;
         for (number, occurrence) in &entry.occurrences {
-            let occurrence_state = occurrence;
             let mut ready = ready_steps(entry, occurrence).peekable();
             if ready.peek().is_none() {
                 continue;
@@ -203,11 +202,16 @@
             changes = changes.into_iter().chain(change).min();
             let deadline = entry.deadline(occurrence);
             for (index, step) in ready {
-                let (job, occurrence) = (entry.id, *number);
-                let position =
-                    Position { priority, urgency, deadline, job, occurrence, step: index };
-                let key = StepKey { job: key, occurrence, step: index };
-                ranked.push((position, self.candidate(key, entry, occurrence_state, step)));
+                let position = Position {
+                    priority,
+                    urgency,
+                    deadline,
+                    job: entry.id,
+                    occurrence: *number,
+                    step: index,
+                };
+                let key = StepKey { job: key, occurrence: *number, step: index };
+                ranked.push((position, self.candidate(key, entry, occurrence, step)));
             }
         }
         (ranked, changes)
--- a/crates/jobs/tests/backlog.rs
+++ b/crates/jobs/tests/backlog.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use common::{FENCE, Simulation, at, first_task, step};
 use corianderfork_jobs::pool::Effort;
+use corianderfork_jobs::queue::{AdviceCost, Queue};
 use corianderfork_jobs::record::Record;
 use corianderfork_jobs::{Job, JobId, Step};
 
@@ -65,3 +67,34 @@
     assert_eq!(simulation.workers_running(first_task(early)).len(), 0);
     assert_eq!(simulation.workers_running(first_task(late)).len(), 1);
 }
+
+// Guards against tasks that wait beside an idle worker: a new configuration lets a service decide
+// about the workers of one queue, whose step isn't ranked anew; that it may run nowhere yet is
+// taken to mean that no worker has room for others.
+#[test]
+fn plan_starts_others_behind_a_step_that_needs_advice_since() {
+    let mut simulation = Simulation::new(1);
+    let queue = |priority: u32, advice: Option<AdviceCost>| Queue {
+        priority,
+        attempts: 2,
+        advice,
+        ..Queue::default()
+    };
+    let queues = |advice: Option<AdviceCost>| {
+        HashMap::from([("q".to_owned(), queue(0, advice)), ("r".to_owned(), queue(1, None))])
+    };
+    simulation.pool.set_queues(queues(None));
+    simulation.submit(1, vec![step(1, 8_000)]);
+    simulation.plan();
+    simulation.submit(2, vec![step(1, 8_000)]);
+    let other = JobId(3);
+    simulation.steps.insert(other, vec![step(1, 8_000)]);
+    let job = Job::new("run".to_owned(), vec![step(1, 8_000)]).expect("the job is valid");
+    let record = Record { queue: "r".to_owned(), accepted_ms: 0, job };
+    let now = at(simulation.now);
+    simulation.pool.accept(now, Duration::ZERO, other, &record, None, FENCE + 1);
+    simulation.run_for(100);
+    simulation.pool.set_queues(queues(Some(AdviceCost::default())));
+    simulation.run_for(600);
+    assert_eq!(simulation.workers_running(first_task(other)).len(), 1);
+}
