Read before writing a job once the store has failed to answer

Cause: as the store goes away, each entry VM writes the jobs that come until it has noticed, 0.25 s later. What became of them nobody knows: their callers are told 504, ask again five times within 0.7 s and give up, though the store is back after 2.5 s.

Change: a call that failed, or a watch that was cut, makes the store suspected until its next response. A job is then written only after a read was answered; if none is, it is refused with the certainty that it was not sent, and its caller is told when to come back.

--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -151,6 +151,12 @@
     /// Retries a write of jobs until each is known to be stored or its time is over.
     async fn write(self: &Rc<Self>, mut jobs: Vec<PendingJob>) {
         while !jobs.is_empty() {
+            // A job that is not sent is refused later with the certainty that it isn't stored.
+            if !self.node.store.is_answering().await {
+                jobs = self.give_up(jobs, self.node.store.is_down());
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
             let admission = self.admission(jobs.iter());
             // Jobs of a queue that was just moved to another pool need more rows.
             for mut job in jobs.drain(admission.count()..).rev() {
--- a/crates/entry/src/outage.rs
+++ b/crates/entry/src/outage.rs
@@ -44,6 +44,8 @@
     pending: BTreeMap<CallId, Time>,
     /// Calls that failed since the last response.
     failures: u32,
+    /// Whether a waiting call was cut since the last response.
+    is_cut: bool,
     last_response: Time,
 }
 
@@ -66,6 +68,7 @@
     pub fn note_contact(&mut self, now: Time) {
         self.last_response = now;
         self.failures = 0;
+        self.is_cut = false;
     }
 
     /// Records that a call ended without a response or was rejected.
@@ -74,6 +77,28 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Records that a call that was waiting for a change, and may wait for long, was cut.
+    pub fn note_cut(&mut self) {
+        self.is_cut = true;
+    }
+
+    /// Whether something failed since the last response. What is written now may be carried out
+    /// without an answer, so a read comes first: it can be repeated.
+    ///
+    /// ```
+    /// use corianderfork_entry::outage::Outage;
+    /// use corianderfork_model::Time;
+    ///
+    /// let mut outage = Outage::default();
+    /// outage.note_cut();
+    /// assert!(outage.is_suspected());
+    /// outage.note_contact(Time::from_millis(5));
+    /// assert!(!outage.is_suspected());
+    /// ```
+    pub fn is_suspected(&self) -> bool {
+        self.failures > 0 || self.is_cut
+    }
+
     /// Whether the store is considered down.
     pub fn is_down(&self, now: Time) -> bool {
         // Calls sent before the last response may have been lost individually.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -17,7 +17,7 @@
 use crate::metrics::Metrics;
 use crate::outage::Outage;
 use crate::trace::Trace;
-use routing::WATCH;
+use routing::{PROBE_KEY, WATCH};
 
 /// How long the store may take to respond. It takes milliseconds, or some hundreds of them
 /// when it is slow.
@@ -91,6 +91,13 @@
         self.outage.borrow().is_down(clock::now())
     }
 
+    /// Returns whether the store answers, which is only asked if something failed since its last
+    /// response.
+    pub async fn is_answering(&self) -> bool {
+        let is_suspected = self.outage.borrow().is_suspected();
+        !is_suspected || self.get(PROBE_KEY).await.is_ok()
+    }
+
     /// Returns the evidence for [`Store::is_down`], for the log: the time since the last
     /// response and the number of calls that have failed since.
     pub fn evidence(&self) -> (Duration, u32) {
--- a/crates/entry/src/store/routing.rs
+++ b/crates/entry/src/store/routing.rs
@@ -14,7 +14,7 @@
 /// The pause between two probes while the store is down.
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// A key that is read to see whether the store responds; it need not exist.
-const PROBE_KEY: &str = "entry/probe";
+pub(super) const PROBE_KEY: &str = "entry/probe";
 /// How long a rejected VM uses its peers before it tries directly again.
 const DIRECT_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -53,9 +53,12 @@
     ) -> Result<(u16, Bytes), CallError> {
         // A watch may stay open until something changes, so its delay shows no outage.
         if kind == WATCH {
+            let started = clock::now();
             let answer = self.call_routed(call, kind, within).await;
             if is_response(&answer) {
                 self.outage.borrow_mut().note_contact(clock::now());
+            } else if clock::now() - started < within {
+                self.outage.borrow_mut().note_cut();
             }
             return answer;
         }
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -62,3 +62,20 @@
     assert!(!outage.is_down(at(1_100)), "a restart may reset all connections at once");
     assert!(outage.is_down(at(1_260)));
 }
+
+// Guards against jobs whose outcome nobody knows: the store goes away, and each entry VM writes the
+// next job before it has noticed, although its watches were cut.
+#[test]
+fn is_suspected_after_a_cut_until_the_next_response() {
+    let mut outage = Outage::default();
+    assert!(!outage.is_suspected());
+    outage.note_cut();
+    assert!(outage.is_suspected());
+    assert!(!outage.is_down(Time::from_millis(10_000)), "a cut alone shows no outage");
+    let call = outage.note_sent(Time::from_millis(10_000));
+    outage.note_response(Time::from_millis(10_004), call);
+    assert!(!outage.is_suspected());
+    let call = outage.note_sent(Time::from_millis(10_010));
+    outage.note_failure(call);
+    assert!(outage.is_suspected());
+}
