--- a/crates/jobs/tests/interleaving.rs
+++ b/crates/jobs/tests/interleaving.rs
@@ -16,9 +16,6 @@
 use corianderfork_model::Time;
 use proptest::prelude::*;
 
-/// Crashed workers after which a task may be given up.
-const MAX_CRASHES: usize = 4;
-
 /// An event in one step of time.
 #[derive(Clone, Debug)]
 enum Event {
@@ -68,10 +65,6 @@
     records: BTreeMap<JobId, (Record, u64)>,
     progress: HashMap<JobId, Progress>,
     cancelled: HashSet<JobId>,
-    /// The jobs whose tasks were sent to each worker instance.
-    sent: HashMap<String, HashSet<JobId>>,
-    /// How many worker instances crashed after tasks of a job were sent to them.
-    crashes: HashMap<JobId, usize>,
     next: u64,
     violations: Vec<String>,
 }
@@ -103,8 +96,6 @@
             records: BTreeMap::new(),
             progress: HashMap::new(),
             cancelled: HashSet::new(),
-            sent: HashMap::new(),
-            crashes: HashMap::new(),
             next: 0,
             violations: Vec::new(),
         }
@@ -167,9 +158,6 @@
     fn crash(&mut self, number: usize) {
         let old = self.worker_id(number);
         self.workers.remove(&old);
-        for job in self.sent.remove(&old).unwrap_or_default() {
-            *self.crashes.entry(job).or_default() += 1;
-        }
         self.instance_count += 1;
         let id = format!("w{}", self.instance_count);
         let replaced = self.registrations.iter_mut().find(|entry| entry.id == old).expect("listed");
@@ -259,7 +247,6 @@
     }
 
     fn send_order(&mut self, index: usize, order: &Order) {
-        self.sent.entry(order.id.clone()).or_default().insert(order.task.job);
         let answer = if self.delayed.contains(&order.id) {
             self.delayed_orders.push((self.now + 1_700, order.clone()));
             Answer::Lost
@@ -331,8 +318,6 @@
             let is_expected = match state {
                 Some(State::Completed) => true,
                 Some(State::Cancelled) => self.cancelled.contains(id),
-                // A task is given up after this many crashes, whatever else ran there.
-                Some(State::Failed) => self.crashes.get(id).is_some_and(|n| *n >= MAX_CRASHES),
                 _ => false,
             };
             if !is_expected {
