Log the restart of a worker and the numbers of its exits

The incident's logs can't tell a worker that started again under its ID from one that was silent, nor whether a task vanished after an exit that was acknowledged unread. `task vanished` names those numbers too. No decision depends on it.

--- a/crates/jobs/benches/plan.rs
+++ b/crates/jobs/benches/plan.rs
@@ -112,7 +112,8 @@
             percent: u32::try_from(self.now / 10 % 100).expect("below 100"),
             gauge: 0,
         });
-        let report = Report { clock_ms: self.now, running: running.collect(), exits };
+        let report =
+            Report { clock_ms: self.now, born_ms: None, running: running.collect(), exits };
         let at = self.at();
         self.pool.next_poll(at, key);
         self.pool.handle_poll_answer(at, at, key, &Answer::Done(report));
@@ -176,6 +177,7 @@
         room: WORKER_ROOM,
         draining: false,
         revision: 1,
+        born_ms: None,
     }
 }
 
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -40,6 +40,8 @@
 pub struct Report {
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
+    /// When the worker started, in Unix milliseconds; `None` if it doesn't say.
+    pub born_ms: Option<u64>,
     /// The current runs.
     pub running: Vec<Run>,
     /// The exits that the worker has not forgotten.
@@ -109,6 +111,7 @@
             let why = format!("after {} polls without an answer", worker.unanswered_polls);
             self.note("worker answers again", None, Some(key), why);
         }
+        self.note_restart(key, report);
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.update_clock(now, report.clock_ms);
         worker.unanswered_polls = 0;
@@ -130,6 +133,20 @@
         self.advance_ack(key);
     }
 
+    /// Notes that a worker reports another time of its start than before.
+    fn note_restart(&mut self, key: worker::Key, report: &Report) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let (known, reported) = (worker.born_ms, report.born_ms);
+        worker.born_ms = reported;
+        if known.is_some() && known != reported {
+            let why = format!(
+                "born at {reported:?}, before at {known:?}; clock {} ms; exits handled up to {}",
+                report.clock_ms, worker.last_exit
+            );
+            self.note("worker restarted", None, Some(key), why);
+        }
+    }
+
     /// Returns the keys of all known workers.
     pub fn workers(&self) -> impl Iterator<Item = worker::Key> + '_ {
         self.workers.keys()
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -151,8 +151,14 @@
             worker.strays.remove(&name);
         }
         if is_current {
+            let why = self.workers.get(key).map_or_else(String::new, |worker| {
+                format!(
+                    "run {run} is not listed; exits handled up to {}, acknowledged up to {}",
+                    worker.last_exit, worker.acked
+                )
+            });
             self.requeue(name, now);
-            self.note("task vanished", Some(name), Some(key), format!("run {run} is not listed"));
+            self.note("task vanished", Some(name), Some(key), why);
         }
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -56,6 +56,8 @@
     pub draining: bool,
     /// The store revision of the entry, which increases with each heartbeat.
     pub revision: u64,
+    /// When the worker started, in Unix milliseconds; `None` if the entry doesn't say.
+    pub born_ms: Option<u64>,
 }
 
 /// The location of a worker, kept in the store for a successor.
@@ -122,6 +124,8 @@
 pub struct Worker {
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
+    /// When it started, in Unix milliseconds, as it last reported.
+    pub(crate) born_ms: Option<u64>,
     pub(crate) labels: Vec<String>,
     pub(crate) rack: String,
     pub(crate) rack_symbol: Symbol,
@@ -181,6 +185,7 @@
         Self {
             id: location.id,
             address: location.address,
+            born_ms: None,
             labels: Vec::new(),
             rack: String::new(),
             rack_symbol: Symbol::default(),
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -150,7 +150,7 @@
             gauge: run.gauge,
         });
         let running = running.collect();
-        Answer::Done(Report { clock_ms: now, running, exits: self.exits.clone() })
+        Answer::Done(Report { clock_ms: now, born_ms: None, running, exits: self.exits.clone() })
     }
 }
 
@@ -179,6 +179,7 @@
         room: Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 },
         draining: false,
         revision: 1,
+        born_ms: None,
     }
 }
 
