Reproduce the restart of a worker under its ID in tests that fail

The stand-in's workers start again under their IDs after a crash, with `born` in entries and reports, a clock and numbers of exits that start anew, and no memory of fences, stops and tickets; before, a crash brought a new ID.

Six crashes without the job failing: the ID never goes away, so no crash is counted.

--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -16,6 +16,8 @@
 
 /// The fence of the first owner.
 pub const FENCE: u64 = 7;
+/// The longest lease that a worker grants, in milliseconds.
+pub const MAX_LEASE_MS: u64 = 10_000;
 
 pub fn at(millis: u64) -> Time {
     Time::from_millis(millis)
@@ -36,11 +38,16 @@
 /// A simulated worker that follows the protocol.
 #[derive(Clone, Debug, Default)]
 pub struct Worker {
+    /// When it started. Its clock was zero then.
+    pub born: u64,
     pub fence: u64,
+    /// The end of its lease on its clock.
     pub deadline: u64,
     pub running: BTreeMap<task::Name, ActiveRun>,
     pub exits: Vec<Exit>,
     pub exit_count: u64,
+    /// The number up to which it forgets exits, also later ones.
+    pub seen_upto: u64,
     pub highest: HashMap<task::Name, u64>,
     pub silent: bool,
     pub fails: bool,
@@ -49,6 +56,20 @@
 }
 
 impl Worker {
+    /// Starts again under its ID: nothing is left of before.
+    pub fn restart(&mut self, now: u64) {
+        *self = Self { born: now, ..Self::default() };
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        now - self.born
+    }
+
+    fn extend_lease(&mut self, now: u64, deadline: u64) {
+        let deadline = deadline.min(self.clock(now) + MAX_LEASE_MS);
+        self.deadline = self.deadline.max(deadline);
+    }
+
     pub fn finish_run(&mut self, name: task::Name, outcome: Outcome) {
         if let Some(run) = self.running.remove(&name) {
             self.exit_count += 1;
@@ -60,6 +81,7 @@
                 outcome,
                 saved: String::new(),
             });
+            self.exits.retain(|exit| exit.number > self.seen_upto);
         }
     }
 
@@ -67,7 +89,7 @@
     pub fn advance(&mut self, now: u64) {
         let names: Vec<task::Name> = self.running.keys().copied().collect();
         for name in names {
-            if now >= self.deadline {
+            if self.clock(now) >= self.deadline {
                 self.finish_run(name, Outcome::Lapsed);
             } else if self.running[&name].ends_at <= now {
                 let outcome = if self.fails { Outcome::Failed } else { Outcome::Done };
@@ -97,15 +119,15 @@
         match &order.action {
             Action::Start { deadline_ms, .. } => {
                 if self.running.get(&order.task).is_some_and(|run| run.run == order.run) {
-                    return Answer::Done(now);
+                    return Answer::Done(self.clock(now));
                 }
                 if self.highest.get(&order.task).is_some_and(|highest| order.run <= *highest) {
                     return Answer::Old;
                 }
-                if *deadline_ms <= now {
+                if *deadline_ms <= self.clock(now) {
                     return Answer::Late;
                 }
-                self.deadline = self.deadline.max(*deadline_ms);
+                self.extend_lease(now, *deadline_ms);
                 let run = ActiveRun {
                     run: order.run,
                     room,
@@ -125,7 +147,7 @@
             }
             Action::Pace(_) => {}
         }
-        Answer::Done(now)
+        Answer::Done(self.clock(now))
     }
 
     pub fn handle_poll(
@@ -140,8 +162,9 @@
             return Answer::Fenced;
         }
         self.fence = fence;
-        self.exits.retain(|exit| exit.number > acked);
-        self.deadline = self.deadline.max(deadline.unwrap_or(0));
+        self.seen_upto = self.seen_upto.max(acked);
+        self.exits.retain(|exit| exit.number > self.seen_upto);
+        self.extend_lease(now, deadline.unwrap_or(0));
         let running = self.running.iter().map(|(name, run)| Run {
             task: *name,
             run: run.run,
@@ -150,7 +173,12 @@
             gauge: run.gauge,
         });
         let running = running.collect();
-        Answer::Done(Report { clock_ms: now, born_ms: None, running, exits: self.exits.clone() })
+        Answer::Done(Report {
+            clock_ms: self.clock(now),
+            born_ms: Some(self.born),
+            running,
+            exits: self.exits.clone(),
+        })
     }
 }
 
