Give each instance of a worker a key of its own

Cause: the pool knew a worker by its ID alone. The new instance numbers its exits from 1, so they counted as handled; polls carried the number up to which the former instance could forget its exits, and the new one forgot its own unread ones. The runs were then listed nowhere, and their tasks started again. Deadlines were worked out from the former instance's clock.

Change: a report of another start (`born`), or with a clock that went back, replaces the worker by its next instance. Nothing that the former one did or said is kept: exits, acknowledgements, clock, lease, fence, tickets, failures. Runs that the new one lists move to it; starts that may still arrive there are stopped there first; all others are requeued at once. Since nothing in a request names the instance, a worker is polled over one connection, which ends with the instance, and the first poll on a connection grants and acknowledges nothing. The lease of an answered start counts from the clock in that answer, whichever instance sent it. An entry of another instance changes nothing but that the worker is listed.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -73,6 +73,19 @@
     }
 }
 
+/// A connection that is kept for the calls of one user.
+pub struct Connection {
+    sender: Sender,
+    address: SocketAddr,
+}
+
+impl Connection {
+    /// Returns whether it is known to be closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// An HTTP client.
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<(Sender, Time)>>>,
@@ -131,6 +144,40 @@
         self.call_with_timeouts(kind, address, call, timeouts, |_| {}).await
     }
 
+    /// Opens a connection to `address` for [`Client::call_over`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection isn't open within `within`.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        within: Duration,
+    ) -> Result<Connection, CallError> {
+        let sender = self.connect(address, within.min(CONNECT_TIMEOUT)).await?;
+        Ok(Connection { sender, address })
+    }
+
+    /// Like [`Client::call`], over a connection that was opened before and over no other. Returns
+    /// the connection with the response.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`]. The connection is closed.
+    pub async fn call_over(
+        &self,
+        kind: &'static str,
+        mut connection: Connection,
+        call: &Call,
+        within: Duration,
+    ) -> Result<(u16, Bytes, Connection), CallError> {
+        let timeouts = Timeouts { head: within, stall: within, total: within };
+        let Connection { sender, address } = &mut connection;
+        let (status, body) =
+            self.exchange_over(kind, sender, *address, call, timeouts, |_| {}).await?;
+        Ok((status, body, connection))
+    }
+
     /// Like [`Client::call`], for a response that may be large: `within` bounds the time
     /// until its head arrives; the body is then read while it makes progress. The whole
     /// exchange may take `within` and `BODY_TIMEOUT`. `on_head` is called with the status
@@ -163,22 +210,34 @@
         timeouts: Timeouts,
         on_head: impl FnOnce(u16),
     ) -> Result<(u16, Bytes), CallError> {
-        let counted = self.traffic.begin(kind);
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
             None => self.connect(address, timeouts.head.min(CONNECT_TIMEOUT)).await?,
         };
+        let response =
+            self.exchange_over(kind, &mut sender, address, call, timeouts, on_head).await?;
+        self.put_idle(address, sender);
+        Ok(response)
+    }
+
+    async fn exchange_over(
+        &self,
+        kind: &'static str,
+        sender: &mut Sender,
+        address: SocketAddr,
+        call: &Call,
+        timeouts: Timeouts,
+        on_head: impl FnOnce(u16),
+    ) -> Result<(u16, Bytes), CallError> {
+        let counted = self.traffic.begin(kind);
         counted.add_sent(call.target.len() + call.body.len());
         let request = build_request(address, call).ok_or(CallError::Unsent)?;
         let received = Cell::new(0);
-        let response = exchange(&mut sender, request, timeouts, on_head, &received);
+        let response = exchange(sender, request, timeouts, on_head, &received);
         let response = timeout(timeouts.total, response).await;
         counted.add_received(received.get());
         match response.unwrap_or(Err(ExchangeError::TimedOut)) {
-            Ok(response) => {
-                self.put_idle(address, sender);
-                Ok(response)
-            }
+            Ok(response) => Ok(response),
             Err(ExchangeError::Call(error)) => Err(error),
             Err(ExchangeError::TimedOut) => {
                 if received.get() > 0 {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -119,6 +119,7 @@
         node.retired_grants.borrow_mut().remove(name);
         let config = Config::new(fence, now + may_grant + worker::max_lease_duration(lease))
             .lease(lease)
+            .max_lease(node.settings.max_lease)
             .remember(retention)
             .remote_factor(node.settings.remote_factor);
         let owner = Rc::new(Self {
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_adapter::worker as wire;
-use corianderfork_jobs::pool::{Answer, Order, Poll};
+use corianderfork_jobs::pool::{self, Answer, Order, Poll};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
 use serde_json::json;
@@ -13,7 +13,7 @@
 
 use super::{Owner, ms};
 use crate::clock;
-use crate::http::CallError;
+use crate::http::{CallError, Connection};
 
 /// How long a worker may take to respond, beyond the time that it is asked to wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -118,15 +118,21 @@
 
     async fn poll_loop(self: Rc<Self>, key: worker::Key) {
         let (mut newest, mut address) = (None, None);
+        // A worker may start again under its ID. What is meant for one instance goes over a
+        // connection that ends with it.
+        let mut connection = None;
         while !self.retired.get() && !self.halted.get() {
             if !self.node.may_order() {
                 tokio::time::sleep(POLL_PAUSE_AFTER_FAILURE).await;
                 continue;
             }
             let sent = clock::now();
-            let Some(poll) = self.pool.borrow_mut().next_poll(sent, key) else { break };
+            let kept = connection.take().filter(|kept: &Connection| !kept.is_closed());
+            let kind = if kept.is_some() { pool::Connection::Kept } else { pool::Connection::New };
+            let Some(poll) = self.pool.borrow_mut().next_poll(sent, key, kind) else { break };
             address = Some(poll.address);
-            let answer = self.poll(&poll).await;
+            let (answer, answered_over) = self.poll(&poll, kept).await;
+            connection = answered_over;
             if self.retired.get() || self.halted.get() {
                 break;
             }
@@ -170,16 +176,34 @@
         }
     }
 
-    async fn poll(&self, poll: &Poll) -> Answer<corianderfork_jobs::pool::Report> {
+    /// Polls a worker over `kept`, or over a new connection if there is none. Returns its answer
+    /// and the connection, if it can be kept.
+    async fn poll(
+        &self,
+        poll: &Poll,
+        kept: Option<Connection>,
+    ) -> (Answer<pool::Report>, Option<Connection>) {
         let call = wire::poll(poll);
         let started = clock::now();
         let within =
             if poll.deadline_ms.is_some() { RESPONSE_TIMEOUT } else { FIRST_RESPONSE_TIMEOUT };
-        let answer = self.node.client.call("poll", poll.address, &call, poll.wait + within).await;
+        let client = &self.node.client;
+        let connection = match kept {
+            Some(kept) => Ok(kept),
+            None => client.open(poll.address, within).await,
+        };
+        let answer = match connection {
+            Ok(connection) => client.call_over("poll", connection, &call, poll.wait + within).await,
+            Err(error) => Err(error),
+        };
         self.count("look", started, answer.is_ok());
         match answer {
-            Ok((status, body)) => wire::parse_poll(status, &body).unwrap_or(Answer::Lost),
-            Err(_) => Answer::Lost,
+            Ok((status, body, connection)) => {
+                let answer = wire::parse_poll(status, &body).unwrap_or(Answer::Lost);
+                let is_report = matches!(answer, Answer::Done(_));
+                (answer, is_report.then_some(connection))
+            }
+            Err(_) => (Answer::Lost, None),
         }
     }
 
--- a/crates/jobs/benches/plan.rs
+++ b/crates/jobs/benches/plan.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_jobs::job::Room;
-use corianderfork_jobs::pool::{Action, Answer, Config, Order, Pool, Report};
+use corianderfork_jobs::pool::{Action, Answer, Config, Connection, Order, Pool, Report};
 use corianderfork_jobs::queue::Queue;
 use corianderfork_jobs::task::{Exit, Name, Outcome, Run};
 use corianderfork_jobs::worker::{Key, Registration};
@@ -115,7 +115,7 @@
         let report =
             Report { clock_ms: self.now, born_ms: None, running: running.collect(), exits };
         let at = self.at();
-        self.pool.next_poll(at, key);
+        self.pool.next_poll(at, key, Connection::Kept);
         self.pool.handle_poll_answer(at, at, key, &Answer::Done(report));
     }
 
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod ranking;
 mod reserve;
+mod restart;
 mod runs;
 mod shrink;
 mod space;
@@ -40,7 +41,7 @@
 pub use load::Load;
 pub use order::{Action, Answer, Order};
 pub use plan::Effort;
-pub use poll::{Poll, Report};
+pub use poll::{Connection, Poll, Report};
 
 use crate::estimate::Estimator;
 use crate::flow::Flow;
@@ -72,6 +73,8 @@
     pub(crate) fence: u64,
     /// Length of a lease on a worker.
     pub(crate) lease: Duration,
+    /// The longest lease that workers grant.
+    pub(crate) max_lease: Duration,
     /// How long the state of a finished job is kept.
     pub(crate) remember: Duration,
     /// The latest end of leases whose granting predecessors can't be queried.
@@ -87,6 +90,7 @@
         Self {
             fence,
             lease: Duration::from_secs(4),
+            max_lease: Duration::from_secs(10),
             remember: Duration::from_secs(125),
             inherited_until,
             remote_factor: 1.0,
@@ -109,6 +113,13 @@
         self
     }
 
+    /// Sets the longest lease that workers grant: they shorten longer ones.
+    #[must_use]
+    pub fn max_lease(mut self, max_lease: Duration) -> Self {
+        self.max_lease = max_lease;
+        self
+    }
+
     /// Sets how long the state of a finished job is kept.
     #[must_use]
     pub fn remember(mut self, remember: Duration) -> Self {
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -93,8 +93,12 @@
                 return self.remove_worker(now, order.worker, "another worker instance answers");
             }
             Answer::Done(clock) => {
+                let max_lease = self.config.max_lease;
                 if let Some(worker) = self.workers.get_mut(order.worker) {
                     worker.update_clock(now, *clock);
+                    if let Action::Start { deadline_ms, .. } = order.action {
+                        worker.confirm_lease(now, *clock, deadline_ms, max_lease);
+                    }
                 }
             }
             _ => {}
@@ -276,8 +280,9 @@
         let (key, run) = (placement.worker, placement.run);
         let lease = self.config.lease;
         let Some(worker) = self.workers.get_mut(key) else { return };
-        // An unresponsive worker is granted no more leases; see `next_poll`.
-        if worker.unanswered_polls >= 2 {
+        // An unresponsive worker is granted no more leases; see `next_poll`. Its next answer may come
+        // from another instance.
+        if !worker.is_responsive() {
             return;
         }
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -15,6 +15,15 @@
 /// is noticed after this plus the time of an answer.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 
+/// The connection over which a worker is polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// A new one. It may reach another instance of the worker than the known one.
+    New,
+    /// The one over which the worker answered the last poll. It ends with that instance.
+    Kept,
+}
+
 /// A request for the state of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Poll {
@@ -53,10 +62,38 @@
     ///
     /// An unresponsive worker gets no new leases: each lease that is sent to it delays the
     /// restart of its tasks elsewhere.
-    pub fn next_poll(&mut self, now: Time, key: worker::Key) -> Option<Poll> {
+    ///
+    /// The first poll on a connection grants and acknowledges nothing. An instance that started
+    /// meanwhile would take a deadline on its predecessor's clock and forget exits that nobody has
+    /// read.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    ///
+    /// use corianderfork_jobs::pool::{Answer, Config, Connection, Pool, Report};
+    /// use corianderfork_jobs::worker::Location;
+    /// use corianderfork_model::Time;
+    ///
+    /// let now = Time::from_millis(1);
+    /// let mut pool = Pool::new(Config::new(7, now));
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address: ([127, 0, 0, 1], 80).into() }]);
+    /// let key = pool.workers().next().expect("a worker");
+    /// let poll = pool.next_poll(now, key, Connection::New).expect("a poll");
+    /// assert_eq!((poll.deadline_ms, poll.acked), (None, 0));
+    /// pool.handle_poll_answer(now, now, key, &Answer::Done(Report::default()));
+    /// let poll = pool.next_poll(now, key, Connection::Kept).expect("a poll");
+    /// assert!(poll.deadline_ms.is_some());
+    /// ```
+    pub fn next_poll(
+        &mut self,
+        now: Time,
+        key: worker::Key,
+        connection: Connection,
+    ) -> Option<Poll> {
         let lease = self.config.lease;
         let worker = self.workers.get_mut(key)?;
-        let is_reachable = worker.fenced && worker.unanswered_polls < 2;
+        let is_kept = connection == Connection::Kept;
+        let is_reachable = is_kept && worker.fenced && worker.unanswered_polls < 2;
         let deadline_ms = if is_reachable { worker.grant(now, lease) } else { None };
         let wait = if is_reachable && worker.is_responsive() { MAX_WAIT } else { Duration::ZERO };
         Some(Poll {
@@ -65,7 +102,7 @@
             address: worker.address,
             fence: self.config.fence,
             deadline_ms,
-            acked: worker.acked,
+            acked: if is_kept { worker.acked } else { 0 },
             wait,
         })
     }
@@ -106,13 +143,15 @@
     }
 
     fn handle_report(&mut self, now: Time, sent: Time, key: worker::Key, report: &Report) {
+        let Some(key) = self.reporting_instance(now, sent, key, report) else { return };
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.unanswered_polls >= 2 {
             let why = format!("after {} polls without an answer", worker.unanswered_polls);
             self.note("worker answers again", None, Some(key), why);
         }
-        self.note_restart(key, report);
         let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.born_ms = report.born_ms.or(worker.born_ms);
+        worker.reported_clock_ms = report.clock_ms;
         worker.update_clock(now, report.clock_ms);
         worker.unanswered_polls = 0;
         if !worker.fenced {
@@ -133,20 +172,6 @@
         self.advance_ack(key);
     }
 
-    /// Notes that a worker reports another time of its start than before.
-    fn note_restart(&mut self, key: worker::Key, report: &Report) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
-        let (known, reported) = (worker.born_ms, report.born_ms);
-        worker.born_ms = reported;
-        if known.is_some() && known != reported {
-            let why = format!(
-                "born at {reported:?}, before at {known:?}; clock {} ms; exits handled up to {}",
-                report.clock_ms, worker.last_exit
-            );
-            self.note("worker restarted", None, Some(key), why);
-        }
-    }
-
     /// Returns the keys of all known workers.
     pub fn workers(&self) -> impl Iterator<Item = worker::Key> + '_ {
         self.workers.keys()
--- /dev/null
+++ b/crates/jobs/src/pool/restart.rs
@@ -0,0 +1,154 @@
+//! Workers that start again under their IDs.
+//!
+//! A worker that starts again knows nothing of before: its clock and the numbers of its exits start
+//! anew, and it runs nothing. What the pool holds about a worker is about one instance of it, so
+//! each instance has a key of its own.
+
+use std::collections::HashSet;
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::entry::{Phase, Placement};
+use super::poll::Report;
+use crate::task;
+use crate::worker::{self, Allocation, Stray};
+
+/// What becomes of a run that was ordered on a former instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// It ended with the former instance.
+    Lost,
+    /// The new instance lists it, as running or as ended: its start arrived there.
+    Listed,
+    /// Its start may still arrive at the new instance, which has to confirm a stop first.
+    Pending,
+}
+
+impl Pool {
+    /// Returns the key of the instance that sent a report. If it is not the known one, that one has
+    /// ended: a worker has one instance at a time.
+    pub(super) fn reporting_instance(
+        &mut self,
+        now: Time,
+        sent: Time,
+        key: worker::Key,
+        report: &Report,
+    ) -> Option<worker::Key> {
+        let worker = self.workers.get(key)?;
+        if !worker.has_restarted(report.born_ms, report.clock_ms) {
+            return Some(key);
+        }
+        let why = format!(
+            "born at {:?}, before at {:?}; clock {} ms, before {} ms; exits handled up to {}",
+            report.born_ms,
+            worker.born_ms,
+            report.clock_ms,
+            worker.reported_clock_ms,
+            worker.last_exit
+        );
+        self.note("worker restarted", None, Some(key), why);
+        self.replace_instance(now, sent, key, report)
+    }
+
+    /// Replaces a worker by its next instance, and requeues the tasks of the former one.
+    fn replace_instance(
+        &mut self,
+        now: Time,
+        sent: Time,
+        key: worker::Key,
+        report: &Report,
+    ) -> Option<worker::Key> {
+        let next = self.workers.get(key)?.next_instance(report.born_ms);
+        let next_key = self.insert_worker(next);
+        let listed: HashSet<(task::Name, u64)> = report
+            .running
+            .iter()
+            .map(|run| (run.task, run.run))
+            .chain(report.exits.iter().map(|exit| (exit.task, exit.run)))
+            .collect();
+        let former = self.workers.get(key)?;
+        let allocations: Vec<(task::Name, Allocation)> =
+            former.allocations.iter().map(|(name, allocation)| (*name, *allocation)).collect();
+        let mut lost = Vec::new();
+        let mut may_hold_lease = !report.running.is_empty();
+        for (name, allocation) in allocations {
+            let is_listed = listed.contains(&(name, allocation.run));
+            match self.fate(sent, key, name, allocation.run, is_listed) {
+                Fate::Lost => lost.push(name),
+                fate => {
+                    may_hold_lease = true;
+                    self.move_run(now, key, next_key, (name, allocation), fate);
+                }
+            }
+        }
+        self.requeue_tasks(now, key, lost, "its worker has restarted");
+        self.workers.remove(key);
+        // The former instance's clock was ahead, so a lease that was meant for it may be the
+        // longest one on the new instance.
+        if may_hold_lease && let Some(worker) = self.workers.get_mut(next_key) {
+            let until = now + worker::max_lease_duration(self.config.max_lease);
+            worker.started_until = worker.started_until.max(until);
+        }
+        Some(next_key)
+    }
+
+    fn fate(
+        &self,
+        sent: Time,
+        key: worker::Key,
+        name: task::Name,
+        run: u64,
+        is_listed: bool,
+    ) -> Fate {
+        if is_listed {
+            return Fate::Listed;
+        }
+        let placement = self.entry(name.job).and_then(|entry| entry.placement(name));
+        let is_current = |p: &&Placement| p.worker == key && p.run == run;
+        let is_pending = match placement.filter(is_current).map(|p| (p.phase, p)) {
+            Some((Phase::Starting { .. }, _)) => true,
+            // Confirmed after the report was requested, so perhaps by the new instance.
+            Some((Phase::Running { confirmed }, _)) => confirmed >= sent,
+            Some((Phase::Stopping { .. }, placement)) => placement.is_start_unconfirmed,
+            None => self.stray(key, name, run).is_some_and(|stray| stray.is_start_pending),
+        };
+        if is_pending { Fate::Pending } else { Fate::Lost }
+    }
+
+    fn stray(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Stray> {
+        self.workers.get(key)?.strays.get(&name).filter(|stray| stray.run == run)
+    }
+
+    /// Moves a run to the next instance of its worker.
+    fn move_run(
+        &mut self,
+        now: Time,
+        key: worker::Key,
+        next_key: worker::Key,
+        (name, allocation): (task::Name, Allocation),
+        fate: Fate,
+    ) {
+        let stray = self.stray(key, name, allocation.run).copied();
+        if let Some(worker) = self.workers.get_mut(next_key) {
+            worker.allocate(name, allocation);
+            if let Some(stray) = stray {
+                let stray = Stray { stop_sent: None, stop_confirmed: None, ..stray };
+                worker.strays.insert(name, stray);
+            }
+        }
+        let entry = self.entry_mut(name.job);
+        let placement = entry.and_then(|entry| entry.placement_mut(name));
+        let is_current = |p: &&mut Placement| p.worker == key && p.run == allocation.run;
+        let Some(placement) = placement.filter(is_current) else { return };
+        placement.worker = next_key;
+        let is_stopping = matches!(placement.phase, Phase::Stopping { .. });
+        if fate == Fate::Listed && !is_stopping {
+            placement.phase = Phase::Running { confirmed: now };
+            self.track_suspect(now, name, next_key, allocation.run);
+        } else {
+            placement.is_start_unconfirmed = true;
+            placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
+        }
+    }
+}
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -12,8 +12,13 @@
 
 impl Pool {
     pub(super) fn add_worker(&mut self, location: Location, inherited_until: Time) -> worker::Key {
-        let id = location.id.clone();
-        let key = self.workers.insert(Worker::new(location, inherited_until));
+        self.insert_worker(Worker::new(location, inherited_until))
+    }
+
+    /// Adds a worker instance, which is the current one of its ID from now on.
+    pub(super) fn insert_worker(&mut self, worker: Worker) -> worker::Key {
+        let id = worker.id.clone();
+        let key = self.workers.insert(worker);
         self.by_id.insert(id, key);
         self.is_roster_outdated = true;
         self.joined_workers += 1;
@@ -57,17 +62,22 @@
         let is_rostered = self.written_roster.contains(&location);
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.rostered = is_rostered;
+        worker.missing_since = None;
+        // A new instance may be of another kind and size, and no longer drains.
+        if !worker::is_same_start(worker.born_ms, entry.born_ms) {
+            return;
+        }
+        worker.registered_born_ms = entry.born_ms;
         worker.labels.clone_from(&entry.labels);
         if worker.rack != entry.rack {
             worker.rack.clone_from(&entry.rack);
             worker.rack_symbol = self.symbols.intern(&entry.rack);
         }
         worker.room = entry.room;
-        worker.missing_since = None;
         let is_new_drain = entry.draining && !worker.draining;
         worker.draining = entry.draining;
         if known.is_none() {
-            let why = format!("{:?}", entry.room);
+            let why = format!("{:?}, born at {:?}", entry.room, entry.born_ms);
             self.note("worker listed", None, Some(key), why);
         }
         if is_new_drain {
@@ -151,7 +161,13 @@
         self.departed.add(now, worker.id);
     }
 
-    fn requeue_tasks(&mut self, now: Time, key: worker::Key, names: Vec<task::Name>, why: &str) {
+    pub(super) fn requeue_tasks(
+        &mut self,
+        now: Time,
+        key: worker::Key,
+        names: Vec<task::Name>,
+        why: &str,
+    ) {
         for name in names {
             let Some(entry) = self.entry(name.job) else { continue };
             let Some(placement) = entry.placement(name).filter(|placement| placement.worker == key)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -124,8 +124,13 @@
 pub struct Worker {
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
-    /// When it started, in Unix milliseconds, as it last reported.
+    /// When this instance started, in Unix milliseconds, as it reported; `None` if it hasn't said.
     pub(crate) born_ms: Option<u64>,
+    /// The start of the instance that wrote the entry from which labels, rack, room and drain
+    /// are taken.
+    pub(crate) registered_born_ms: Option<u64>,
+    /// The clock of its last report, in milliseconds.
+    pub(crate) reported_clock_ms: u64,
     pub(crate) labels: Vec<String>,
     pub(crate) rack: String,
     pub(crate) rack_symbol: Symbol,
@@ -150,6 +155,8 @@
     granted_until_ms: u64,
     /// When the leases that predecessors granted end at the latest.
     pub(crate) inherited_until: Time,
+    /// When the leases of starts end at the latest, whichever instance took them.
+    pub(crate) started_until: Time,
     /// The number of the last exit that was handled.
     pub(crate) last_exit: u64,
     /// The number of the last exit that the worker may forget.
@@ -186,6 +193,8 @@
             id: location.id,
             address: location.address,
             born_ms: None,
+            registered_born_ms: None,
+            reported_clock_ms: 0,
             labels: Vec::new(),
             rack: String::new(),
             rack_symbol: Symbol::default(),
@@ -201,6 +210,7 @@
             clock: None,
             granted_until_ms: 0,
             inherited_until,
+            started_until: Time::ZERO,
             last_exit: 0,
             acked: 0,
             pending: BTreeMap::new(),
@@ -223,6 +233,38 @@
         }
     }
 
+    /// Returns a new instance of this worker. It keeps what is known of the VM and what was decided
+    /// about it, and nothing that the former instance did or said.
+    pub(crate) fn next_instance(&self, born_ms: Option<u64>) -> Self {
+        let mut next = Self {
+            born_ms,
+            missing_since: self.missing_since,
+            rostered: self.rostered,
+            vacate_until: self.vacate_until,
+            vacating_since: self.vacating_since,
+            is_surplus: self.is_surplus,
+            started_until: self.started_until,
+            ..Self::new(self.location(), self.inherited_until)
+        };
+        if is_same_start(self.registered_born_ms, born_ms) {
+            next.registered_born_ms = self.registered_born_ms;
+            next.labels.clone_from(&self.labels);
+            next.rack.clone_from(&self.rack);
+            next.rack_symbol = self.rack_symbol;
+            next.room = self.room;
+            next.draining = self.draining;
+        }
+        next
+    }
+
+    /// Returns whether a report can't be one of this instance.
+    ///
+    /// Reports arrive in the order in which they were sent, so the clock of an instance never goes
+    /// back from one to the next.
+    pub(crate) fn has_restarted(&self, born_ms: Option<u64>, clock_ms: u64) -> bool {
+        !is_same_start(self.born_ms, born_ms) || clock_ms < self.reported_clock_ms
+    }
+
     pub(crate) fn location(&self) -> Location {
         Location { id: self.id.clone(), address: self.address }
     }
@@ -250,15 +292,29 @@
         Some(deadline)
     }
 
+    /// Records that the worker answered a start with its clock at `clock_ms`. If another instance
+    /// answered, the lease differs from the one that was meant.
+    pub(crate) fn confirm_lease(
+        &mut self,
+        now: Time,
+        clock_ms: u64,
+        deadline_ms: u64,
+        max_lease: Duration,
+    ) {
+        let length = Duration::from_millis(deadline_ms.saturating_sub(clock_ms)).min(max_lease);
+        self.started_until = self.started_until.max(now + max_lease_duration(length));
+    }
+
     /// Returns when all granted leases have certainly ended, on the owner's clock.
     ///
     /// The worker's clock may be slow: it shows at least the last reported time plus 98% of the
     /// time since.
     pub(crate) fn leases_end(&self) -> Time {
-        let Some((clock, at)) = self.clock else { return self.inherited_until };
+        let others = self.inherited_until.max(self.started_until);
+        let Some((clock, at)) = self.clock else { return others };
         let remaining = self.granted_until_ms.saturating_sub(clock);
         let stretched = remaining * 100 / u64::from(100 - CLOCK_SLOW_PERCENT) + 1;
-        (at + Duration::from_millis(stretched)).max(self.inherited_until)
+        (at + Duration::from_millis(stretched)).max(others)
     }
 
     /// Returns whether the last poll was answered.
@@ -343,6 +399,12 @@
     }
 }
 
+/// Returns whether two reported starts may be those of one instance: a start that isn't reported
+/// is no sign of another instance.
+pub(crate) fn is_same_start(first: Option<u64>, second: Option<u64>) -> bool {
+    first.is_none() || second.is_none() || first == second
+}
+
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/jobs/tests/checkpoint.rs
+++ b/crates/jobs/tests/checkpoint.rs
@@ -7,7 +7,7 @@
 
 use common::{FENCE, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::Job;
-use corianderfork_jobs::pool::Action;
+use corianderfork_jobs::pool::{Action, Connection};
 use corianderfork_jobs::record::Record;
 use corianderfork_jobs::task::Outcome;
 
@@ -27,7 +27,7 @@
     sim.poll_all();
     sim.write();
     let key = sim.key("w0");
-    let acked = sim.pool.next_poll(at(sim.now), key).expect("a poll").acked;
+    let acked = sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll").acked;
     let is_written = sim.progress.get(&job).is_some_and(|p| format!("{p:?}").contains("half"));
     assert!(acked == 0 || is_written, "only this owner has the saved progress");
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use corianderfork_jobs::job::Room;
-use corianderfork_jobs::pool::{Action, Answer, Batch, Config, Order, Pool, Report};
+use corianderfork_jobs::pool::{
+    Action, Answer, Batch, Config, Connection, Order, Poll, Pool, Report,
+};
 use corianderfork_jobs::queue::Queue;
 use corianderfork_jobs::record::{Progress, Record};
 use corianderfork_jobs::task::{self, Exit, Outcome, Run};
@@ -196,6 +198,43 @@
     pub max_cpu_used: u64,
     /// The last written progress of jobs.
     pub progress: HashMap<JobId, Progress>,
+    pub connections: Connections,
+}
+
+/// The connections over which an owner polls workers.
+#[derive(Clone, Debug, Default)]
+pub struct Connections {
+    /// When the worker instance at the other end started.
+    peers: HashMap<Key, u64>,
+}
+
+impl Connections {
+    /// Returns the connection for the next poll of a worker.
+    pub fn of(&self, key: Key) -> Connection {
+        if self.peers.contains_key(&key) { Connection::Kept } else { Connection::New }
+    }
+
+    /// Polls a worker over its connection, which has broken if its instance has ended. Any
+    /// connection is closed if the answer gets lost.
+    pub fn poll(
+        &mut self,
+        now: u64,
+        poll: &Poll,
+        worker: Option<&mut Worker>,
+        is_answer_lost: bool,
+    ) -> Answer<Report> {
+        let peer = self.peers.remove(&poll.worker);
+        let Some(worker) = worker.filter(|worker| peer.is_none_or(|born| born == worker.born))
+        else {
+            return Answer::Lost;
+        };
+        let answer = worker.handle_poll(now, poll.fence, poll.acked, poll.deadline_ms);
+        if is_answer_lost {
+            return Answer::Lost;
+        }
+        self.peers.insert(poll.worker, worker.born);
+        answer
+    }
 }
 
 pub fn registration(id: &str, port: u16, rack: &str) -> Registration {
@@ -242,6 +281,7 @@
             steps: HashMap::new(),
             max_cpu_used: 0,
             progress: HashMap::new(),
+            connections: Connections::default(),
         };
         sim.list_and_poll();
         sim
@@ -286,13 +326,11 @@
     pub fn poll(&mut self, key: Key) {
         {
             let now = at(self.now);
-            let Some(poll) = self.pool.next_poll(now, key) else { return };
+            let connection = self.connections.of(key);
+            let Some(poll) = self.pool.next_poll(now, key, connection) else { return };
             let worker = self.workers.get_mut(&poll.id).expect("a worker");
-            let answer = if worker.silent {
-                Answer::Lost
-            } else {
-                worker.handle_poll(self.now, poll.fence, poll.acked, poll.deadline_ms)
-            };
+            let reachable = (!worker.silent).then_some(worker);
+            let answer = self.connections.poll(self.now, &poll, reachable, false);
             self.pool.handle_poll_answer(at(self.now), now, key, &answer);
         }
     }
--- a/crates/jobs/tests/interleaving.rs
+++ b/crates/jobs/tests/interleaving.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use common::{FENCE, Worker, at, owner, registration};
+use common::{Connections, FENCE, Worker, at, owner, registration};
 use corianderfork_jobs::pool::{Answer, Order, Pool};
 use corianderfork_jobs::record::{Progress, Record, State};
 use corianderfork_jobs::task::{Name, Outcome};
@@ -52,6 +52,8 @@
 struct FaultSimulation {
     now: u64,
     owners: Vec<Pool>,
+    /// The connections of each owner.
+    connections: Vec<Connections>,
     fence: u64,
     workers: BTreeMap<String, Worker>,
     registrations: Vec<Registration>,
@@ -84,6 +86,7 @@
         Self {
             now: 1_000,
             owners: vec![owner(FENCE, 1_000)],
+            connections: vec![Connections::default()],
             fence: FENCE,
             workers,
             registrations,
@@ -179,8 +182,10 @@
         }
         pool.set_workers(at(self.now), &self.registrations);
         self.owners.push(pool);
+        self.connections.push(Connections::default());
         if self.owners.len() > 2 {
             self.owners.remove(0);
+            self.connections.remove(0);
         }
     }
 
@@ -235,14 +240,11 @@
     }
 
     fn poll(&mut self, index: usize, key: Key, now: Time) {
-        let Some(poll) = self.owners[index].next_poll(now, key) else { return };
-        let answer = match self.workers.get_mut(&poll.id) {
-            None => Answer::Lost,
-            Some(worker) => {
-                let answer = worker.handle_poll(self.now, poll.fence, poll.acked, poll.deadline_ms);
-                if self.answers_lost.contains(&poll.id) { Answer::Lost } else { answer }
-            }
-        };
+        let connection = self.connections[index].of(key);
+        let Some(poll) = self.owners[index].next_poll(now, key, connection) else { return };
+        let is_lost = self.answers_lost.contains(&poll.id);
+        let worker = self.workers.get_mut(&poll.id);
+        let answer = self.connections[index].poll(self.now, &poll, worker, is_lost);
         self.owners[index].handle_poll_answer(now, now, key, &answer);
     }
 
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{FENCE, Simulation, at, first_task, owner, step};
-use corianderfork_jobs::pool::{Action, Answer};
+use corianderfork_jobs::pool::{Action, Answer, Connection};
 use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::Outcome;
 use corianderfork_jobs::{Job, JobId};
@@ -64,11 +64,11 @@
     sim.now += 600;
     sim.poll_all();
     let key = sim.key("w0");
-    let poll = sim.pool.next_poll(at(sim.now), key).expect("a poll");
+    let poll = sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll");
     assert_eq!(poll.acked, 0, "two exits are not written");
     sim.now += 1_100;
     sim.write();
-    let poll = sim.pool.next_poll(at(sim.now), key).expect("a poll");
+    let poll = sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll");
     assert_eq!(poll.acked, 2);
 }
 
@@ -167,7 +167,7 @@
     worker.running.insert(first_task(job), run);
     worker.finish_run(first_task(job), Outcome::Done);
     sim.run_for(200);
-    let poll = sim.pool.next_poll(at(sim.now), sim.key("w0")).expect("a poll");
+    let poll = sim.pool.next_poll(at(sim.now), sim.key("w0"), Connection::Kept).expect("a poll");
     assert_eq!(poll.acked, 0);
     sim.submit(9, vec![step(1, 1_000)]);
     sim.run_for(300);
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -4,8 +4,9 @@
 
 use std::collections::BTreeSet;
 
-use common::{Simulation, step};
-use corianderfork_jobs::pool::Action;
+use common::{Simulation, at, first_task, step};
+use corianderfork_jobs::job::Room;
+use corianderfork_jobs::pool::{Action, Answer, Order};
 use corianderfork_jobs::record::State;
 
 /// Returns the number of runs that were started of all tasks of the jobs so far.
@@ -14,6 +15,29 @@
     starts.map(|order| order.run).collect::<BTreeSet<u64>>().len()
 }
 
+/// Restarts a worker under its ID now.
+fn restart(sim: &mut Simulation, id: &str) {
+    let now = sim.now;
+    sim.workers.get_mut(id).expect("a worker").restart(now);
+}
+
+/// Lets the worker carry out an order without an answer.
+fn carry_out_unanswered(sim: &mut Simulation, order: &Order) {
+    let (now, task_ms) = (sim.now, sim.task_ms);
+    let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
+    let worker = sim.workers.get_mut(&order.id).expect("a worker");
+    worker.handle_order(now, order, room, task_ms);
+}
+
+/// Advances by `millis` and asserts that the task never runs on two workers at once.
+fn run_and_check_single(sim: &mut Simulation, millis: u64, name: corianderfork_jobs::task::Name) {
+    for _ in 0..millis / 100 {
+        sim.run_for(100);
+        let running = sim.workers_running(name);
+        assert!(running.len() <= 1, "at {} ms it runs on {running:?}", sim.now);
+    }
+}
+
 // Guards against a done task that runs again: the exits of a worker that started again under its
 // ID were taken for those of its former instance, and acknowledged unread.
 #[test]
@@ -22,11 +46,90 @@
     let first = sim.submit(1, vec![step(4, 1_000)]);
     sim.run_for(2_000);
     assert_eq!(sim.pool.state(first), Some(State::Completed));
-    let now = sim.now;
-    sim.workers.get_mut("w0").expect("a worker").restart(now);
+    restart(&mut sim, "w0");
     sim.list_and_poll();
     let second = sim.submit(2, vec![step(2, 1_000)]);
     sim.run_for(2_000);
     assert_eq!(sim.pool.state(second), Some(State::Completed));
     assert_eq!(started_runs(&sim), 6, "a task ran again");
 }
+
+// Guards against a task that runs on two workers: its start was on its way as the worker
+// restarted, the new instance carried it out, and the task counted as lost with the former one.
+#[test]
+fn handle_poll_answer_after_a_restart_lists_an_unconfirmed_start() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    let orders = sim.pool.plan(at(sim.now), 0);
+    restart(&mut sim, &orders[0].id);
+    carry_out_unanswered(&mut sim, &orders[0]);
+    sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+    run_and_check_single(&mut sim, 6_000, first_task(id));
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+    assert_eq!(started_runs(&sim), 0, "it was started again");
+}
+
+// Guards against the same if the start arrives only after the new instance was first heard.
+#[test]
+fn plan_while_a_start_may_reach_the_next_instance() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    let orders = sim.pool.plan(at(sim.now), 0);
+    restart(&mut sim, &orders[0].id);
+    sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+    sim.poll_all();
+    sim.poll_all();
+    sim.plan();
+    carry_out_unanswered(&mut sim, &orders[0]);
+    run_and_check_single(&mut sim, 8_000, first_task(id));
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+}
+
+// Guards against a task that runs on two workers: a deadline on the clock of the former instance
+// is far ahead on that of the new one, whose lease outlasts what its owner waits for.
+#[test]
+fn plan_after_a_start_with_a_deadline_of_the_former_instance() {
+    for is_answered in [true, false] {
+        let mut sim = Simulation::new(2);
+        sim.task_ms = 20_000;
+        sim.run_for(50_000);
+        let id = sim.submit(1, vec![step(1, 1_000)]);
+        let orders = sim.pool.plan(at(sim.now), 0);
+        let place = orders[0].id.clone();
+        restart(&mut sim, &place);
+        if is_answered {
+            sim.send(&orders[0]);
+        } else {
+            carry_out_unanswered(&mut sim, &orders[0]);
+            sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+            sim.poll_all();
+            sim.poll_all();
+        }
+        sim.workers.get_mut(&place).expect("a worker").silent = true;
+        run_and_check_single(&mut sim, 14_000, first_task(id));
+        assert!(!sim.workers_running(first_task(id)).contains(&place.as_str()));
+        assert_eq!(sim.running_count(), 1, "it runs on the other worker");
+    }
+}
+
+// Guards against a task on a worker that may not run it: a new instance may be of another kind and
+// size, and the entry of the former one is still listed.
+#[test]
+fn set_workers_with_the_entry_of_a_former_instance() {
+    let mut sim = Simulation::new(1);
+    sim.registrations[0].born_ms = Some(0);
+    sim.list_and_poll();
+    sim.run_for(100);
+    restart(&mut sim, "w0");
+    sim.poll_all();
+    sim.poll_all();
+    sim.list_and_poll();
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    assert!(sim.plan().is_empty(), "the new instance has no entry yet");
+    sim.registrations[0].born_ms = Some(sim.now);
+    sim.list_and_poll();
+    sim.run_for(1_000);
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+}
--- a/crates/jobs/tests/stale.rs
+++ b/crates/jobs/tests/stale.rs
@@ -5,6 +5,7 @@
 
 use common::{Simulation, at, first_task, step};
 use corianderfork_jobs::JobId;
+use corianderfork_jobs::pool::Connection;
 use corianderfork_jobs::task::Outcome;
 
 /// Longer than any timeout of the owner.
@@ -28,7 +29,7 @@
     worker.finish_run(first_task(job), Outcome::Done);
     sim.run_for(LONGEST_TIMEOUT_MS);
     let key = sim.key("w0");
-    let acked = sim.pool.next_poll(at(sim.now), key).expect("a poll").acked;
+    let acked = sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll").acked;
     assert_eq!(acked, 0, "no read of the jobs since");
 }
 
--- a/crates/jobs/tests/unknown_job.rs
+++ b/crates/jobs/tests/unknown_job.rs
@@ -5,7 +5,7 @@
 
 use common::{Simulation, at, first_task, step};
 use corianderfork_jobs::JobId;
-use corianderfork_jobs::pool::Action;
+use corianderfork_jobs::pool::{Action, Connection};
 use corianderfork_jobs::record::State;
 use corianderfork_jobs::task::Outcome;
 use corianderfork_model::Time;
@@ -38,7 +38,7 @@
 /// Returns the number of the last exit that the worker may forget.
 fn acked(sim: &mut Simulation) -> u64 {
     let key = sim.key("w0");
-    sim.pool.next_poll(at(sim.now), key).expect("a poll").acked
+    sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll").acked
 }
 
 // Guards against running a finished task a second time. A job is accepted while its pool's
--- a/crates/jobs/tests/unloaded_owner.rs
+++ b/crates/jobs/tests/unloaded_owner.rs
@@ -7,7 +7,7 @@
 
 use common::{FENCE, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::Job;
-use corianderfork_jobs::pool::{Answer, Report};
+use corianderfork_jobs::pool::{Answer, Connection, Report};
 use corianderfork_jobs::record::Record;
 
 // Guards against a task that runs on two workers at once. An owner grants a worker a lease and
@@ -41,7 +41,7 @@
     third.set_workers(at(sim.now), &sim.registrations);
     let keys: Vec<_> = third.workers().collect();
     for key in keys {
-        let poll = third.next_poll(at(sim.now), key).expect("a poll");
+        let poll = third.next_poll(at(sim.now), key, Connection::New).expect("a poll");
         let report = Report { clock_ms: sim.now, ..Report::default() };
         let answer = if poll.id == place { Answer::Lost } else { Answer::Done(report) };
         third.handle_poll_answer(at(sim.now), at(sim.now), key, &answer);
--- a/crates/jobs/tests/unwritten_end.rs
+++ b/crates/jobs/tests/unwritten_end.rs
@@ -5,12 +5,13 @@
 
 use common::{Simulation, at, first_task, step};
 use corianderfork_jobs::JobId;
+use corianderfork_jobs::pool::Connection;
 use corianderfork_jobs::task::Outcome;
 
 /// Returns the number of the last exit that the worker may forget.
 fn acked(sim: &mut Simulation) -> u64 {
     let key = sim.key("w0");
-    sim.pool.next_poll(at(sim.now), key).expect("a poll").acked
+    sim.pool.next_poll(at(sim.now), key, Connection::Kept).expect("a poll").acked
 }
 
 /// A worker on which a task ended with `outcome` after its job was cancelled; the cancellation
