Accept a worker that starts again within seconds of its end

A worker that was given up and starts again under its ID was kept out for 3 s and until its entry changed once more: its entry counted as a late one of the instance that had ended. An entry that names another start is accepted at once. set_workers_after_an_ended_worker_started_again was red before.

--- a/crates/jobs/src/pool/departed.rs
+++ b/crates/jobs/src/pool/departed.rs
@@ -5,7 +5,7 @@
 
 use corianderfork_model::Time;
 
-use crate::worker::Registration;
+use crate::worker::{self, Registration};
 
 const MAX_INSTANCES: usize = 512;
 /// How long after the end of an instance its entry may still change, since an earlier heartbeat
@@ -31,6 +31,7 @@
 #[derive(Debug)]
 struct EndedInstance {
     id: String,
+    born_ms: Option<u64>,
     since: Time,
     /// The highest revision of its entry that was seen within [`LATE_UPDATE`] of its end.
     revision: u64,
@@ -38,20 +39,25 @@
 
 impl EndedInstances {
     /// Records the end of an instance.
-    pub fn add(&mut self, now: Time, id: String) {
-        self.instances.push_back(EndedInstance { id, since: now, revision: 0 });
+    pub fn add(&mut self, now: Time, id: String, born_ms: Option<u64>) {
+        self.instances.retain(|instance| instance.id != id);
+        self.instances.push_back(EndedInstance { id, born_ms, since: now, revision: 0 });
         if self.instances.len() > MAX_INSTANCES {
             self.instances.pop_front();
         }
     }
 
     /// Returns whether an entry belongs to an instance that is considered ended. An instance
-    /// whose entry has changed since is forgotten.
+    /// whose entry has changed since is forgotten, and so is one whose worker has started again.
     pub fn is_ended(&mut self, now: Time, entry: &Registration) -> bool {
         let Some(at) = self.instances.iter().position(|instance| instance.id == entry.id) else {
             return false;
         };
         let instance = &mut self.instances[at];
+        if !worker::is_same_start(instance.born_ms, entry.born_ms) {
+            self.instances.remove(at);
+            return false;
+        }
         if now - instance.since < LATE_UPDATE {
             instance.revision = instance.revision.max(entry.revision);
             return true;
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -158,7 +158,8 @@
         let Some(worker) = self.workers.remove(key) else { return };
         self.by_id.remove(&worker.id);
         self.is_roster_outdated = true;
-        self.departed.add(now, worker.id);
+        let born_ms = worker.born_ms.or(worker.registered_born_ms);
+        self.departed.add(now, worker.id, born_ms);
     }
 
     pub(super) fn requeue_tasks(
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{Simulation, at, first_task, step};
+use common::{Simulation, at, first_task, registration, step};
 use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::{Action, Answer, Order};
 use corianderfork_jobs::record::State;
@@ -133,3 +133,27 @@
     sim.run_for(1_000);
     assert_eq!(sim.pool.state(id), Some(State::Completed));
 }
+
+// Guards against a worker that is kept out for seconds after it has started again: its entry
+// counted as one of the instance that had ended.
+#[test]
+fn set_workers_after_an_ended_worker_started_again() {
+    let mut sim = Simulation::new(1);
+    sim.registrations[0] = registration("w0", 9_000, "r0");
+    sim.registrations[0].born_ms = Some(0);
+    sim.list_and_poll();
+    let listed = std::mem::take(&mut sim.registrations);
+    sim.workers.get_mut("w0").expect("a worker").silent = true;
+    sim.list_workers();
+    while sim.pool.workers().count() > 0 {
+        sim.run_for(100);
+        assert!(sim.now < 20_000, "it counts as alive for ever");
+    }
+    sim.registrations = listed;
+    sim.list_workers();
+    assert_eq!(sim.pool.workers().count(), 0, "its entry is a late one");
+    restart(&mut sim, "w0");
+    sim.registrations[0].born_ms = Some(sim.now);
+    sim.list_workers();
+    assert_eq!(sim.pool.workers().count(), 1);
+}
