Count the crash of a worker that starts again under its ID

A task that crashes each worker that starts it was tried without end: crashes were counted when a worker went away, and one that starts again under its ID doesn't. A restart that isn't that of a draining or vacating worker now counts against the runs that were starting, as the end of a worker does.

--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -59,7 +59,12 @@
         key: worker::Key,
         report: &Report,
     ) -> Option<worker::Key> {
-        let next = self.workers.get(key)?.next_instance(report.born_ms);
+        let former = self.workers.get(key)?;
+        let is_end_expected = former.is_end_expected(now);
+        let next = former.next_instance(report.born_ms);
+        if !is_end_expected {
+            self.count_crash(now, key);
+        }
         let next_key = self.insert_worker(next);
         let listed: HashSet<(task::Name, u64)> = report
             .running
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -148,7 +148,7 @@
     pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
         self.note("worker gone", None, Some(key), why.to_owned());
         let Some(worker) = self.workers.get(key) else { return };
-        if !worker.draining && !worker.is_vacating(now) {
+        if !worker.is_end_expected(now) {
             self.count_crash(now, key);
         }
         let Some(worker) = self.workers.get(key) else { return };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -372,6 +372,11 @@
         now < self.vacate_until
     }
 
+    /// Returns whether the worker is about to leave or to be maintained, so that its end is no crash.
+    pub(crate) fn is_end_expected(&self, now: Time) -> bool {
+        self.draining || self.is_vacating(now)
+    }
+
     /// Returns whether the worker is ready for tasks, apart from decisions of the owner.
     pub(crate) fn is_healthy(&self) -> bool {
         self.fenced
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -157,3 +157,19 @@
     sim.list_workers();
     assert_eq!(sim.pool.workers().count(), 1);
 }
+
+// Guards against a task that crashes one worker after the other without end: a crashed worker that
+// starts again under its ID never goes away, and its crashes weren't counted.
+#[test]
+fn handle_poll_answer_counts_the_crash_of_a_restarted_worker() {
+    let mut sim = Simulation::new(3);
+    sim.task_ms = 5_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    for _ in 0..200 {
+        sim.run_for(100);
+        let running = sim.workers_running(first_task(id));
+        let crashed: Vec<String> = running.into_iter().map(str::to_owned).collect();
+        crashed.iter().for_each(|id| restart(&mut sim, id));
+    }
+    assert_eq!(sim.pool.state(id), Some(State::Failed));
+}
