--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod faults;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
