Let workers restart under their IDs in the property tests

Crashes in the property tests brought a new ID. Now the same invariants are checked over events among which workers start again under their IDs, with entries of the former instance still listed, orders delayed and lost, and takeovers in between. A further invariant: no task starts again after an acknowledged exit as done.

--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -12,6 +12,8 @@
 
 use super::{Connections, FENCE, Worker, at, owner, registration, step};
 
+/// How long the entry of a restarted worker is on its way, in milliseconds.
+const ENTRY_DELAY_MS: u64 = 500;
 /// How long a delayed order is on its way, in milliseconds.
 const ORDER_DELAY_MS: u64 = 1_700;
 /// The age up to which a run counts as starting, in milliseconds.
@@ -30,8 +32,10 @@
     LoseAnswers(usize, bool),
     /// Orders to the worker are carried out later than subsequent ones, or in time again.
     Delay(usize, bool),
-    /// The worker crashes, and a new instance starts.
+    /// The worker crashes, and another one starts in its place.
     Crash(usize),
+    /// The worker crashes and starts again under its ID.
+    Restart(usize),
     /// A successor takes over; the previous owner continues for a while, unaware of it.
     Takeover,
     /// Writes reach the store from now on, or not.
@@ -46,6 +50,8 @@
     SingleRun,
     /// No worker gets more than it has room for.
     Room,
+    /// No task starts again after an acknowledged exit as done.
+    NoRepeat,
     /// Steps run in order.
     Order,
     /// Every job that isn't cancelled completes, unless a task of it crashes its workers.
@@ -76,16 +82,27 @@
     /// Delayed orders, and when they arrive.
     delayed_orders: Vec<(u64, Order)>,
     is_store_up: bool,
+    /// Entries of restarted workers that aren't listed yet, and when they are.
+    late_entries: Vec<(u64, Registration)>,
     roster: Vec<Location>,
     records: BTreeMap<JobId, (Record, u64)>,
     progress: HashMap<JobId, Progress>,
     cancelled: HashSet<JobId>,
     next: u64,
+    /// When the runs of each task started.
+    starts: HashMap<Name, Vec<u64>>,
+    /// When tasks first ended as done, if that exit was acknowledged.
+    acknowledged: HashMap<Name, u64>,
     /// For each crash of a worker with a live run of the task, whether no other run was starting.
     crashes: HashMap<Name, Vec<bool>>,
     violations: Vec<Violation>,
 }
 
+/// Returns the entry of a worker that started at `born`.
+fn listed(id: &str, port: u16, born: u64) -> Registration {
+    Registration { born_ms: Some(born), ..registration(id, port, "r") }
+}
+
 fn cpu() -> u64 {
     2_000
 }
@@ -93,7 +110,7 @@
 impl FaultSimulation {
     pub fn new() -> Self {
         let registrations: Vec<Registration> =
-            (0..3).map(|i| registration(&format!("w{i}"), 9_000 + i, "r")).collect();
+            (0..3).map(|i| listed(&format!("w{i}"), 9_000 + i, 0)).collect();
         let workers = registrations
             .iter()
             .map(|registration| (registration.id.clone(), Worker::default()))
@@ -110,11 +127,14 @@
             delayed: HashSet::new(),
             delayed_orders: Vec::new(),
             is_store_up: true,
+            late_entries: Vec::new(),
             roster: Vec::new(),
             records: BTreeMap::new(),
             progress: HashMap::new(),
             cancelled: HashSet::new(),
             next: 0,
+            starts: HashMap::new(),
+            acknowledged: HashMap::new(),
             crashes: HashMap::new(),
             violations: Vec::new(),
         }
@@ -145,6 +165,7 @@
                 };
             }
             Event::Crash(number) => self.crash(*number),
+            Event::Restart(number) => self.restart(*number),
             Event::Takeover => self.take_over(),
             Event::Store(up) => self.is_store_up = *up,
             Event::Pass => {}
@@ -181,8 +202,49 @@
         self.instance_count += 1;
         let id = format!("w{}", self.instance_count);
         let replaced = self.registrations.iter_mut().find(|entry| entry.id == old).expect("listed");
-        *replaced = registration(&id, 9_000 + self.instance_count, "r");
-        self.workers.insert(id, Worker::default());
+        *replaced = listed(&id, 9_000 + self.instance_count, self.now);
+        self.workers.insert(id, Worker { born: self.now, ..Worker::default() });
+    }
+
+    fn restart(&mut self, number: usize) {
+        let id = self.worker_id(number);
+        self.record_crash(&id);
+        // Orders that the former instance holds end with it.
+        self.delayed_orders.retain(|(_, order)| order.id != id);
+        self.workers.get_mut(&id).expect("a worker").restart(self.now);
+        let known = self.registrations.iter().find(|entry| entry.id == id).expect("listed");
+        let entry = Registration { born_ms: Some(self.now), ..known.clone() };
+        self.late_entries.push((self.now + ENTRY_DELAY_MS, entry));
+    }
+
+    fn list_late_entries(&mut self) {
+        let now = self.now;
+        let (due, remaining): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.late_entries).into_iter().partition(|(at, _)| *at <= now);
+        self.late_entries = remaining;
+        for (_, entry) in due {
+            let listed = self.registrations.iter_mut().find(|listed| listed.id == entry.id);
+            listed.into_iter().for_each(|listed| *listed = entry.clone());
+        }
+    }
+
+    fn record_acknowledged(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        for (name, ended) in std::mem::take(&mut worker.acknowledged) {
+            let starts = self.starts.get(&name).cloned().unwrap_or_default();
+            if starts.iter().any(|started| *started > ended) {
+                self.violate(Invariant::NoRepeat, format!("{name:?} started again after {ended}"));
+            }
+            self.acknowledged.entry(name).or_insert(ended);
+        }
+    }
+
+    fn record_start(&mut self, name: Name) {
+        if let Some(ended) = self.acknowledged.get(&name).copied() {
+            let what = format!("{name:?} starts at {}, done at {ended}", self.now);
+            self.violate(Invariant::NoRepeat, what);
+        }
+        self.starts.entry(name).or_default().push(self.now);
     }
 
     fn record_crash(&mut self, id: &str) {
@@ -237,6 +299,7 @@
             let now = self.now;
             self.workers.get_mut(&id).expect("a worker").advance(now);
         }
+        self.list_late_entries();
         self.deliver_delayed();
         for index in 0..self.owners.len() {
             self.run_owner(index);
@@ -286,6 +349,7 @@
         let is_lost = self.answers_lost.contains(&poll.id);
         let worker = self.workers.get_mut(&poll.id);
         let answer = self.connections[index].poll(self.now, &poll, worker, is_lost);
+        self.record_acknowledged(&poll.id);
         self.owners[index].handle_poll_answer(now, now, key, &answer);
     }
 
@@ -321,6 +385,7 @@
             );
         }
         if is_new {
+            self.record_start(order.task);
             self.check_order(order.task, &after, task_counts_of(&self.records, order.task));
         }
         answer
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -44,6 +44,8 @@
 pub struct Worker {
     /// When it started. Its clock was zero then.
     pub born: u64,
+    /// The time to which it was last advanced.
+    now: u64,
     pub fence: u64,
     /// The end of its lease on its clock.
     pub deadline: u64,
@@ -52,6 +54,13 @@
     pub exit_count: u64,
     /// The number up to which it forgets exits, also later ones.
     pub seen_upto: u64,
+    /// When the listed exits occurred, by number.
+    pub exit_times: HashMap<u64, u64>,
+    /// The number of the last exit before its lease last expired.
+    pub lapsed_upto: u64,
+    /// Done tasks whose exits were acknowledged under a valid lease, and when they ended, since the
+    /// last look.
+    pub acknowledged: Vec<(task::Name, u64)>,
     pub highest: HashMap<task::Name, u64>,
     pub silent: bool,
     pub fails: bool,
@@ -74,6 +83,18 @@
         self.deadline = self.deadline.max(deadline);
     }
 
+    fn forget_seen(&mut self) {
+        let (forgotten, left): (Vec<Exit>, Vec<Exit>) =
+            self.exits.drain(..).partition(|exit| exit.number <= self.seen_upto);
+        self.exits = left;
+        for exit in forgotten {
+            let at = self.exit_times.remove(&exit.number).unwrap_or_default();
+            if exit.outcome == Outcome::Done && exit.number > self.lapsed_upto {
+                self.acknowledged.push((exit.task, at));
+            }
+        }
+    }
+
     pub fn finish_run(&mut self, name: task::Name, outcome: Outcome) {
         if let Some(run) = self.running.remove(&name) {
             self.exit_count += 1;
@@ -85,12 +106,14 @@
                 outcome,
                 saved: String::new(),
             });
-            self.exits.retain(|exit| exit.number > self.seen_upto);
+            self.exit_times.insert(self.exit_count, self.now);
+            self.forget_seen();
         }
     }
 
     /// Advances the worker's clock to `now`.
     pub fn advance(&mut self, now: u64) {
+        self.now = now;
         let names: Vec<task::Name> = self.running.keys().copied().collect();
         for name in names {
             if self.clock(now) >= self.deadline {
@@ -100,6 +123,9 @@
                 self.finish_run(name, outcome);
             }
         }
+        if self.clock(now) >= self.deadline {
+            self.lapsed_upto = self.exit_count;
+        }
     }
 
     fn percent(&self, now: u64, run: &ActiveRun) -> u32 {
@@ -167,7 +193,7 @@
         }
         self.fence = fence;
         self.seen_upto = self.seen_upto.max(acked);
-        self.exits.retain(|exit| exit.number > self.seen_upto);
+        self.forget_seen();
         self.extend_lease(now, deadline.unwrap_or(0));
         let running = self.running.iter().map(|(name, run)| Run {
             task: *name,
--- a/crates/jobs/tests/interleaving.rs
+++ b/crates/jobs/tests/interleaving.rs
@@ -32,6 +32,15 @@
     Ok(())
 }
 
+/// Events among which workers start again under their IDs.
+fn event_with_restarts() -> impl Strategy<Value = Event> {
+    prop_oneof![8 => event(), 1 => (0usize..3).prop_map(Event::Restart)]
+}
+
+fn events_with_restarts() -> impl Strategy<Value = Vec<Event>> {
+    prop::collection::vec(event_with_restarts(), 5..120)
+}
+
 fn events() -> impl Strategy<Value = Vec<Event>> {
     prop::collection::vec(event(), 5..120)
 }
@@ -44,6 +53,11 @@
         check(&events, Invariant::SingleRun)?;
     }
 
+    #[test]
+    fn plan_repeats_no_done_task_under_random_faults(events in events()) {
+        check(&events, Invariant::NoRepeat)?;
+    }
+
     #[test]
     fn plan_keeps_within_the_room_under_random_faults(events in events()) {
         check(&events, Invariant::Room)?;
@@ -63,4 +77,34 @@
     fn plan_leaves_no_run_of_an_ended_job_under_random_faults(events in events()) {
         check(&events, Invariant::NothingLeft)?;
     }
+
+    #[test]
+    fn plan_keeps_single_runs_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::SingleRun)?;
+    }
+
+    #[test]
+    fn plan_repeats_no_done_task_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::NoRepeat)?;
+    }
+
+    #[test]
+    fn plan_keeps_within_the_room_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::Room)?;
+    }
+
+    #[test]
+    fn plan_keeps_the_order_of_steps_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::Order)?;
+    }
+
+    #[test]
+    fn plan_completes_jobs_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::Completion)?;
+    }
+
+    #[test]
+    fn plan_leaves_no_run_of_an_ended_job_while_workers_restart(events in events_with_restarts()) {
+        check(&events, Invariant::NothingLeft)?;
+    }
 }
