Don't count the starts of predecessors that crashed no worker

A job was given up after one crash and a few takeovers: a suspect's start is written at once as if it crashed, and a successor took it back only if it found the run.

The record now names which of the counted runs were only starts. A successor removes them once each worker of its predecessors has answered as the instance that they knew: none has ended, so none crashed, and a later start is fenced. If one has ended, or its instance isn't known, they stay counted. For this the roster holds the start of each worker instance; a worker that restarted before the takeover can be told from one that lives on.

Records and rosters of earlier versions are read as before: without the new fields nothing is removed. Earlier versions ignore the new fields.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -173,6 +173,10 @@
     reservations: BTreeMap<task::Name, worker::Key>,
     /// Tracked runs of tasks that are suspected of a crash.
     suspects: BTreeMap<task::Name, crash::Suspect>,
+    /// Tasks with starts of a predecessor that may have crashed a worker.
+    inherited_starts: Vec<task::Name>,
+    /// Whether a worker may have ended since a predecessor ordered the last start there.
+    has_lost_inherited_worker: bool,
 }
 
 /// An event for the log.
@@ -220,6 +224,8 @@
             departed: EndedInstances::default(),
             reservations: BTreeMap::new(),
             suspects: BTreeMap::new(),
+            inherited_starts: Vec::new(),
+            has_lost_inherited_worker: false,
         }
     }
 
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -11,7 +11,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
-use super::entry::{Phase, Placement};
+use super::entry::{Entry, Phase, Placement, name};
 use crate::record::State;
 use crate::task;
 use crate::worker;
@@ -151,6 +151,28 @@
         let name = self.crash_counted_task(name);
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
             task.crashed.retain(|crashed| *crashed != run);
+            task.inherited_starts.retain(|start| *start != run);
+        }
+    }
+
+    /// Removes the counted starts of predecessors that certainly crashed no worker: every worker
+    /// that a predecessor used is the same instance as before and lists no such run. If one has
+    /// ended, the starts stay counted.
+    pub(super) fn review_inherited_starts(&mut self, now: Time) {
+        let is_unheard = |worker: &worker::Worker| worker.is_inherited && !worker.fenced;
+        if self.inherited_starts.is_empty() || self.workers.values().any(is_unheard) {
+            return;
+        }
+        for name in std::mem::take(&mut self.inherited_starts) {
+            let has_lost_worker = self.has_lost_inherited_worker;
+            let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) else {
+                continue;
+            };
+            let starts = std::mem::take(&mut task.inherited_starts);
+            if !has_lost_worker {
+                task.crashed.retain(|run| !starts.contains(run));
+            }
+            self.mark_dirty(now, name.job, false);
         }
     }
 
@@ -201,6 +223,7 @@
         let counted = self.crash_counted_task(name);
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(counted)) {
             task.crashed.clear();
+            task.inherited_starts.clear();
             self.mark_dirty(now, name.job, false);
         }
     }
@@ -242,3 +265,18 @@
         }
     }
 }
+
+impl Entry {
+    /// Returns the tasks with starts of a predecessor that may have crashed a worker.
+    pub(super) fn tasks_with_inherited_starts(&self) -> Vec<task::Name> {
+        let mut names = Vec::new();
+        for (occurrence, state) in &self.occurrences {
+            for (step, state) in state.steps.iter().enumerate() {
+                let tasks = state.tasks.iter().enumerate();
+                let suspected = tasks.filter(|(_, task)| !task.inherited_starts.is_empty());
+                names.extend(suspected.map(|(index, _)| name(self.id, *occurrence, step, index)));
+            }
+        }
+        names
+    }
+}
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -92,6 +92,9 @@
     pub crashed: Vec<u64>,
     /// The starting run of a task with a counted crash. A gang keeps it at its first member.
     pub starting_run: Option<u64>,
+    /// Runs in `crashed` that a predecessor had only just ordered: it isn't known whether they
+    /// started. A gang keeps them at its first member.
+    pub inherited_starts: Vec<u64>,
     pub saved: Rc<str>,
     /// The earliest time of the next start.
     pub not_before: Time,
@@ -140,6 +143,7 @@
             failed: Vec::new(),
             crashed: Vec::new(),
             starting_run: None,
+            inherited_starts: Vec::new(),
             saved: Rc::from(""),
             not_before: Time::ZERO,
         };
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -43,6 +43,7 @@
         }
         if let Some(progress) = progress {
             entry.restore(progress);
+            self.inherited_starts.extend(entry.tasks_with_inherited_starts());
         }
         let is_final = entry.state.is_final();
         if !entry.long_running && entry.schedule.is_none() {
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -65,6 +65,7 @@
         self.stop_stalled(now, &due);
         self.review_reservations(now);
         self.review_suspects(now);
+        self.review_inherited_starts(now);
         self.evacuate(now);
         self.take_due(now, &mut due);
         self.resend_orders(now, &due, &mut orders);
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -76,7 +76,7 @@
     ///
     /// let now = Time::from_millis(1);
     /// let mut pool = Pool::new(Config::new(7, now));
-    /// pool.set_roster(vec![Location { id: "w".to_owned(), address: ([127, 0, 0, 1], 80).into() }]);
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address: ([127, 0, 0, 1], 80).into(), born_ms: None }]);
     /// let key = pool.workers().next().expect("a worker");
     /// let poll = pool.next_poll(now, key, Connection::New).expect("a poll");
     /// assert_eq!((poll.deadline_ms, poll.acked), (None, 0));
@@ -150,7 +150,12 @@
             self.note("worker answers again", None, Some(key), why);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
+        let location = worker.location();
+        let is_same_instance = worker.born_ms.is_some() && worker.born_ms == report.born_ms;
+        let may_have_restarted = worker.is_inherited && !worker.fenced && !is_same_instance;
+        self.has_lost_inherited_worker |= may_have_restarted;
         worker.born_ms = report.born_ms.or(worker.born_ms);
+        self.is_roster_outdated |= worker.location() != location;
         worker.reported_clock_ms = report.clock_ms;
         worker.update_clock(now, report.clock_ms);
         worker.unanswered_polls = 0;
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -46,6 +46,9 @@
                 && let Some(task) = self.task_mut(name)
             {
                 task.crashed.clone_from(crashed);
+                let starting = progress.starting.get(key).cloned().unwrap_or_default();
+                task.inherited_starts =
+                    starting.into_iter().filter(|run| crashed.contains(run)).collect();
             }
         }
         for (key, saved) in &progress.saved {
@@ -99,6 +102,11 @@
                 if !crashed.is_empty() {
                     progress.crashed.insert(key(), crashed);
                 }
+                let starting = task.inherited_starts.iter().copied().chain(task.starting_run);
+                let starting: Vec<u64> = starting.collect();
+                if !starting.is_empty() {
+                    progress.starting.insert(key(), starting);
+                }
                 if matches!(task.state, TaskState::Waiting) && !task.saved.is_empty() {
                     progress.saved.insert(key(), task.saved.to_string());
                 }
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -62,6 +62,7 @@
         let former = self.workers.get(key)?;
         let is_end_expected = former.is_end_expected(now);
         let next = former.next_instance(report.born_ms);
+        self.has_lost_inherited_worker |= former.is_inherited && !former.fenced;
         if !is_end_expected {
             self.count_crash(now, key);
         }
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -53,13 +53,14 @@
     }
 
     fn set_worker(&mut self, now: Time, entry: &Registration) {
-        let location = Location { id: entry.id.clone(), address: entry.address };
+        let (id, address, born_ms) = (entry.id.clone(), entry.address, entry.born_ms);
+        let location = Location { id, address, born_ms };
         let known = self.by_id.get(&entry.id).copied();
         if known.is_none() && self.departed.is_ended(now, entry) {
             return;
         }
         let key = known.unwrap_or_else(|| self.add_worker(location.clone(), now));
-        let is_rostered = self.written_roster.contains(&location);
+        let is_rostered = is_rostered(&self.written_roster, &location);
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.rostered = is_rostered;
         worker.missing_since = None;
@@ -156,6 +157,7 @@
         // Must precede the removal: the "task lost" events need the worker's ID.
         self.requeue_tasks(now, key, names, why);
         let Some(worker) = self.workers.remove(key) else { return };
+        self.has_lost_inherited_worker |= worker.is_inherited && !worker.fenced;
         self.by_id.remove(&worker.id);
         self.is_roster_outdated = true;
         let born_ms = worker.born_ms.or(worker.registered_born_ms);
@@ -226,10 +228,11 @@
     pub fn confirm_roster(&mut self, locations: Vec<Location>) {
         self.written_roster = locations.into_iter().collect();
         for worker in self.workers.values_mut() {
-            worker.rostered = self.written_roster.contains(&worker.location());
+            worker.rostered = is_rostered(&self.written_roster, &worker.location());
         }
+        let is_written = |worker: &Worker| self.written_roster.contains(&worker.location());
         self.is_roster_outdated = self.written_roster.len() != self.workers.len()
-            || self.workers.values().any(|worker| !worker.rostered);
+            || !self.workers.values().all(is_written);
     }
 
     /// Stops placing tasks on a worker for `time`, so that it can be emptied. Returns whether
@@ -284,3 +287,9 @@
         })
     }
 }
+
+/// Returns whether a roster names a worker, whichever instance of it: a successor polls the address.
+fn is_rostered(roster: &BTreeSet<Location>, location: &Location) -> bool {
+    let first = Location { born_ms: None, ..location.clone() };
+    roster.range(first..).next().is_some_and(|written| written.is_same_worker(location))
+}
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -39,6 +39,11 @@
     /// occurrence, step and index.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashed: BTreeMap<String, Vec<u64>>,
+    /// Those of the runs in `crashed` that had only just been ordered. A successor that hears that
+    /// all workers of its predecessors live on removes them. Earlier versions neither write nor
+    /// read this.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub starting: BTreeMap<String, Vec<u64>>,
     /// The progress that the last run of each waiting task saved, by occurrence, step and
     /// index. While a task runs, its worker has the saved progress.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -63,10 +63,21 @@
 /// The location of a worker, kept in the store for a successor.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Location {
-    /// The ID of the worker instance.
+    /// The ID of the worker.
     pub id: String,
     /// The address of the worker.
     pub address: SocketAddr,
+    /// When the worker instance started, in Unix milliseconds, if it is known. Earlier versions
+    /// don't write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
+}
+
+impl Location {
+    /// Returns whether two locations name one worker, perhaps different instances of it.
+    pub(crate) fn is_same_worker(&self, other: &Self) -> bool {
+        self.id == other.id && self.address == other.address
+    }
 }
 
 /// The reason why a worker may not forget an exit yet.
@@ -192,7 +203,7 @@
         Self {
             id: location.id,
             address: location.address,
-            born_ms: None,
+            born_ms: location.born_ms,
             registered_born_ms: None,
             reported_clock_ms: 0,
             labels: Vec::new(),
@@ -244,7 +255,7 @@
             vacating_since: self.vacating_since,
             is_surplus: self.is_surplus,
             started_until: self.started_until,
-            ..Self::new(self.location(), self.inherited_until)
+            ..Self::new(Location { born_ms, ..self.location() }, self.inherited_until)
         };
         if is_same_start(self.registered_born_ms, born_ms) {
             next.registered_born_ms = self.registered_born_ms;
@@ -266,7 +277,8 @@
     }
 
     pub(crate) fn location(&self) -> Location {
-        Location { id: self.id.clone(), address: self.address }
+        let born_ms = self.born_ms.or(self.registered_born_ms);
+        Location { id: self.id.clone(), address: self.address, born_ms }
     }
 
     /// Updates the worker's clock from an answer.
--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use corianderfork_jobs::pool::{Answer, Order, Pool};
+use corianderfork_jobs::pool::{Action, Answer, Order, Pool};
 use corianderfork_jobs::record::{Progress, Record, State};
 use corianderfork_jobs::task::{Name, Outcome};
 use corianderfork_jobs::worker::{Key, Location, Registration};
@@ -18,8 +18,8 @@
 const ORDER_DELAY_MS: u64 = 1_700;
 /// The age up to which a run counts as starting, in milliseconds.
 const STARTUP_MS: u64 = 300;
-/// The crashes of workers with a run of one task after which its job may fail: the first if the run
-/// was the only one that was starting in one of them.
+/// The crashes that a task may have caused after which its job may fail: the first if it was the
+/// only one that was starting in one of them.
 const MAX_CRASHES: [usize; 2] = [3, 4];
 
 /// An event in one step of time.
@@ -93,7 +93,9 @@
     starts: HashMap<Name, Vec<u64>>,
     /// When tasks first ended as done, if that exit was acknowledged.
     acknowledged: HashMap<Name, u64>,
-    /// For each crash of a worker with a live run of the task, whether no other run was starting.
+    /// The runs on each worker and their ages when it last answered, and the starts since.
+    heard: HashMap<String, HashMap<Name, u64>>,
+    /// For each crash that a task may have caused, whether no other run was starting.
     crashes: HashMap<Name, Vec<bool>>,
     violations: Vec<Violation>,
 }
@@ -135,6 +137,7 @@
             next: 0,
             starts: HashMap::new(),
             acknowledged: HashMap::new(),
+            heard: HashMap::new(),
             crashes: HashMap::new(),
             violations: Vec::new(),
         }
@@ -247,17 +250,27 @@
         self.starts.entry(name).or_default().push(self.now);
     }
 
+    /// Records which tasks may have crashed a worker as far as its owner can know: those that ran
+    /// there when it last answered, and those that were started there since, whether or not it
+    /// carried that out yet.
     fn record_crash(&mut self, id: &str) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let is_starting = |began_at: u64| self.now - began_at < STARTUP_MS;
-        for name in worker.running.keys() {
-            let mut others = worker.running.iter().filter(|(other, _)| *other != name);
-            let is_alone = !others.any(|(_, run)| is_starting(run.began_at));
+        let heard = self.heard.remove(id).unwrap_or_default();
+        let is_starting = |(_, age): &(&Name, &u64)| **age < STARTUP_MS;
+        let starting: Vec<Name> = heard.iter().filter(is_starting).map(|(name, _)| *name).collect();
+        for name in heard.keys() {
+            let is_alone = starting.iter().all(|other| other == name);
             self.crashes.entry(*name).or_default().push(is_alone);
         }
     }
 
-    /// Returns whether a task of the job had a run in so many crashes that it may be given up.
+    /// Records the runs on a worker and their ages, as its owner hears of them.
+    fn record_heard(&mut self, id: &str) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let runs = worker.running.iter().map(|(name, run)| (*name, self.now - run.began_at));
+        self.heard.insert(id.to_owned(), runs.collect());
+    }
+
+    /// Returns whether a task of the job may have caused so many crashes that it may be given up.
     fn may_be_given_up(&self, id: JobId) -> bool {
         let [as_only_one, at_most] = MAX_CRASHES;
         let own = self.crashes.iter().filter(|(name, _)| name.job == id);
@@ -350,10 +363,17 @@
         let worker = self.workers.get_mut(&poll.id);
         let answer = self.connections[index].poll(self.now, &poll, worker, is_lost);
         self.record_acknowledged(&poll.id);
+        let is_newest = index + 1 == self.owners.len();
+        if is_newest && matches!(answer, Answer::Done(_)) {
+            self.record_heard(&poll.id);
+        }
         self.owners[index].handle_poll_answer(now, now, key, &answer);
     }
 
     fn send_order(&mut self, index: usize, order: &Order) {
+        if matches!(order.action, Action::Start { .. }) {
+            self.heard.entry(order.id.clone()).or_default().entry(order.task).or_insert(0);
+        }
         let answer = if self.delayed.contains(&order.id) {
             self.delayed_orders.push((self.now + ORDER_DELAY_MS, order.clone()));
             Answer::Lost
