--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -45,9 +45,8 @@
         let suspects = self.crash_suspects(key);
         let is_only_suspect = suspects.len() == 1;
         for (name, run) in suspects {
-            let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) else {
-                continue;
-            };
+            let entry = self.entry_mut(name.job).filter(|entry| !entry.state.is_final());
+            let Some(task) = entry.and_then(|entry| entry.task_mut(name)) else { continue };
             task.starting_run = None;
             if !task.crashed.contains(&run) {
                 task.crashed.push(run);
@@ -81,7 +80,8 @@
     }
 
     /// Returns the runs that may have crashed a worker: those that were starting, or if there are
-    /// none, those younger than [`MAX_SUSPECT_AGE`].
+    /// none, those younger than [`MAX_SUSPECT_AGE`]. A job that has been cancelled since the crash
+    /// is as suspect as the others.
     fn crash_suspects(&self, key: worker::Key) -> Vec<(task::Name, u64)> {
         let mut suspects = self.runs_younger_than(key, STARTUP);
         if suspects.is_empty() {
@@ -98,9 +98,7 @@
         let heard = worker.last_heard();
         let mut runs = Vec::new();
         for name in worker.allocations.keys() {
-            let Some(entry) = self.entry(name.job).filter(|entry| !entry.state.is_final()) else {
-                continue;
-            };
+            let Some(entry) = self.entry(name.job) else { continue };
             let placement = entry.placement(*name).filter(|placement| placement.worker == key);
             if let Some(placement) =
                 placement.filter(|placement| placement.running_for(heard) < age)
