Keep the runs of a worker that restarted when its former instance is reported gone

The planner reports the worker of a VM that it moved or had maintained by ID. If the answer to its order came late, the worker could have started again under that ID and have work: its tasks were started elsewhere while they ran (found by looking for the cause of TWICE in what peers are told).

--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -135,13 +135,20 @@
     }
 
     /// Removes a worker instance whose VM was moved or maintained.
+    ///
+    /// A VM is ordered only once its worker is empty. One that has runs and is still listed may have
+    /// started again under its ID since, so they count as lost only when it no longer reports them
+    /// or its lease ends.
     pub fn remove_gone_worker(&mut self, now: Time, id: &str) {
-        if let Some(key) = self.by_id.get(id).copied() {
-            // An expected end isn't counted as a crash.
-            if let Some(worker) = self.workers.get_mut(key) {
-                worker.draining = true;
-            }
+        let Some(key) = self.by_id.get(id).copied() else { return };
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        // An expected end isn't counted as a crash.
+        worker.draining = true;
+        if worker.allocations.is_empty() || worker.missing_since.is_some() {
             self.remove_worker(now, key, "its VM was moved or maintained");
+        } else {
+            let why = "its VM was moved or maintained, and it has runs".to_owned();
+            self.note("worker end unconfirmed", None, Some(key), why);
         }
     }
 
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -173,3 +173,20 @@
     }
     assert_eq!(sim.pool.state(id), Some(State::Failed));
 }
+
+// Guards against a task that runs on two workers: the answer to the order that maintained a VM came
+// late, and the new instance of its worker, which had work again, was taken for the one that ended.
+#[test]
+fn remove_gone_worker_after_it_started_again() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    restart(&mut sim, "w0");
+    sim.run_for(300);
+    let id = sim.submit(1, vec![step(12, 1_000)]);
+    sim.run_for(200);
+    assert!(!sim.workers["w0"].running.is_empty());
+    sim.pool.remove_gone_worker(at(sim.now), "w0");
+    run_and_check_single(&mut sim, 6_000, first_task(id));
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+    assert_eq!(started_runs(&sim), 12, "a task was started again");
+}
