Follow a worker that starts again at another address

Nothing says that a worker that starts again keeps its address. It was polled at the former one for ever, and its pool was short of it. An entry with another address now adds a worker, and the one at the former address is polled until its leases have ended: entries can be late, so they end no instance. Found by reading; set_workers_with_another_address_of_a_worker was red before.

--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -39,7 +39,8 @@
         }
         let mut missing = Vec::new();
         for (key, worker) in &mut self.workers {
-            if !listed.contains(worker.id.as_str()) {
+            let is_current = self.by_id.get(&worker.id) == Some(&key);
+            if !is_current || !listed.contains(worker.id.as_str()) {
                 worker.missing_since.get_or_insert(now);
                 missing.push((key, worker.address));
             }
@@ -55,11 +56,12 @@
     fn set_worker(&mut self, now: Time, entry: &Registration) {
         let (id, address, born_ms) = (entry.id.clone(), entry.address, entry.born_ms);
         let location = Location { id, address, born_ms };
-        let known = self.by_id.get(&entry.id).copied();
+        let known = self.find_worker(&location);
         if known.is_none() && self.departed.is_ended(now, entry) {
             return;
         }
         let key = known.unwrap_or_else(|| self.add_worker(location.clone(), now));
+        self.by_id.insert(entry.id.clone(), key);
         let is_rostered = is_rostered(&self.written_roster, &location);
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.rostered = is_rostered;
@@ -91,10 +93,23 @@
         }
     }
 
+    /// Returns the worker at a location. A worker that starts again at another address is another
+    /// one: runs at the former address count as lost only when their leases have ended.
+    fn find_worker(&self, location: &Location) -> Option<worker::Key> {
+        let is_there =
+            |worker: &Worker| worker.id == location.id && worker.address == location.address;
+        let current = self.by_id.get(&location.id).copied();
+        let has_former = self.workers.len() > self.by_id.len();
+        current.filter(|key| self.workers.get(*key).is_some_and(is_there)).or_else(|| {
+            let mut workers = self.workers.iter().filter(|_| has_former);
+            workers.find(|(_, worker)| is_there(worker)).map(|(key, _)| key)
+        })
+    }
+
     /// Adds the workers of the roster that a predecessor wrote, before any of them is polled.
     pub fn set_roster(&mut self, locations: Vec<Location>) {
         for location in &locations {
-            if !self.by_id.contains_key(&location.id) {
+            if self.find_worker(location).is_none() {
                 let until = self.config.inherited_until;
                 let key = self.add_worker(location.clone(), until);
                 if let Some(worker) = self.workers.get_mut(key) {
@@ -130,8 +145,12 @@
     /// Tasks on an unreachable worker would then run a second time.
     pub fn granted_leases(&self, now: Time) -> Option<BTreeMap<String, u64>> {
         self.first_planned?;
-        let left = |worker: &Worker| worker::millis(worker.leases_end() - now);
-        Some(self.workers.values().map(|worker| (worker.id.clone(), left(worker))).collect())
+        let mut left = BTreeMap::new();
+        for worker in self.workers.values() {
+            let longest: &mut u64 = left.entry(worker.id.clone()).or_default();
+            *longest = (*longest).max(worker::millis(worker.leases_end() - now));
+        }
+        Some(left)
     }
 
     /// Removes a worker instance whose VM was moved or maintained.
@@ -165,7 +184,9 @@
         self.requeue_tasks(now, key, names, why);
         let Some(worker) = self.workers.remove(key) else { return };
         self.has_lost_inherited_worker |= worker.is_inherited && !worker.fenced;
-        self.by_id.remove(&worker.id);
+        if self.by_id.get(&worker.id) == Some(&key) {
+            self.by_id.remove(&worker.id);
+        }
         self.is_roster_outdated = true;
         let born_ms = worker.born_ms.or(worker.registered_born_ms);
         self.departed.add(now, worker.id, born_ms);
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -6,7 +6,7 @@
 
 use common::{Simulation, at, first_task, registration, step};
 use corianderfork_jobs::job::Room;
-use corianderfork_jobs::pool::{Action, Answer, Order};
+use corianderfork_jobs::pool::{Action, Answer, Connection, Order};
 use corianderfork_jobs::record::State;
 
 /// Returns the number of runs that were started of all tasks of the jobs so far.
@@ -190,3 +190,33 @@
     assert_eq!(sim.pool.state(id), Some(State::Completed));
     assert_eq!(started_runs(&sim), 12, "a task was started again");
 }
+
+// Guards against a worker that idles for ever after it has started again at another address: it was
+// polled at the former one.
+#[test]
+fn set_workers_with_another_address_of_a_worker() {
+    let mut sim = Simulation::new(1);
+    sim.task_ms = 30_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    sim.run_for(300);
+    // The simulated worker answers at its new address only.
+    sim.registrations[0].address.set_port(9_999);
+    restart(&mut sim, "w0");
+    let former = sim.key("w0");
+    sim.list_and_poll();
+    assert_ne!(sim.key("w0"), former);
+    let poll = sim.pool.next_poll(at(sim.now), sim.key("w0"), Connection::New).expect("a poll");
+    assert_eq!(poll.address.port(), 9_999);
+    for _ in 0..120 {
+        sim.now += 100;
+        let now = at(sim.now);
+        if sim.pool.next_poll(now, former, Connection::New).is_some() {
+            sim.pool.handle_poll_answer(now, now, former, &Answer::Lost);
+        }
+        sim.poll(sim.key("w0"));
+        sim.plan();
+        sim.write();
+    }
+    assert!(sim.pool.next_poll(at(sim.now), former, Connection::New).is_none(), "it has ended");
+    assert_eq!(sim.workers_running(first_task(id)), ["w0"]);
+}
