--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -263,11 +263,16 @@
         }
     }
 
-    /// Records the runs on a worker and their ages, as its owner hears of them.
+    /// Records the runs on a worker and their ages, as its owner hears of them, and the starts that
+    /// it has not carried out yet.
     fn record_heard(&mut self, id: &str) {
         let Some(worker) = self.workers.get(id) else { return };
         let runs = worker.running.iter().map(|(name, run)| (*name, self.now - run.began_at));
-        self.heard.insert(id.to_owned(), runs.collect());
+        let delayed = self.delayed_orders.iter().map(|(_, order)| order);
+        let starts = delayed
+            .filter(|order| order.id == id && matches!(order.action, Action::Start { .. }))
+            .map(|order| (order.task, 0));
+        self.heard.insert(id.to_owned(), starts.chain(runs).collect());
     }
 
     /// Returns whether a task of the job may have caused so many crashes that it may be given up.
