--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -68,15 +68,14 @@
     /// read.
     ///
     /// ```
-    /// use std::collections::BTreeMap;
-    ///
     /// use corianderfork_jobs::pool::{Answer, Config, Connection, Pool, Report};
     /// use corianderfork_jobs::worker::Location;
     /// use corianderfork_model::Time;
     ///
     /// let now = Time::from_millis(1);
     /// let mut pool = Pool::new(Config::new(7, now));
-    /// pool.set_roster(vec![Location { id: "w".to_owned(), address: ([127, 0, 0, 1], 80).into(), born_ms: None }]);
+    /// let address = ([127, 0, 0, 1], 80).into();
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }]);
     /// let key = pool.workers().next().expect("a worker");
     /// let poll = pool.next_poll(now, key, Connection::New).expect("a poll");
     /// assert_eq!((poll.deadline_ms, poll.acked), (None, 0));
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -135,7 +135,8 @@
 pub struct Worker {
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
-    /// When this instance started, in Unix milliseconds, as it reported; `None` if it hasn't said.
+    /// When this instance started, in Unix milliseconds: as it reported, or before its first report
+    /// as its entry or the roster says. `None` if unknown.
     pub(crate) born_ms: Option<u64>,
     /// The start of the instance that wrote the entry from which labels, rack, room and drain
     /// are taken.
