Judge crashes of workers by what else crashed and how long tasks ran

Cause: a start of a predecessor stayed counted as a crash if any other worker had restarted, since the record didn't name its worker. A long-running task that had run for long before was counted like one that crashes whatever starts it, and so was one that was merely present while many workers crashed for other reasons: the step was given up and all of its tasks were stopped.

Change: the record names the worker of each suspected start, and each start is judged by that worker alone; records of earlier versions are judged as before. A task with a run of 10 s is no suspect any more, which the record keeps for a successor. Where at least as many workers crashed without a task as with it, it is given up after five crashes, which the rule on starts allows, not after three or four.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -29,7 +29,7 @@
 mod unmet;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -175,8 +175,10 @@
     suspects: BTreeMap<task::Name, crash::Suspect>,
     /// Tasks with starts of a predecessor that may have crashed a worker.
     inherited_starts: Vec<task::Name>,
-    /// Whether a worker may have ended since a predecessor ordered the last start there.
-    has_lost_inherited_worker: bool,
+    /// The IDs of the workers that may have ended since a predecessor ordered the last start there.
+    lost_inherited_workers: BTreeSet<String>,
+    /// When recent crashes of workers were noticed.
+    recent_crashes: VecDeque<Time>,
 }
 
 /// An event for the log.
@@ -225,7 +227,8 @@
             reservations: BTreeMap::new(),
             suspects: BTreeMap::new(),
             inherited_starts: Vec::new(),
-            has_lost_inherited_worker: false,
+            lost_inherited_workers: BTreeSet::new(),
+            recent_crashes: VecDeque::new(),
         }
     }
 
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -11,7 +11,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
-use super::entry::{Entry, Phase, Placement, name};
+use super::entry::{Entry, Phase, Placement, SuspectedStart, name};
 use crate::record::State;
 use crate::task;
 use crate::worker;
@@ -27,8 +27,12 @@
 const MAX_STARTING_SUSPECTS: usize = 4;
 /// How long a run counts as starting. Starting runs are the first suspects of a crash.
 const STARTUP: Duration = Duration::from_millis(300);
-/// Runs that have been running for this long are never suspects.
+/// Runs that have been running for this long are never suspects, nor are later runs of their tasks.
 const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
+/// Crashes after which a task is given up although as many workers crashed without it.
+const MAX_CRASHES_AMONG_OTHERS: usize = 5;
+/// How long a crash is remembered as one among others.
+const CRASH_MEMORY: Duration = Duration::from_secs(60);
 
 /// A tracked run of a task that is suspected of a crash.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +46,7 @@
     /// Counts the crash of a worker against each suspect, and fails the jobs of tasks that
     /// have reached their limit.
     pub(super) fn count_crash(&mut self, now: Time, key: worker::Key) {
+        self.record_crash(now);
         let suspects = self.crash_suspects(key);
         let is_only_suspect = suspects.len() == 1;
         for (name, run) in suspects {
@@ -51,11 +56,14 @@
             if !task.crashed.contains(&run) {
                 task.crashed.push(run);
             }
+            let since = *task.crashed_since.get_or_insert(now);
             let crashes = task.crashed.len();
-            let why = format!("run {run}, crashes: {crashes}, only suspect: {is_only_suspect}");
+            let others = self.crashes_since(since).saturating_sub(crashes);
+            let why = format!(
+                "run {run}, crashes: {crashes}, only suspect: {is_only_suspect}, without it: {others}"
+            );
             self.note("crash counted", Some(name), Some(key), why);
-            if crashes >= MAX_CRASHES || (crashes >= MAX_CRASHES_AS_ONLY_SUSPECT && is_only_suspect)
-            {
+            if is_given_up(crashes, others, is_only_suspect) {
                 self.fail_suspect(now, name);
             } else {
                 // Written at once, so that a successor knows of the crash.
@@ -64,9 +72,26 @@
         }
     }
 
-    /// Fails the job of a task that has reached [`MAX_CRASHES`], and returns whether it has.
+    fn record_crash(&mut self, now: Time) {
+        self.recent_crashes.push_back(now);
+        while self.recent_crashes.front().is_some_and(|at| now - *at > CRASH_MEMORY) {
+            self.recent_crashes.pop_front();
+        }
+    }
+
+    /// Returns the number of workers whose crashes were noticed since a time.
+    fn crashes_since(&self, since: Time) -> usize {
+        self.recent_crashes.iter().filter(|at| **at >= since).count()
+    }
+
+    /// Fails the job of a task that has reached its limit of crashes, and returns whether it has.
     pub(super) fn fail_at_crash_limit(&mut self, now: Time, name: task::Name) -> bool {
-        let has_reached_limit = self.crashes(name) >= MAX_CRASHES;
+        let counted = self.crash_counted_task(name);
+        let task = self.entry(name.job).and_then(|entry| entry.task(counted));
+        let since = task.and_then(|task| task.crashed_since).unwrap_or(now);
+        let crashes = self.crashes(name);
+        let others = self.crashes_since(since).saturating_sub(crashes);
+        let has_reached_limit = is_given_up(crashes, others, false);
         if has_reached_limit {
             self.fail_suspect(now, name);
         }
@@ -81,7 +106,7 @@
 
     /// Returns the runs that may have crashed a worker: those that were starting, or if there are
     /// none, those younger than [`MAX_SUSPECT_AGE`]. A job that has been cancelled since the crash
-    /// is as suspect as the others.
+    /// is as suspect as the others. A task that has run for long before is none.
     fn crash_suspects(&self, key: worker::Key) -> Vec<(task::Name, u64)> {
         let mut suspects = self.runs_younger_than(key, STARTUP);
         if suspects.is_empty() {
@@ -103,7 +128,10 @@
             if let Some(placement) =
                 placement.filter(|placement| placement.running_for(heard) < age)
             {
-                runs.push((self.crash_counted_task(*name), placement.run));
+                let counted = self.crash_counted_task(*name);
+                if entry.task(counted).is_none_or(|task| !task.is_proven) {
+                    runs.push((counted, placement.run));
+                }
             }
         }
         runs.sort_unstable();
@@ -140,7 +168,8 @@
             return;
         }
         self.suspects.insert(name, Suspect { worker: key, run, is_starting: true });
-        self.set_starting_run(name, Some(run));
+        let worker = self.workers.get(key).map(|worker| worker.id.clone());
+        self.set_starting_run(name, Some(SuspectedStart { run, worker }));
         self.mark_dirty(now, name.job, true);
     }
 
@@ -149,35 +178,57 @@
         let name = self.crash_counted_task(name);
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
             task.crashed.retain(|crashed| *crashed != run);
-            task.inherited_starts.retain(|start| *start != run);
+            task.inherited_starts.retain(|start| start.run != run);
         }
     }
 
-    /// Removes the counted starts of predecessors that certainly crashed no worker: every worker
-    /// that a predecessor used is the same instance as before and lists no such run. If one has
-    /// ended, the starts stay counted.
+    /// Removes the counted starts of predecessors that certainly crashed no worker: their worker is
+    /// the same instance as before and lists no such run. If it has ended, they stay counted.
     pub(super) fn review_inherited_starts(&mut self, now: Time) {
-        let is_unheard = |worker: &worker::Worker| worker.is_inherited && !worker.fenced;
-        if self.inherited_starts.is_empty() || self.workers.values().any(is_unheard) {
-            return;
-        }
         for name in std::mem::take(&mut self.inherited_starts) {
-            let has_lost_worker = self.has_lost_inherited_worker;
-            let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) else {
+            let task = self.entry(name.job).and_then(|entry| entry.task(name));
+            let Some(starts) = task.map(|task| task.inherited_starts.clone()) else { continue };
+            let is_pending = |start: &SuspectedStart| self.has_crashed_worker(start).is_none();
+            let (pending, settled): (Vec<_>, Vec<_>) = starts.into_iter().partition(is_pending);
+            if !pending.is_empty() {
+                self.inherited_starts.push(name);
+            }
+            if settled.is_empty() {
                 continue;
-            };
-            let starts = std::mem::take(&mut task.inherited_starts);
-            if !has_lost_worker {
-                task.crashed.retain(|run| !starts.contains(run));
+            }
+            let harmless =
+                settled.iter().filter(|start| self.has_crashed_worker(start) == Some(false));
+            let harmless: Vec<u64> = harmless.map(|start| start.run).collect();
+            if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
+                task.inherited_starts = pending;
+                task.crashed.retain(|run| !harmless.contains(run));
             }
             self.mark_dirty(now, name.job, false);
         }
     }
 
-    fn set_starting_run(&mut self, name: task::Name, run: Option<u64>) {
+    /// Returns whether a start of a predecessor may have crashed its worker; `None` if the worker
+    /// hasn't answered yet. A start whose worker isn't named counts if any worker has ended.
+    fn has_crashed_worker(&self, start: &SuspectedStart) -> Option<bool> {
+        let is_its_worker = |worker: &&worker::Worker| {
+            worker.is_inherited && start.worker.as_ref().is_none_or(|id| worker.id == *id)
+        };
+        let mut workers = self.workers.values().filter(is_its_worker).peekable();
+        match &start.worker {
+            Some(id) if self.lost_inherited_workers.contains(id) => return Some(true),
+            Some(_) if workers.peek().is_none() => return Some(true),
+            _ => {}
+        }
+        if workers.any(|worker| !worker.fenced) {
+            return None;
+        }
+        Some(start.worker.is_none() && !self.lost_inherited_workers.is_empty())
+    }
+
+    fn set_starting_run(&mut self, name: task::Name, start: Option<SuspectedStart>) {
         let name = self.crash_counted_task(name);
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name)) {
-            task.starting_run = run;
+            task.starting_run = start;
         }
     }
 
@@ -221,6 +272,7 @@
         let counted = self.crash_counted_task(name);
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(counted)) {
             task.crashed.clear();
+            task.crashed_since = None;
             task.inherited_starts.clear();
             self.mark_dirty(now, name.job, false);
         }
@@ -247,12 +299,37 @@
         }
     }
 
+    /// Records that a task whose run ends has run for long, if it has.
+    pub(super) fn note_proven(&mut self, now: Time, name: task::Name) {
+        let Some(placement) = self.entry(name.job).and_then(|entry| entry.placement(name)) else {
+            return;
+        };
+        let heard = self.workers.get(placement.worker).and_then(worker::Worker::last_heard);
+        if placement.running_for(heard) < MAX_SUSPECT_AGE {
+            return;
+        }
+        let counted = self.crash_counted_task(name);
+        let task = self.entry_mut(name.job).and_then(|entry| entry.task_mut(counted));
+        if task.is_some_and(|task| !std::mem::replace(&mut task.is_proven, true)) {
+            self.mark_dirty(now, name.job, false);
+        }
+    }
+
     /// Returns whether no run on a worker is starting.
     pub(super) fn has_no_starting_run(&self, key: worker::Key) -> bool {
         self.runs_younger_than(key, STARTUP).is_empty()
     }
 }
 
+/// Returns whether a task is given up after `crashes` of workers under it, while `others` crashed
+/// without it. Where as many crash without it, it may be under the others by chance.
+fn is_given_up(crashes: usize, others: usize, is_only_suspect: bool) -> bool {
+    if others >= crashes {
+        return crashes >= MAX_CRASHES_AMONG_OTHERS;
+    }
+    crashes >= MAX_CRASHES || (crashes >= MAX_CRASHES_AS_ONLY_SUSPECT && is_only_suspect)
+}
+
 impl Placement {
     /// Returns how long the run had been running when its worker last answered; zero if it isn't
     /// known to be running.
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -90,16 +90,29 @@
     /// Run numbers that are suspected of crashing their worker. A gang keeps them at its first
     /// member.
     pub crashed: Vec<u64>,
+    /// When the first of these crashes was noticed by this owner.
+    pub crashed_since: Option<Time>,
+    /// Whether a run of it has lasted so long that it is no longer suspected of any crash. A gang
+    /// keeps it at its first member.
+    pub is_proven: bool,
     /// The starting run of a task with a counted crash. A gang keeps it at its first member.
-    pub starting_run: Option<u64>,
+    pub starting_run: Option<SuspectedStart>,
     /// Runs in `crashed` that a predecessor had only just ordered: it isn't known whether they
     /// started. A gang keeps them at its first member.
-    pub inherited_starts: Vec<u64>,
+    pub inherited_starts: Vec<SuspectedStart>,
     pub saved: Rc<str>,
     /// The earliest time of the next start.
     pub not_before: Time,
 }
 
+/// A start of a task that is suspected of a crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct SuspectedStart {
+    pub run: u64,
+    /// The ID of its worker; `None` if the record doesn't name it.
+    pub worker: Option<String>,
+}
+
 /// The state of a task.
 #[derive(Clone, Debug)]
 pub(super) enum TaskState {
@@ -142,6 +155,8 @@
             state: TaskState::Waiting,
             failed: Vec::new(),
             crashed: Vec::new(),
+            crashed_since: None,
+            is_proven: false,
             starting_run: None,
             inherited_starts: Vec::new(),
             saved: Rc::from(""),
--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -63,6 +63,7 @@
     /// Stores the saved progress of a run. If the run is the current one of its task, returns
     /// the task to the waiting state and returns when the run was placed.
     fn clear_placement(&mut self, now: Time, key: worker::Key, exit: &Exit) -> Option<Time> {
+        self.note_proven(now, exit.task);
         let entry = self.entry_mut(exit.task.job)?;
         let task = entry.task_mut(exit.task)?;
         if !exit.saved.is_empty() {
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -225,6 +225,7 @@
 
     /// Returns a task without a run to the waiting state.
     pub(super) fn requeue(&mut self, name: task::Name, not_before: Time) {
+        self.note_proven(not_before, name);
         let Some(entry) = self.entry_mut(name.job) else { return };
         entry.set_task_state(name, TaskState::Waiting);
         if let Some(task) = entry.task_mut(name) {
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -152,7 +152,9 @@
         let location = worker.location();
         let is_same_instance = worker.born_ms.is_some() && worker.born_ms == report.born_ms;
         let may_have_restarted = worker.is_inherited && !worker.fenced && !is_same_instance;
-        self.has_lost_inherited_worker |= may_have_restarted;
+        if may_have_restarted {
+            self.lost_inherited_workers.insert(worker.id.clone());
+        }
         worker.born_ms = report.born_ms.or(worker.born_ms);
         self.is_roster_outdated |= worker.location() != location;
         worker.reported_clock_ms = report.clock_ms;
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -1,6 +1,6 @@
 //! Conversion of a job's state to and from its written progress.
 
-use super::entry::{Entry, Occurrence, TaskState, name};
+use super::entry::{Entry, Occurrence, SuspectedStart, TaskState, name};
 use crate::id::JobId;
 use crate::record::Progress;
 use crate::task;
@@ -46,9 +46,18 @@
                 && let Some(task) = self.task_mut(name)
             {
                 task.crashed.clone_from(crashed);
-                let starting = progress.starting.get(key).cloned().unwrap_or_default();
+                let starts = suspected_starts(progress, key);
                 task.inherited_starts =
-                    starting.into_iter().filter(|run| crashed.contains(run)).collect();
+                    starts.filter(|start| crashed.contains(&start.run)).collect();
+            }
+        }
+        for (key, bits) in &progress.proven {
+            let mut parts = key.split('.').map_while(|part| part.parse::<u32>().ok());
+            let (Some(occurrence), Some(step)) = (parts.next(), parts.next()) else { continue };
+            for index in set_bits(bits) {
+                if let Some(task) = self.task_mut(name(self.id, occurrence, step as usize, index)) {
+                    task.is_proven = true;
+                }
             }
         }
         for (key, saved) in &progress.saved {
@@ -73,14 +82,8 @@
             self.finished_occurrences += 1;
             return;
         };
-        for (word, value) in bits.iter().enumerate() {
-            for bit in (0..WORD_BITS).filter(|bit| value & (1 << bit) != 0) {
-                let index = word * WORD_BITS as usize + bit as usize;
-                self.set_task_state(
-                    name(self.id, occurrence, step as usize, index),
-                    TaskState::Done,
-                );
-            }
+        for index in set_bits(bits) {
+            self.set_task_state(name(self.id, occurrence, step as usize, index), TaskState::Done);
         }
     }
 }
@@ -88,36 +91,65 @@
 impl Occurrence {
     fn add_to(&self, occurrence: u32, progress: &mut Progress) {
         for (step, state) in self.steps.iter().enumerate() {
-            let mut bits = vec![0u64; state.tasks.len().div_ceil(WORD_BITS as usize)];
+            let done =
+                bit_set(state.tasks.iter().map(|task| matches!(task.state, TaskState::Done)));
+            let proven = bit_set(state.tasks.iter().map(|task| task.is_proven));
             for (index, task) in state.tasks.iter().enumerate() {
-                if matches!(task.state, TaskState::Done) {
-                    bits[index / WORD_BITS as usize] |= 1 << (index % WORD_BITS as usize);
-                }
                 let key = || format!("{occurrence}.{step}.{index}");
                 if !task.failed.is_empty() {
                     progress.failed.insert(key(), task.failed.clone());
                 }
                 let mut crashed = task.crashed.clone();
-                crashed.extend(task.starting_run);
+                crashed.extend(task.starting_run.iter().map(|start| start.run));
                 if !crashed.is_empty() {
                     progress.crashed.insert(key(), crashed);
                 }
-                let starting = task.inherited_starts.iter().copied().chain(task.starting_run);
-                let starting: Vec<u64> = starting.collect();
-                if !starting.is_empty() {
-                    progress.starting.insert(key(), starting);
+                let starts = || task.inherited_starts.iter().chain(&task.starting_run);
+                if starts().next().is_some() {
+                    let workers = starts().map(|start| start.worker.clone().unwrap_or_default());
+                    progress.starting.insert(key(), starts().map(|start| start.run).collect());
+                    progress.starting_on.insert(key(), workers.collect());
                 }
                 if matches!(task.state, TaskState::Waiting) && !task.saved.is_empty() {
                     progress.saved.insert(key(), task.saved.to_string());
                 }
             }
-            if bits.iter().any(|word| *word != 0) {
-                progress.done.insert(format!("{occurrence}.{step}"), bits);
+            for (map, bits) in [(&mut progress.done, done), (&mut progress.proven, proven)] {
+                if bits.iter().any(|word| *word != 0) {
+                    map.insert(format!("{occurrence}.{step}"), bits);
+                }
             }
         }
     }
 }
 
+/// Returns the words of a bit set of which the given bits are set.
+fn bit_set(bits: impl ExactSizeIterator<Item = bool>) -> Vec<u64> {
+    let mut words = vec![0u64; bits.len().div_ceil(WORD_BITS as usize)];
+    for (index, _) in bits.enumerate().filter(|(_, is_set)| *is_set) {
+        words[index / WORD_BITS as usize] |= 1 << (index % WORD_BITS as usize);
+    }
+    words
+}
+
+/// Returns the indices of the bits that are set.
+fn set_bits(words: &[u64]) -> impl Iterator<Item = usize> {
+    words.iter().enumerate().flat_map(|(word, value)| {
+        let bits = (0..WORD_BITS).filter(move |bit| value & (1 << bit) != 0);
+        bits.map(move |bit| word * WORD_BITS as usize + bit as usize)
+    })
+}
+
+/// Returns the recorded starts of a task, with their workers as far as they are named.
+fn suspected_starts(progress: &Progress, key: &str) -> impl Iterator<Item = SuspectedStart> {
+    let runs = progress.starting.get(key).cloned().unwrap_or_default();
+    let workers = progress.starting_on.get(key).cloned().unwrap_or_default();
+    runs.into_iter().enumerate().map(move |(index, run)| {
+        let worker = workers.get(index).filter(|id| !id.is_empty()).cloned();
+        SuspectedStart { run, worker }
+    })
+}
+
 fn parse_task(job: JobId, key: &str) -> Option<task::Name> {
     let mut parts = key.split('.').map(|part| part.parse().ok());
     Some(task::Name {
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -62,7 +62,9 @@
         let former = self.workers.get(key)?;
         let is_end_expected = former.is_end_expected(now);
         let next = former.next_instance(report.born_ms);
-        self.has_lost_inherited_worker |= former.is_inherited && !former.fenced;
+        if former.is_inherited && !former.fenced {
+            self.lost_inherited_workers.insert(former.id.clone());
+        }
         if !is_end_expected {
             self.count_crash(now, key);
         }
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -183,7 +183,9 @@
         // Must precede the removal: the "task lost" events need the worker's ID.
         self.requeue_tasks(now, key, names, why);
         let Some(worker) = self.workers.remove(key) else { return };
-        self.has_lost_inherited_worker |= worker.is_inherited && !worker.fenced;
+        if worker.is_inherited && !worker.fenced {
+            self.lost_inherited_workers.insert(worker.id.clone());
+        }
         if self.by_id.get(&worker.id) == Some(&key) {
             self.by_id.remove(&worker.id);
         }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -44,6 +44,14 @@
     /// read this.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub starting: BTreeMap<String, Vec<u64>>,
+    /// The IDs of the workers on which the runs in `starting` were ordered, in the same order.
+    /// Earlier versions neither write nor read this.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub starting_on: BTreeMap<String, Vec<String>>,
+    /// The tasks that have run for long without crashing their worker, as a bit set for each
+    /// occurrence and step. Earlier versions neither write nor read this.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub proven: BTreeMap<String, Vec<u64>>,
     /// The progress that the last run of each waiting task saved, by occurrence, step and
     /// index. While a task runs, its worker has the saved progress.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
