Count only starts that a worker may carry out in the check of crashes

Cause: the check of failed jobs counted delayed starts of replaced owners as starting on a worker, though the worker rejects them since it has seen a higher fence.

Change: a start counts from its order until its end only if its fence isn't lower than the one that the worker has seen. The check stays as strict for all others.

--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -185,7 +185,7 @@
             if index > 0 { step.after(index as u32 - 1) } else { step }
         });
         let job = Job::new("run".to_owned(), steps.collect()).expect("a job");
-        let record = Record { queue: "q".to_owned(), accepted_ms: 0, job };
+        let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation: None };
         self.records.insert(JobId(self.next), (record, self.fence + 1));
     }
 
@@ -264,13 +264,15 @@
     }
 
     /// Records the runs on a worker and their ages, as its owner hears of them, and the starts that
-    /// it has not carried out yet.
+    /// it may still carry out: it rejects those of owners whose fence is lower than one that it has
+    /// seen.
     fn record_heard(&mut self, id: &str) {
         let Some(worker) = self.workers.get(id) else { return };
         let runs = worker.running.iter().map(|(name, run)| (*name, self.now - run.began_at));
         let delayed = self.delayed_orders.iter().map(|(_, order)| order);
         let starts = delayed
             .filter(|order| order.id == id && matches!(order.action, Action::Start { .. }))
+            .filter(|order| order.fence >= worker.fence)
             .map(|order| (order.task, 0));
         self.heard.insert(id.to_owned(), starts.chain(runs).collect());
     }
@@ -376,7 +378,8 @@
     }
 
     fn send_order(&mut self, index: usize, order: &Order) {
-        if matches!(order.action, Action::Start { .. }) {
+        let is_fenced = self.workers.get(&order.id).is_some_and(|w| order.fence < w.fence);
+        if matches!(order.action, Action::Start { .. }) && !is_fenced {
             self.heard.entry(order.id.clone()).or_default().entry(order.task).or_insert(0);
         }
         let answer = if self.delayed.contains(&order.id) {
