Count what runs use of the limits of their organisations

Cause: the pool knew no organisation, so nothing kept one within its limit over all pools.

Change: a job's records name its organisation. A pool counts what the runs of each use, by the room that they declare: starting, stopping, silent and stray runs too, and after a takeover what may run on workers that haven't answered. A task starts only within the pool's part of the limit, a share in ten thousandths that follows a changed limit. Parts of all pools add up to the whole; gift() says how many move.

--- a/crates/jobs/benches/plan.rs
+++ b/crates/jobs/benches/plan.rs
@@ -81,7 +81,7 @@
             step.preferred_rack = rack.map(str::to_owned);
             let steps = vec![step, Step::new(WIDTH).after(0)];
             let job = Job::new(String::new(), steps).expect("the job is valid");
-            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0 };
+            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0, organisation: None };
             let id = JobId(self.next_job);
             self.next_job += 1;
             self.pool.accept(self.at(), Duration::ZERO, id, &record, None, FENCE + 1);
--- /dev/null
+++ b/crates/jobs/src/allowance.rs
@@ -0,0 +1,134 @@
+//! Division of an organisation's limit among pools.
+//!
+//! Each pool may use a part of the limit, and the parts of all pools add up to the whole. A part is
+//! moved by one transaction that lowers one pool's and raises another's, so none is made or lost.
+//! Only the owner of a pool lowers its part, and it counts the part as lowered before it writes
+//! that: whatever a process doesn't know yet, it uses at most what is recorded.
+//!
+//! A part is a share of the limit, so it follows a changed limit without any message.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// All parts of a limit.
+pub const WHOLE: u32 = 10_000;
+/// The share of an equal part that a pool without demand keeps, as a divisor: its first tasks can
+/// start before it gets more.
+const RESERVE_DIVISOR: u32 = 4;
+/// The least parts that are moved at once, if the giver has as many to spare.
+const MIN_TRANSFER: u32 = WHOLE / 32;
+
+/// The parts of a limit by pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Division {
+    parts: BTreeMap<String, u32>,
+}
+
+impl Division {
+    /// Divides the limit equally among pools.
+    ///
+    /// ```
+    /// use corianderfork_jobs::allowance::{Division, WHOLE};
+    ///
+    /// let division = Division::equal(["a", "b", "c"]);
+    /// assert!(division.is_whole());
+    /// assert_eq!(division.part("b"), WHOLE / 3);
+    /// assert_eq!(division.part("other"), 0);
+    /// ```
+    pub fn equal<'a>(pools: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut parts: BTreeMap<String, u32> =
+            pools.into_iter().map(|pool| (pool.to_owned(), 0)).collect();
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX).max(1);
+        for part in parts.values_mut() {
+            *part = WHOLE / count;
+        }
+        if let Some(first) = parts.values_mut().next() {
+            *first += WHOLE % count;
+        }
+        Self { parts }
+    }
+
+    /// Returns the part of a pool.
+    pub fn part(&self, pool: &str) -> u32 {
+        self.parts.get(pool).copied().unwrap_or(0)
+    }
+
+    /// Returns the pools with a part.
+    pub fn pools(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.parts.iter().map(|(pool, part)| (pool.as_str(), *part))
+    }
+
+    /// Returns whether the parts add up to the whole, as those of every valid division.
+    pub fn is_whole(&self) -> bool {
+        let sum: u64 = self.parts.values().map(|part| u64::from(*part)).sum();
+        sum == u64::from(WHOLE)
+    }
+
+    /// Moves parts from one pool to another. Returns `None` if `from` has fewer.
+    ///
+    /// ```
+    /// use corianderfork_jobs::allowance::{Division, WHOLE};
+    ///
+    /// let division = Division::equal(["a", "b"]);
+    /// let moved = division.transfer("a", "b", 1_000).expect("a has enough");
+    /// assert_eq!((moved.part("a"), moved.part("b")), (4_000, 6_000));
+    /// assert!(moved.is_whole());
+    /// assert_eq!(moved.transfer("a", "b", 4_001), None);
+    /// ```
+    #[must_use]
+    pub fn transfer(&self, from: &str, to: &str, parts: u32) -> Option<Self> {
+        let left = self.part(from).checked_sub(parts)?;
+        let mut next = self.clone();
+        next.parts.insert(from.to_owned(), left);
+        *next.parts.entry(to.to_owned()).or_default() += parts;
+        Some(next)
+    }
+
+    /// Returns the part that a pool keeps if it has no use for it.
+    fn reserve(&self) -> u32 {
+        let count = u32::try_from(self.parts.len()).unwrap_or(u32::MAX).max(1);
+        WHOLE / count / RESERVE_DIVISOR
+    }
+}
+
+/// What a pool does with its part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// What its runs use.
+    pub used: u32,
+    /// What its runs and the tasks that could start now would use.
+    pub wanted: u32,
+}
+
+/// Returns how many parts `giver` hands to `taker`.
+///
+/// A pool gives what it has no use for. Where both want more than they have together, they divide
+/// that in proportion to what they want. What its runs use is never given.
+///
+/// ```
+/// use corianderfork_jobs::allowance::{Demand, Division, gift};
+///
+/// let division = Division::equal(["idle", "busy"]);
+/// let (idle, busy) = (Demand::default(), Demand { used: 5_000, wanted: 9_000 });
+/// assert_eq!(gift(&division, ("idle", &idle), ("busy", &busy)), 3_750);
+/// assert_eq!(gift(&division, ("busy", &busy), ("idle", &idle)), 0);
+/// ```
+pub fn gift(division: &Division, giver: (&str, &Demand), taker: (&str, &Demand)) -> u32 {
+    let (giver, own) = giver;
+    let (taker, other) = taker;
+    let (part, taken) = (division.part(giver), division.part(taker));
+    let missing = other.wanted.saturating_sub(taken);
+    if missing == 0 || giver == taker {
+        return 0;
+    }
+    let both = u64::from(part) + u64::from(taken);
+    let wanted = u64::from(own.wanted) + u64::from(other.wanted);
+    let fair = if wanted > both {
+        u32::try_from(both * u64::from(own.wanted) / wanted.max(1)).unwrap_or(u32::MAX)
+    } else {
+        own.wanted
+    };
+    let kept = fair.max(own.used).max(division.reserve());
+    missing.max(MIN_TRANSFER).min(part.saturating_sub(kept))
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,11 +27,13 @@
 //! # Ok::<(), corianderfork_jobs::job::Error>(())
 //! ```
 
+pub mod allowance;
 pub mod estimate;
 pub mod feature;
 pub mod flow;
 pub mod id;
 pub mod job;
+pub mod organisation;
 pub mod pool;
 pub mod queue;
 pub mod record;
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -1,5 +1,6 @@
 //! The state and the decisions of the owner of one pool of workers.
 
+mod account;
 mod advice;
 mod agenda;
 mod batch;
@@ -27,14 +28,17 @@
 mod space;
 pub(crate) mod symbol;
 mod unmet;
+pub(crate) mod usage;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_model::Time;
 use slotmap::SlotMap;
 
+pub use account::{Shortage, Use};
 pub use advice::{Advice, Query};
 pub use batch::{Batch, Update};
 pub use explain::{Explanation, StepExplanation};
@@ -50,12 +54,14 @@
 use crate::record::State;
 use crate::task;
 use crate::worker::{self, Worker};
+use account::Accounts;
 use agenda::Agenda;
 use departed::EndedInstances;
 use entry::Entry;
 use plan::Gate;
 use ranking::Ranking;
 use symbol::Symbols;
+use usage::Usage;
 
 slotmap::new_key_type! {
     /// A job of a pool.
@@ -147,6 +153,8 @@
     unplaced: BTreeSet<JobKey>,
     /// Ended jobs, by when they ended.
     ended: BTreeSet<(Time, JobId)>,
+    accounts: Accounts,
+    usage: Rc<Usage>,
     agenda: Agenda,
     ranking: Ranking,
     symbols: Symbols,
@@ -209,6 +217,8 @@
             active: BTreeSet::new(),
             unplaced: BTreeSet::new(),
             ended: BTreeSet::new(),
+            accounts: Accounts::default(),
+            usage: Rc::default(),
             agenda: Agenda::default(),
             ranking: Ranking::default(),
             symbols: Symbols::default(),
--- /dev/null
+++ b/crates/jobs/src/pool/account.rs
@@ -0,0 +1,273 @@
+//! What each organisation may use in a pool, and what it uses.
+
+use std::collections::HashMap;
+
+use corianderfork_model::Time;
+use serde::Serialize;
+
+use super::Pool;
+use super::entry::Entry;
+use super::ranking::StepKey;
+use crate::allowance::Demand;
+use crate::id::JobId;
+use crate::job::{Room, Step};
+use crate::organisation::{Key, Organisation};
+
+/// An organisation, as the owner of one pool sees it.
+#[derive(Debug, Default)]
+struct Account {
+    name: String,
+    /// Its settings; `None` if the configuration doesn't contain it, so that it has no limit.
+    organisation: Option<Organisation>,
+    /// The part of the limit that this pool may use.
+    part: u32,
+    /// Whether a task waits since the last plan because the part is used up.
+    is_blocked: bool,
+}
+
+/// The organisations that are known to a pool. None is removed.
+#[derive(Debug, Default)]
+pub(super) struct Accounts {
+    accounts: Vec<Account>,
+    by_name: HashMap<String, Key>,
+    blocked: Vec<Key>,
+}
+
+impl Accounts {
+    /// Returns the key of an organisation, and adds one if it has none.
+    pub fn key(&mut self, name: &str) -> Key {
+        if let Some(key) = self.by_name.get(name) {
+            return *key;
+        }
+        let key = Key(self.accounts.len());
+        self.accounts.push(Account { name: name.to_owned(), ..Account::default() });
+        self.by_name.insert(name.to_owned(), key);
+        key
+    }
+
+    pub fn is_blocked(&self, key: Key) -> bool {
+        self.accounts.get(key.0).is_some_and(|account| account.is_blocked)
+    }
+
+    fn block(&mut self, key: Key) {
+        if let Some(account) = self.accounts.get_mut(key.0)
+            && !account.is_blocked
+        {
+            account.is_blocked = true;
+            self.blocked.push(key);
+        }
+    }
+
+    /// Lets tasks of all organisations be tried again.
+    pub fn unblock(&mut self) {
+        for key in std::mem::take(&mut self.blocked) {
+            if let Some(account) = self.accounts.get_mut(key.0) {
+                account.is_blocked = false;
+            }
+        }
+    }
+
+    fn set(&mut self, organisations: &[Organisation]) {
+        self.accounts.iter_mut().for_each(|account| account.organisation = None);
+        for organisation in organisations {
+            let key = self.key(&organisation.name);
+            self.accounts[key.0].organisation = Some(organisation.clone());
+        }
+    }
+
+    /// Returns the settings of an organisation that has a limit, and the part of this pool.
+    fn limited(&self, key: Key) -> Option<(&Organisation, u32)> {
+        let account = self.accounts.get(key.0)?;
+        let organisation = account.organisation.as_ref().filter(|o| o.is_limited())?;
+        Some((organisation, account.part))
+    }
+}
+
+/// An organisation whose tasks wait because the pool's part of its limit is used up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    /// The name of the organisation.
+    pub organisation: String,
+    /// What the pool uses and wants.
+    pub demand: Demand,
+}
+
+/// What an organisation uses in a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Use {
+    /// The name of the organisation.
+    pub organisation: String,
+    /// The weight; `None` if the configuration doesn't contain it.
+    pub weight: Option<u32>,
+    /// The limit over all pools; a part that is 0 has no limit.
+    pub limit: Room,
+    /// The pool's part of the limit, in ten thousandths.
+    pub part: u32,
+    /// The room that its runs here count.
+    pub used: Room,
+    /// Whether tasks wait because the part is used up.
+    pub is_blocked: bool,
+}
+
+impl Pool {
+    /// Sets the organisations of the configuration in force. Limits apply to the next starts; runs
+    /// beyond a lowered limit go on.
+    pub fn set_organisations(&mut self, organisations: &[Organisation]) {
+        self.accounts.set(organisations);
+    }
+
+    /// Sets the part of an organisation's limit that this pool may use. Before the first call it is
+    /// none, and no task of an organisation with a limit starts.
+    ///
+    /// ```
+    /// use corianderfork_jobs::allowance::WHOLE;
+    /// use corianderfork_jobs::job::Room;
+    /// use corianderfork_jobs::organisation::Organisation;
+    /// use corianderfork_jobs::pool::{Config, Pool};
+    /// use corianderfork_model::Time;
+    ///
+    /// let mut pool = Pool::new(Config::new(7, Time::ZERO));
+    /// let limit = Room { cpu: 8_000, ..Room::default() };
+    /// pool.set_organisations(&[Organisation { name: "a".to_owned(), limit, weight: 1 }]);
+    /// pool.set_part("a", WHOLE / 2);
+    /// assert_eq!(pool.uses()[0].part, WHOLE / 2);
+    /// ```
+    pub fn set_part(&mut self, organisation: &str, part: u32) {
+        let key = self.accounts.key(organisation);
+        self.accounts.accounts[key.0].part = part;
+    }
+
+    /// Returns the name of the organisation that submitted a job; the outer `None` stands for an
+    /// unknown job.
+    pub fn organisation_of(&self, id: JobId) -> Option<Option<&str>> {
+        Some(self.entry(id)?.organisation_name.as_deref())
+    }
+
+    /// Returns what each organisation uses in this pool.
+    pub fn uses(&self) -> Vec<Use> {
+        let of = |(index, account): (usize, &Account)| Use {
+            organisation: account.name.clone(),
+            weight: account.organisation.as_ref().map(|organisation| organisation.weight),
+            limit: account.organisation.as_ref().map(|o| o.limit).unwrap_or_default(),
+            part: account.part,
+            used: self.usage.get(Key(index)),
+            is_blocked: account.is_blocked,
+        };
+        self.accounts.accounts.iter().enumerate().map(of).collect()
+    }
+
+    /// Returns the organisations whose tasks the last plan didn't start because this pool's part of
+    /// their limit is used up.
+    pub fn shortages(&self, now: Time) -> Vec<Shortage> {
+        let shortage = |key: &Key| Shortage {
+            organisation: self.accounts.accounts[key.0].name.clone(),
+            demand: self.demand_of(now, *key),
+        };
+        self.accounts.blocked.iter().map(shortage).collect()
+    }
+
+    /// Returns whether the last plan left tasks waiting because of a limit.
+    pub fn has_shortage(&self) -> bool {
+        !self.accounts.blocked.is_empty()
+    }
+
+    /// Returns what this pool uses and wants of an organisation's limit.
+    pub fn demand(&self, now: Time, organisation: &str) -> Demand {
+        let key = self.accounts.by_name.get(organisation);
+        key.map_or_else(Demand::default, |key| self.demand_of(now, *key))
+    }
+
+    fn demand_of(&self, now: Time, key: Key) -> Demand {
+        let Some((organisation, _)) = self.accounts.limited(key) else { return Demand::default() };
+        let mut room = self.charged(key, self.is_recovering(now));
+        let used = organisation.parts_for(&room);
+        let own = self.ranking.candidates().filter(|step| step.organisation == Some(key));
+        for step in own {
+            room.add(&self.waiting_room(step.key));
+        }
+        Demand { used, wanted: organisation.parts_for(&room).max(used) }
+    }
+
+    /// Returns the room that the waiting tasks of a ready step count.
+    fn waiting_room(&self, key: StepKey) -> Room {
+        let waiting = self.jobs.get(key.job).and_then(|entry| {
+            let state = entry.occurrences.get(&key.occurrence)?.steps.get(key.step)?;
+            Some(entry.steps.get(key.step)?.needs.times(state.waiting))
+        });
+        waiting.unwrap_or_default()
+    }
+
+    /// Returns whether `count` tasks of a step may start within the limit of their organisation. If
+    /// not, no other task of it is started in this plan: a smaller task behind one that waits would
+    /// use up what becomes free.
+    pub(super) fn may_charge(&mut self, step_key: StepKey, step: &Step, count: u32) -> bool {
+        let organisation = self.jobs.get(step_key.job).and_then(|entry| entry.organisation);
+        let Some(key) = organisation else { return true };
+        let is_recovering = !self.gate_is_open_to_all();
+        let Some((organisation, part)) = self.accounts.limited(key) else { return true };
+        let needed = step.needs.times(count);
+        if organisation.allows(part, &self.charged(key, is_recovering), &needed) {
+            return true;
+        }
+        self.accounts.block(key);
+        false
+    }
+
+    /// Returns the room that runs of an organisation may use in this pool.
+    fn charged(&self, key: Key, is_recovering: bool) -> Room {
+        let mut room = self.usage.get(key);
+        if is_recovering {
+            room.add(&self.unseen_room(key));
+        }
+        room
+    }
+
+    /// Returns the room that runs of a predecessor may use on workers that haven't answered: at
+    /// most what these workers have, and what the waiting tasks of earlier jobs need.
+    fn unseen_room(&self, key: Key) -> Room {
+        let mut hidden = Room::default();
+        for worker in self.workers.values().filter(|worker| !worker.fenced) {
+            hidden.add(&worker.room);
+        }
+        let mut waiting = Room::default();
+        let is_earlier =
+            |entry: &&Entry| entry.organisation == Some(key) && entry.revision <= self.config.fence;
+        for entry in self.active_jobs().filter(is_earlier) {
+            for occurrence in entry.occurrences.values() {
+                for (step, state) in entry.steps.iter().zip(&occurrence.steps) {
+                    waiting.add(&step.needs.times(state.waiting));
+                }
+            }
+        }
+        // The room of a worker that hasn't answered may not be known either.
+        if self.workers.values().any(|worker| !worker.fenced && worker.room == Room::default()) {
+            return waiting;
+        }
+        Room {
+            cpu: hidden.cpu.min(waiting.cpu),
+            memory_mb: hidden.memory_mb.min(waiting.memory_mb),
+            gpu: hidden.gpu.min(waiting.gpu),
+        }
+    }
+
+    /// Returns whether a job waits because the pool's part of its organisation's limit is used up.
+    pub(super) fn is_blocked_by_limit(&self, id: JobId) -> bool {
+        let organisation = self.entry(id).and_then(|entry| entry.organisation);
+        organisation.is_some_and(|key| self.accounts.is_blocked(key))
+    }
+
+    /// Describes the limit that a job waits for.
+    pub(super) fn describe_limit(&self, entry: &Entry) -> Option<String> {
+        let key = entry.organisation.filter(|key| self.accounts.is_blocked(*key))?;
+        let (organisation, part) = self.accounts.limited(key)?;
+        let used = self.usage.get(key);
+        Some(format!(
+            "the organisation {:?} uses {} thousandths of a core and {} MB here; this pool has {part} ten thousandths of its limit of {} and {} MB",
+            organisation.name,
+            used.cpu,
+            used.memory_mb,
+            organisation.limit.cpu,
+            organisation.limit.memory_mb
+        ))
+    }
+}
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -203,7 +203,8 @@
                 task.inherited_starts = pending;
                 task.crashed.retain(|run| !harmless.contains(run));
             }
-            self.mark_dirty(now, name.job, false);
+            // A successor can't tell that the start was harmless once the worker has ended.
+            self.mark_dirty(now, name.job, true);
         }
     }
 
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -10,6 +10,7 @@
 use super::ranking::Position;
 use crate::id::JobId;
 use crate::job::{Job, Step};
+use crate::organisation;
 use crate::record::State;
 use crate::task;
 use crate::worker;
@@ -26,6 +27,10 @@
 pub(super) struct Entry {
     pub id: JobId,
     pub queue: String,
+    /// The organisation whose limit its runs count towards.
+    pub organisation: Option<organisation::Key>,
+    /// The name of that organisation.
+    pub organisation_name: Option<Rc<str>>,
     pub spec: Rc<str>,
     pub steps: Rc<[Step]>,
     pub schedule: Option<crate::job::Schedule>,
@@ -323,6 +328,8 @@
     Entry {
         id,
         queue: queue.to_owned(),
+        organisation: None,
+        organisation_name: None,
         spec: Rc::from(job.spec.as_str()),
         steps: Rc::from(job.steps.clone()),
         schedule: job.schedule,
--- a/crates/jobs/src/pool/explain.rs
+++ b/crates/jobs/src/pool/explain.rs
@@ -18,6 +18,8 @@
 pub struct Explanation {
     /// The job's queue.
     pub queue: String,
+    /// The organisation that submitted it.
+    pub organisation: Option<String>,
     /// The queue's priority; 0 is the highest.
     pub priority: u32,
     /// The state.
@@ -67,6 +69,7 @@
         };
         Some(Explanation {
             queue: entry.queue.clone(),
+            organisation: entry.organisation_name.as_deref().map(str::to_owned),
             priority: self.queue(&entry.queue).priority,
             state: entry.state,
             steps,
@@ -116,6 +119,9 @@
             return "a run that an owner before started may be alive where this one can't look"
                 .to_owned();
         }
+        if let Some(why) = self.describe_limit(entry) {
+            return why;
+        }
         let suitable: Vec<&Worker> =
             self.workers.values().filter(|worker| is_suitable(worker, now, step)).collect();
         if suitable.is_empty() {
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -37,6 +37,9 @@
         if self.fail_at_crash_limit(now, names[0]) {
             return;
         }
+        if !self.may_charge(step_key, step, step.count) {
+            return;
+        }
         let racks = if step.same_rack { self.racks() } else { Vec::new() };
         let may_spread = !step.same_rack || !self.may_wait_for_rack(now, names[0], step);
         let workers = racks
@@ -76,7 +79,7 @@
         for name in names {
             let Some(key) = self.choose(now, *name, step, rack) else { break };
             if let Some(worker) = self.workers.get_mut(key) {
-                worker.allocate(*name, Allocation::new(0, step));
+                worker.allocate(*name, Allocation::new(0, step, None));
             }
             workers.push(key);
         }
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -1,5 +1,6 @@
 //! Acceptance, cancellation and end of jobs.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -33,6 +34,8 @@
         }
         let queue = self.queue(&record.queue);
         let mut entry = new_entry(id, &record.job, &record.queue, revision);
+        entry.organisation_name = record.organisation.as_deref().map(Rc::from);
+        entry.organisation = record.organisation.as_deref().map(|name| self.accounts.key(name));
         let chain = chain_ms(&record.job.steps, |_, step| self.predict(&record.queue, step));
         entry.accepted = Time::from_millis(now.as_millis().saturating_sub(worker::millis(age)));
         let chain = Duration::from_millis(chain).mul_f64(queue.stretch.clamp(0.0, 100.0));
@@ -108,6 +111,7 @@
         }
         let job = Job { spec: String::new(), steps: Vec::new(), schedule: None };
         let mut entry = new_entry(id, &job, &progress.queue, 0);
+        entry.organisation_name = progress.organisation.as_deref().map(Rc::from);
         entry.restore(progress);
         entry.ended = Some(now);
         self.insert_job(entry);
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -25,6 +25,7 @@
         if !self.is_every_inherited_worker_polled() {
             return;
         }
+        self.accounts.unblock();
         let mut room = self.largest_room(now);
         let mut search = None;
         let mut last = None;
@@ -108,7 +109,7 @@
             if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) {
+            if self.fail_at_crash_limit(now, name) || !self.may_charge(key, step, 1) {
                 return;
             }
             let Some(worker) = self.choose(now, name, step, None) else {
@@ -141,7 +142,7 @@
             if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) {
+            if self.fail_at_crash_limit(now, name) || !self.may_charge(key, step, 1) {
                 return false;
             }
             let Some(chosen) = self.choose_in(now, name, step, rack, space) else {
@@ -178,6 +179,9 @@
     /// Returns whether a step may fit into a worker if `room` is the largest that any has left. A
     /// step that needs a feature may use other workers, and one with a reservation has room there.
     fn may_fit(&self, room: &Room, candidate: &Candidate) -> bool {
+        if candidate.organisation.is_some_and(|key| self.accounts.is_blocked(key)) {
+            return false;
+        }
         let needed = &candidate.room;
         let is_too_large = room.cpu < needed.cpu || room.memory_mb < needed.memory_mb;
         !is_too_large || candidate.has_feature || !self.reservations.is_empty()
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns whether no run of a predecessor may be alive unseen, as of the last
+    /// [`Pool::update_gate`].
+    pub(super) fn gate_is_open_to_all(&self) -> bool {
+        self.gate.is_open_to_all
+    }
+
     fn stop_strays(&mut self, now: Time, orders: &mut Vec<Order>) {
         let mut due = Vec::new();
         let known_until = self.jobs_known_until;
@@ -195,9 +201,10 @@
         orders: &mut Vec<Order>,
     ) {
         let lease = self.config.lease;
+        let organisation = self.entry(name.job).and_then(|entry| entry.organisation);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
-        worker.allocate(name, Allocation::new(run, step));
+        worker.allocate(name, Allocation::new(run, step, organisation));
         self.consume_reservation(name, key);
         let Some(worker) = self.workers.get(key) else { return };
         let why = format!(
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -13,6 +13,7 @@
         let mut progress = Progress {
             state: self.state,
             queue: self.queue.clone(),
+            organisation: self.organisation_name.as_deref().map(str::to_owned),
             ended_ms: self.ended_ms,
             ..Progress::default()
         };
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -14,6 +14,7 @@
 use crate::feature::Feature;
 use crate::id::JobId;
 use crate::job::{Room, Step, chain_ms};
+use crate::organisation;
 
 /// How long before its expiry a late job is ranked before the others. A longer time serves more of
 /// the late jobs and fewer in time; between 0.5 s and 1.2 s the gain and the loss are equal in what
@@ -72,6 +73,8 @@
     pub key: StepKey,
     /// The room that each of its tasks needs.
     pub room: Room,
+    /// The organisation, if it may have a limit.
+    pub organisation: Option<organisation::Key>,
     /// Whether only some workers may run it.
     pub has_feature: bool,
     /// The label that a worker must have.
@@ -234,6 +237,7 @@
         Candidate {
             key,
             room: step.room(),
+            organisation: entry.organisation,
             has_feature: Feature::of(step).is_some(),
             label: symbol(&step.label),
             rack: symbol(&step.preferred_rack),
--- a/crates/jobs/src/pool/reserve.rs
+++ b/crates/jobs/src/pool/reserve.rs
@@ -137,7 +137,9 @@
         for entry in unplaced.filter(may_reserve) {
             entry.tasks_without_room(now, &mut found);
         }
-        found.retain(|(_, name)| !self.reservations.contains_key(name));
+        found.retain(|(_, name)| {
+            !self.reservations.contains_key(name) && !self.is_blocked_by_limit(name.job)
+        });
         found
     }
 
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -91,7 +91,9 @@
             }
         }
         self.requeue_tasks(now, key, lost, "its worker has restarted");
-        self.workers.remove(key);
+        if let Some(mut former) = self.workers.remove(key) {
+            former.clear_allocations();
+        }
         // The former instance's clock was ahead, so a lease that was meant for it may be the
         // longest one on the new instance.
         if may_hold_lease && let Some(worker) = self.workers.get_mut(next_key) {
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -49,6 +49,7 @@
         self.remove_crash(name, running.run);
         let Some(entry) = self.entry_mut(name.job) else { return };
         let Some(step) = entry.step(name).cloned() else { return };
+        let organisation = entry.organisation;
         let mut placement =
             Placement::new(key, running.run, now, Phase::Running { confirmed: now });
         placement.update(now, running);
@@ -58,7 +59,7 @@
         }
         if let Some(worker) = self.workers.get_mut(key) {
             worker.strays.remove(&name);
-            worker.allocate(name, Allocation::new(running.run, &step));
+            worker.allocate(name, Allocation::new(running.run, &step, organisation));
         }
         self.track_suspect(now, name, key, running.run);
         self.note("task adopted", Some(name), Some(key), format!("run {}", running.run));
@@ -67,7 +68,9 @@
     /// Tracks a run that this owner didn't order: its job has ended or isn't known yet. The run
     /// occupies room nevertheless.
     fn track_stray(&mut self, now: Time, key: worker::Key, running: &Run) {
-        let step = self.entry(running.task.job).and_then(|entry| entry.step(running.task)).cloned();
+        let entry = self.entry(running.task.job);
+        let step = entry.and_then(|entry| entry.step(running.task)).cloned();
+        let organisation = entry.and_then(|entry| entry.organisation);
         let is_job_over = self.entry(running.task.job).is_some_and(|entry| entry.state.is_final());
         let Some(worker) = self.workers.get_mut(key) else { return };
         let new = Stray {
@@ -89,7 +92,8 @@
             .get(&running.task)
             .is_some_and(|allocation| allocation.run == running.run);
         if !is_allocated {
-            let allocation = Allocation::new(running.run, &step.unwrap_or_default());
+            let step = step.unwrap_or_default();
+            let allocation = Allocation::new(running.run, &step, organisation);
             worker.allocate(running.task, allocation);
         }
     }
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -12,7 +12,7 @@
 
 impl Pool {
     pub(super) fn add_worker(&mut self, location: Location, inherited_until: Time) -> worker::Key {
-        self.insert_worker(Worker::new(location, inherited_until))
+        self.insert_worker(Worker::new(location, inherited_until, self.usage.clone()))
     }
 
     /// Adds a worker instance, which is the current one of its ID from now on.
@@ -182,7 +182,8 @@
         let names = worker.allocations.keys().copied().collect();
         // Must precede the removal: the "task lost" events need the worker's ID.
         self.requeue_tasks(now, key, names, why);
-        let Some(worker) = self.workers.remove(key) else { return };
+        let Some(mut worker) = self.workers.remove(key) else { return };
+        worker.clear_allocations();
         if worker.is_inherited && !worker.fenced {
             self.lost_inherited_workers.insert(worker.id.clone());
         }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -15,6 +15,9 @@
     pub accepted_ms: u64,
     /// The job.
     pub job: Job,
+    /// The organisation that submitted it; `None` if its route needed no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<String>,
 }
 
 /// The progress of a job. Written by the pool's owner.
@@ -24,6 +27,9 @@
     pub state: State,
     /// The queue, repeated here since the job's record is removed when the job ends.
     pub queue: String,
+    /// The organisation, repeated for the same reason.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<String>,
     /// When the job ended, in milliseconds since the Unix epoch; 0 before.
     #[serde(default)]
     pub ended_ms: u64,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_model::Time;
@@ -9,7 +10,9 @@
 
 use crate::id::JobId;
 use crate::job::{Room, Step};
+use crate::organisation;
 use crate::pool::symbol::Symbol;
+use crate::pool::usage::Usage;
 use crate::task;
 
 slotmap::new_key_type! {
@@ -94,6 +97,8 @@
 pub(crate) struct Allocation {
     pub run: u64,
     pub room: Room,
+    /// The organisation, and the room that counts towards its limit.
+    charge: Option<(organisation::Key, Room)>,
     is_long_running: bool,
     /// Whether it serves users of its own, with a target for their latency.
     is_serving: bool,
@@ -102,10 +107,11 @@
 
 impl Allocation {
     /// Returns the allocation of a run of a task of `step`.
-    pub fn new(run: u64, step: &Step) -> Self {
+    pub fn new(run: u64, step: &Step, organisation: Option<organisation::Key>) -> Self {
         Self {
             run,
             room: step.room(),
+            charge: organisation.map(|key| (key, step.needs)),
             is_long_running: step.long_running,
             is_serving: step.target_ms > 0,
             is_backfill: step.backfill,
@@ -176,6 +182,8 @@
     pub(crate) pending: BTreeMap<u64, Pending>,
     pub(crate) orphans: Vec<task::Exit>,
     pub(crate) allocations: HashMap<task::Name, Allocation>,
+    /// What the runs of organisations use on all workers of the pool.
+    usage: Rc<Usage>,
     /// The numbers of allocations of long-running, serving and backfill tasks.
     pub(crate) long_running: u32,
     pub(crate) serving: u32,
@@ -200,7 +208,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(location: Location, inherited_until: Time) -> Self {
+    pub(crate) fn new(location: Location, inherited_until: Time, usage: Rc<Usage>) -> Self {
         Self {
             id: location.id,
             address: location.address,
@@ -228,6 +236,7 @@
             pending: BTreeMap::new(),
             orphans: Vec::new(),
             allocations: HashMap::new(),
+            usage,
             long_running: 0,
             serving: 0,
             backfill: 0,
@@ -256,7 +265,11 @@
             vacating_since: self.vacating_since,
             is_surplus: self.is_surplus,
             started_until: self.started_until,
-            ..Self::new(Location { born_ms, ..self.location() }, self.inherited_until)
+            ..Self::new(
+                Location { born_ms, ..self.location() },
+                self.inherited_until,
+                self.usage.clone(),
+            )
         };
         if is_same_start(self.registered_born_ms, born_ms) {
             next.registered_born_ms = self.registered_born_ms;
@@ -341,6 +354,9 @@
             self.uncount(&old);
         }
         self.used.add(&allocation.room);
+        if let Some((organisation, room)) = &allocation.charge {
+            self.usage.add(*organisation, room);
+        }
         self.long_running += u32::from(allocation.is_long_running);
         self.serving += u32::from(allocation.is_serving);
         self.backfill += u32::from(allocation.is_backfill);
@@ -351,6 +367,9 @@
 
     fn uncount(&mut self, allocation: &Allocation) {
         self.used.sub(&allocation.room);
+        if let Some((organisation, room)) = &allocation.charge {
+            self.usage.sub(*organisation, room);
+        }
         self.long_running -= u32::from(allocation.is_long_running);
         self.serving -= u32::from(allocation.is_serving);
         self.backfill -= u32::from(allocation.is_backfill);
@@ -361,7 +380,9 @@
 
     /// Releases the room of all runs.
     pub(crate) fn clear_allocations(&mut self) {
-        self.allocations.clear();
+        for allocation in std::mem::take(&mut self.allocations).into_values() {
+            self.uncount(&allocation);
+        }
         self.strays.clear();
         self.used = Room::default();
         (self.long_running, self.serving, self.backfill) = (0, 0, 0);
--- a/crates/jobs/tests/backlog.rs
+++ b/crates/jobs/tests/backlog.rs
@@ -20,8 +20,12 @@
     simulation.task_ms = 60_000;
     for id in 1..=JOBS {
         let job = Job::new("run".to_owned(), vec![step(8, 2_000), Step::new(8).after(0)]);
-        let record =
-            Record { queue: "q".to_owned(), accepted_ms: 0, job: job.expect("the job is valid") };
+        let record = Record {
+            queue: "q".to_owned(),
+            accepted_ms: 0,
+            job: job.expect("the job is valid"),
+            organisation: None,
+        };
         let now = at(simulation.now);
         simulation.pool.accept(now, Duration::ZERO, JobId(id), &record, None, FENCE + 1);
     }
@@ -90,7 +94,7 @@
     let other = JobId(3);
     simulation.steps.insert(other, vec![step(1, 8_000)]);
     let job = Job::new("run".to_owned(), vec![step(1, 8_000)]).expect("the job is valid");
-    let record = Record { queue: "r".to_owned(), accepted_ms: 0, job };
+    let record = Record { queue: "r".to_owned(), accepted_ms: 0, job, organisation: None };
     let now = at(simulation.now);
     simulation.pool.accept(now, Duration::ZERO, other, &record, None, FENCE + 1);
     simulation.run_for(100);
--- a/crates/jobs/tests/checkpoint.rs
+++ b/crates/jobs/tests/checkpoint.rs
@@ -54,6 +54,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, Some(&progress), FENCE + 1);
     sim.list_and_poll();
--- a/crates/jobs/tests/long_running.rs
+++ b/crates/jobs/tests/long_running.rs
@@ -87,6 +87,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![long_running_step(4, 1)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     sim.list_and_poll();
--- a/crates/jobs/tests/occurrence.rs
+++ b/crates/jobs/tests/occurrence.rs
@@ -22,7 +22,7 @@
     let schedule = Schedule { first_ms: MIDNIGHT + first, every_ms: INTERVAL_MS, times };
     let job = Job::new("run".to_owned(), steps).and_then(|job| job.scheduled(schedule));
     let job = job.expect("a job");
-    let record = Record { queue: "q".to_owned(), accepted_ms: MIDNIGHT, job };
+    let record = Record { queue: "q".to_owned(), accepted_ms: MIDNIGHT, job, organisation: None };
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, FENCE + 1_000);
     id
 }
@@ -104,8 +104,12 @@
     successor.steps.insert(job, steps.clone());
     let schedule = Schedule { first_ms: MIDNIGHT + 2_000, every_ms: INTERVAL_MS, times: 3 };
     let whole = Job::new("run".to_owned(), steps).and_then(|job| job.scheduled(schedule));
-    let record =
-        Record { queue: "q".to_owned(), accepted_ms: MIDNIGHT, job: whole.expect("a job") };
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: MIDNIGHT,
+        job: whole.expect("a job"),
+        organisation: None,
+    };
     successor.pool.accept(at(successor.now), Duration::ZERO, job, &record, Some(&progress), 1);
     let orders = run(&mut successor, 30_000);
     let occurrences: Vec<u32> = orders.iter().map(|order| order.task.occurrence).collect();
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -196,6 +196,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, Some(&progress), FENCE + 1);
     sim.list_and_poll();
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -38,6 +38,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(2, 1_000)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     assert!(sim.plan().is_empty(), "no worker was polled yet");
@@ -68,6 +69,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     sim.run_for(3_000);
@@ -181,6 +183,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
     };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     sim.run_for(200);
--- a/crates/jobs/tests/unrelated_crash.rs
+++ b/crates/jobs/tests/unrelated_crash.rs
@@ -69,6 +69,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), job_steps).expect("a job"),
+        organisation: None,
     };
     let progress = sim.progress.get(&job).cloned();
     let now = at(sim.now);
@@ -110,6 +111,7 @@
         queue: "q".to_owned(),
         accepted_ms: 0,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
     };
     let key = "0.0.0".to_owned();
     let mut progress = Progress { queue: "q".to_owned(), ..Progress::default() };
