Ask callers for the keys of organisations and divide limits among pools

Change: a call needs a key of the configuration unless its route is public; 401 with a challenge otherwise. A job belongs to the organisation, not to the key: another one's valid key gets 410 for it and 409 for its ID, and neither job is lost. A process that was frozen or hears no news of the configuration for 1.9 s answers 503 rather than serving removed keys, unless the store is down for all. A task or gang beyond the whole limit gets 422. The parts of a limit are records in the store; an owner gives parts by one transaction that lowers its own before it is written and that only the holder of the duty can carry out.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -6,12 +6,13 @@
 //! a gateway with an older configuration or a late write could accept the job there in
 //! between, and it would run twice.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use corianderfork_adapter::store::{Item, MAX_ROWS, Txn};
 
+use crate::access::Identity;
 use crate::duty::Table;
-use crate::lookup::{job_key, run_key};
+use crate::lookup::{job_key, organisation, run_key};
 use crate::placement::{Placement, QueueRecord, QueueRoute, queue_key};
 
 /// Rows of one job in its pool: two conditions and one value.
@@ -32,6 +33,8 @@
     pub queue_route: QueueRoute,
     /// Its id.
     pub id: String,
+    /// On whose behalf it is submitted.
+    pub identity: Identity,
     /// Its acceptance record, encoded.
     pub value: Vec<u8>,
 }
@@ -39,13 +42,16 @@
 /// Jobs that are accepted in one transaction.
 ///
 /// ```
+/// use corianderfork_entry::access::Identity;
 /// use corianderfork_entry::admission::{Admission, Submission};
 /// use corianderfork_entry::duty::Table;
 /// use corianderfork_entry::placement::QueueRoute;
 ///
 /// let queue_route = QueueRoute { version: 1, pool: "alpha".to_owned() };
 /// let id = "0123456789abcdef".to_owned();
-/// let submission = Submission { queue: "q".to_owned(), queue_route, id, value: b"{}".to_vec() };
+/// let (queue, value) = ("q".to_owned(), b"{}".to_vec());
+/// let identity = Identity::Anonymous;
+/// let submission = Submission { queue, queue_route, id, identity, value };
 /// let admission = Admission::new([&submission], &Table::default());
 /// let txn = admission.txn([&submission]);
 /// assert!(txn.expect.contains(&("entry/queue/q".to_owned(), 0)));
@@ -53,6 +59,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
+    ids: BTreeSet<String>,
     queues: BTreeMap<String, (QueueRoute, Placement)>,
     count: usize,
     rows: usize,
@@ -72,6 +79,10 @@
     }
 
     fn take(&mut self, submission: &Submission, table: &Table) -> bool {
+        // One of two with the same ID would overwrite the other.
+        if self.ids.contains(&submission.id) {
+            return false;
+        }
         if let Some((queue_route, placement)) = self.queues.get(&submission.queue) {
             let rows = self.rows + job_rows(placement);
             // Two configurations could ask for different changes of the queue's record.
@@ -91,6 +102,7 @@
             self.queues
                 .insert(submission.queue.clone(), (submission.queue_route.clone(), placement));
         }
+        self.ids.insert(submission.id.clone());
         self.count += 1;
         true
     }
@@ -139,11 +151,28 @@
 
     /// Whether a conflict shows that a job was accepted before.
     pub fn is_stored(&self, submission: &Submission, items: &[Item]) -> bool {
-        let Some((_, placement)) = self.queues.get(&submission.queue) else { return false };
-        std::iter::once(&placement.pool).chain(&placement.earlier).any(|pool| {
-            let keys = [job_key(pool, &submission.id), run_key(pool, &submission.id)];
-            items.iter().any(|item| keys.contains(&item.key))
-        })
+        self.records(submission, items).next().is_some()
+    }
+
+    /// Whether a conflict shows that another organisation's job has the ID.
+    pub fn is_foreign(&self, submission: &Submission, items: &[Item]) -> bool {
+        let is_foreign =
+            |item: &Item| !submission.identity.may_use(organisation(&item.value).as_deref());
+        self.records(submission, items).any(is_foreign)
+    }
+
+    /// Returns the stored records of a job among the conflicting items.
+    fn records<'a>(
+        &self,
+        submission: &Submission,
+        items: &'a [Item],
+    ) -> impl Iterator<Item = &'a Item> {
+        let placement = self.queues.get(&submission.queue).map(|(_, placement)| placement);
+        let pools = placement.into_iter().flat_map(|p| std::iter::once(&p.pool).chain(&p.earlier));
+        let keys: Vec<String> = pools
+            .flat_map(|pool| [job_key(pool, &submission.id), run_key(pool, &submission.id)])
+            .collect();
+        items.iter().filter(move |item| keys.contains(&item.key))
     }
 
     /// Returns the queues' records that a conflict shows to differ from what was known.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -150,7 +150,10 @@
                 update_from_operators(&target, &event.key, &value, event.revision);
             }
         }
-        Update::KnownUntil(_) => {}
+        Update::KnownUntil(at) => {
+            target.config_known_at.set(at.max(target.config_known_at.get()));
+            target.config_news.notify_waiters();
+        }
     };
     follow(
         node,
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The callers' API at any entry VM: submission, state and cancellation of jobs.
 
 mod accept;
+mod authenticate;
 mod lookup_log;
 mod state;
 mod uncertain;
@@ -12,18 +13,20 @@
 
 use corianderfork_adapter::caller;
 use corianderfork_adapter::config::{Config, Route};
-use corianderfork_jobs::{JobId, Record};
+use corianderfork_jobs::organisation::Organisation;
+use corianderfork_jobs::{Job, JobId, Record, Step};
 use corianderfork_model::Time;
 use serde_json::json;
 use tokio::task::spawn_local;
 
+use crate::access::Identity;
 use crate::admission::Submission;
 use crate::clock;
 use crate::http::CallError;
 use crate::node::Node;
 use crate::owner::ms;
 use crate::peer::{self, Message, Reply};
-use crate::placement::{QueueRoute, Step};
+use crate::placement::{self, QueueRoute};
 use crate::server::{HttpRequest, HttpResponse};
 use accept::{PendingJob, StoreResult, store_timeout};
 
@@ -34,6 +37,16 @@
 /// How long an owner may take to cancel a job.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(2_600);
 
+/// What owners know of a job.
+enum Ownership {
+    /// It exists, and the caller may use it.
+    Own,
+    /// It is another organisation's.
+    Foreign,
+    /// No owner knows it.
+    Unknown,
+}
+
 /// Handles callers' requests.
 pub struct Gateway {
     node: Rc<Node>,
@@ -56,25 +69,24 @@
     /// Handles a request.
     pub async fn handle(self: &Rc<Self>, request: HttpRequest) -> HttpResponse {
         let started = clock::now();
-        let config = self.node.config.borrow().clone();
-        let Some(config) = config else {
-            return self.log(
-                &request,
-                started,
-                refuse("this entry VM has no configuration yet"),
-                "no configuration",
-            );
+        let config = match self.current_config().await {
+            Ok(config) => config,
+            Err(response) => return self.log(&request, started, response, "no configuration"),
         };
         let Some(route) = config.route(&request.host, &request.path) else {
             let response = HttpResponse::new(404, caller::error("no such queue"));
             return self.log(&request, started, response, "no route");
         };
+        let identity = match self.authenticate(&config, route.is_public, &request) {
+            Ok(identity) => identity,
+            Err((response, why)) => return self.log(&request, started, response, why),
+        };
         let id = request.path[route.prefix.len()..].to_owned();
         let (response, why) = match (request.method.as_str(), id.as_str()) {
             ("GET", "") => self.queued(route).await,
-            ("POST", id) => self.submit(&config, route, id, &request).await,
-            ("GET", id) => self.state(route, id).await,
-            ("DELETE", id) => self.cancel(route, id).await,
+            ("POST", id) => self.submit(&config, route, id, identity, &request).await,
+            ("GET", id) => self.state(route, id, &identity).await,
+            ("DELETE", id) => self.cancel(route, id, &identity).await,
             _ => (HttpResponse::new(405, caller::error("send POST, GET or DELETE")), "method"),
         };
         self.log(&request, started, response, why)
@@ -106,6 +118,7 @@
         config: &Config,
         route: &Route,
         id: &str,
+        identity: Identity,
         request: &HttpRequest,
     ) -> (HttpResponse, &'static str) {
         if let Err(error) = id.parse::<JobId>() {
@@ -121,14 +134,23 @@
             Ok(job) => job,
             Err(why) => return (HttpResponse::new(400, caller::error(&why)), "bad job"),
         };
+        let organisation = identity.organisation().map(str::to_owned);
+        let limited = config.organisations.as_ref().zip(identity.organisation());
+        if let Some(organisation) = limited.and_then(|(directory, name)| directory.get(name))
+            && let Some(why) = exceeds_limit(organisation, &job)
+        {
+            return (HttpResponse::new(422, caller::error(&why)), "beyond the limit");
+        }
         if self.node.store.is_down() {
-            return self.submit_while_down(route, id).await;
+            return self.submit_while_down(route, id, &identity).await;
         }
-        let record = Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job };
+        let record =
+            Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job, organisation };
         let submission = Submission {
             queue: route.name.clone(),
             queue_route: QueueRoute { version: config.version, pool: route.pool.clone() },
             id: id.to_owned(),
+            identity: identity.clone(),
             value: serde_json::to_vec(&record).unwrap_or_default(),
         };
         match self.store(submission, store_timeout(request)).await {
@@ -137,15 +159,17 @@
                 (HttpResponse::new(200, b"{}".to_vec()), "stored")
             }
             StoreResult::Known => (HttpResponse::new(200, b"{}".to_vec()), "known"),
+            StoreResult::Foreign => taken(),
             // The store may have accepted the job before it started rejecting calls.
-            StoreResult::NotStored if self.is_owned(route, id).await => {
-                (HttpResponse::new(200, b"{}".to_vec()), "known")
-            }
-            StoreResult::NotStored if !self.may_be_stored(id).await => {
-                (refuse("the store took no job; come back"), "not stored")
-            }
-            // Another attempt of the job is uncertain, and it records that itself.
-            StoreResult::NotStored => unknown(),
+            StoreResult::NotStored => match self.ask_owners(route, id, &identity).await {
+                Ownership::Own => (HttpResponse::new(200, b"{}".to_vec()), "known"),
+                Ownership::Foreign => taken(),
+                Ownership::Unknown if !self.may_be_stored(id).await => {
+                    (refuse("the store took no job; come back"), "not stored")
+                }
+                // Another attempt of the job is uncertain, and it records that itself.
+                Ownership::Unknown => unknown(),
+            },
             StoreResult::Unknown => {
                 self.note_unsure(id).await;
                 unknown()
@@ -155,29 +179,37 @@
 
     /// Handles a submission while the store is down: the job can't be accepted, but it may
     /// have been before.
-    async fn submit_while_down(&self, route: &Route, id: &str) -> (HttpResponse, &'static str) {
-        let (is_owned, may_be_stored) =
-            tokio::join!(self.is_owned(route, id), self.may_be_stored(id));
-        match (is_owned, may_be_stored) {
-            (true, _) => (HttpResponse::new(200, b"{}".to_vec()), "known"),
-            (false, true) => {
+    async fn submit_while_down(
+        &self,
+        route: &Route,
+        id: &str,
+        identity: &Identity,
+    ) -> (HttpResponse, &'static str) {
+        let (ownership, may_be_stored) =
+            tokio::join!(self.ask_owners(route, id, identity), self.may_be_stored(id));
+        match (ownership, may_be_stored) {
+            (Ownership::Own, _) => (HttpResponse::new(200, b"{}".to_vec()), "known"),
+            (Ownership::Foreign, _) => taken(),
+            (Ownership::Unknown, true) => {
                 let (response, why) = unknown();
                 (HttpResponse { retry_after: Some(RETRY_AFTER), ..response }, why)
             }
-            (false, false) => (self.refuse_while_down(id), "store away"),
+            (Ownership::Unknown, false) => (self.refuse_while_down(id), "store away"),
         }
     }
 
-    /// Whether an owner of one of the queue's pools knows a job.
-    async fn is_owned(&self, route: &Route, id: &str) -> bool {
+    /// Asks the owners of the queue's pools for a job.
+    async fn ask_owners(&self, route: &Route, id: &str, identity: &Identity) -> Ownership {
         for pool in self.node.pools_of(&route.name, &route.pool) {
-            let message = Message::State { pool: pool.clone(), id: id.to_owned() };
-            let reply = self.node.send_to_owner(&pool, message, peer::SHORT_TIMEOUT).await;
-            if let Ok(Reply::State { .. } | Reply::Ending | Reply::Known) = reply {
-                return true;
+            let (id, identity) = (id.to_owned(), identity.clone());
+            let message = Message::State { pool: pool.clone(), id, identity };
+            match self.node.send_to_owner(&pool, message, peer::SHORT_TIMEOUT).await {
+                Ok(Reply::State { .. } | Reply::Ending | Reply::Known) => return Ownership::Own,
+                Ok(Reply::Foreign) => return Ownership::Foreign,
+                _ => {}
             }
         }
-        false
+        Ownership::Unknown
     }
 
     /// Refuses a submission that needs the store while it is down: nothing was written.
@@ -205,33 +237,40 @@
         });
     }
 
-    async fn cancel(&self, route: &Route, id: &str) -> (HttpResponse, &'static str) {
+    async fn cancel(
+        &self,
+        route: &Route,
+        id: &str,
+        identity: &Identity,
+    ) -> (HttpResponse, &'static str) {
         let mut search = self.node.search(&route.name, &route.pool);
         loop {
             match search.next() {
-                Step::Pool(pool) => {
-                    let message = Message::Cancel { pool: pool.clone(), id: id.to_owned() };
+                placement::Step::Pool(pool) => {
+                    let (id, identity) = (id.to_owned(), identity.clone());
+                    let message = Message::Cancel { pool: pool.clone(), id, identity };
                     match self.node.send_to_owner(&pool, message, CANCEL_TIMEOUT).await {
                         Ok(Reply::Done) => {
                             return (HttpResponse::new(200, b"{}".to_vec()), "cancelled");
                         }
+                        Ok(Reply::Foreign) => return unknown_job(),
                         Ok(Reply::Unknown) => search.mark_absent(),
                         Ok(_) | Err(CallError::Unsent | CallError::Lost) => search.mark_unclear(),
                     }
                 }
-                Step::Record => self.node.read_queue_record(&route.name, &mut search).await,
-                Step::Unclear => {
+                placement::Step::Record => {
+                    self.node.read_queue_record(&route.name, &mut search).await
+                }
+                placement::Step::Unclear => {
                     let why = "the cancellation could not be written; ask again";
                     return (refuse(why), "not written");
                 }
                 // A pending write of the job may still be carried out, and the cancelled job
                 // would run.
-                Step::Absent if self.may_be_stored(id).await => {
+                placement::Step::Absent if self.may_be_stored(id).await => {
                     return (refuse(UNANSWERED), "unanswered");
                 }
-                Step::Absent => {
-                    return (HttpResponse::new(410, caller::error("no such job")), "unknown job");
-                }
+                placement::Step::Absent => return unknown_job(),
             }
         }
     }
@@ -267,6 +306,30 @@
     (HttpResponse::new(504, caller::error(why)), "unknown")
 }
 
+/// The response for a job that doesn't exist, or is another organisation's: a caller learns of
+/// neither.
+fn unknown_job() -> (HttpResponse, &'static str) {
+    (HttpResponse::new(410, caller::error("no such job")), "unknown job")
+}
+
+/// The response for an ID that another organisation's job has. The submitted job never runs.
+fn taken() -> (HttpResponse, &'static str) {
+    let why = "another job has this ID; send it with a new one";
+    (HttpResponse::new(409, caller::error(why)), "id taken")
+}
+
 fn refuse(why: &str) -> HttpResponse {
-    HttpResponse { status: 503, body: caller::error(why), retry_after: Some(RETRY_AFTER) }
+    let response = HttpResponse::new(503, caller::error(why));
+    HttpResponse { retry_after: Some(RETRY_AFTER), ..response }
+}
+
+/// Returns why a job can never run within the limit of its organisation.
+fn exceeds_limit(organisation: &Organisation, job: &Job) -> Option<String> {
+    let needed = |step: &Step| if step.gang { step.needs.times(step.count) } else { step.needs };
+    let step = job.steps.iter().position(|step| organisation.is_oversized(&needed(step)))?;
+    let limit = &organisation.limit;
+    Some(format!(
+        "step {step} needs more at once than {:?} may run ({} thousandths of a core, {} MB, {} accelerators; 0 is no limit); ask the operators for more, or send smaller tasks",
+        organisation.name, limit.cpu, limit.memory_mb, limit.gpu
+    ))
 }
--- a/crates/entry/src/gateway/accept.rs
+++ b/crates/entry/src/gateway/accept.rs
@@ -37,6 +37,8 @@
     Stored(String, u64),
     /// It was stored before.
     Known,
+    /// Another organisation's job has its ID.
+    Foreign,
     /// It was not stored and never will be.
     NotStored,
     /// It is not known whether it was stored.
@@ -186,7 +188,11 @@
                         jobs.into_iter().partition(is_stored);
                     is_changed |= !stored.is_empty();
                     jobs = remaining;
-                    report_known(stored);
+                    let (foreign, known): (Vec<_>, Vec<_>) = stored
+                        .into_iter()
+                        .partition(|job| admission.is_foreign(&job.submission, &items));
+                    report(known, || StoreResult::Known);
+                    report(foreign, || StoreResult::Foreign);
                 }
                 Ok(Outcome::NoLease) | Err(Error::Unknown) => {
                     jobs.iter_mut().for_each(|job| job.may_be_written = true);
@@ -211,10 +217,15 @@
         'jobs: for job in jobs {
             for pool in admission.unchecked_pools(&job.submission) {
                 let mut log = PoolLookup::store_only(pool);
-                match self.look_up(pool, &job.submission.id, &mut log).await {
+                let Submission { id, identity, .. } = &job.submission;
+                match self.look_up(pool, id, identity, &mut log).await {
                     Ok(LookupStep::Absent) => {}
+                    Ok(LookupStep::Foreign) => {
+                        report(vec![job], || StoreResult::Foreign);
+                        continue 'jobs;
+                    }
                     Ok(_) => {
-                        report_known(vec![job]);
+                        report(vec![job], || StoreResult::Known);
                         continue 'jobs;
                     }
                     Err(_) => {
@@ -247,10 +258,10 @@
     }
 }
 
-fn report_known(jobs: Vec<PendingJob>) {
+fn report(jobs: Vec<PendingJob>, result: impl Fn() -> StoreResult) {
     for job in jobs {
         // A caller that left finds its job when it retries.
-        let _ = job.result_sender.send(StoreResult::Known);
+        let _ = job.result_sender.send(result());
     }
 }
 
--- a/crates/entry/src/gateway/lookup_log.rs
+++ b/crates/entry/src/gateway/lookup_log.rs
@@ -54,6 +54,7 @@
         Ok(Reply::State { .. }) => "a state",
         Ok(Reply::Ending) => "ended, perhaps not written",
         Ok(Reply::Unknown) => "no such job",
+        Ok(Reply::Foreign) => "another organisation's job",
         Ok(Reply::NotOwner) => "not the owner",
         Ok(Reply::Known) => "known, state uncertain",
         Ok(_) => "unexpected reply",
--- a/crates/entry/src/gateway/state.rs
+++ b/crates/entry/src/gateway/state.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 
 use super::lookup_log::PoolLookup;
-use super::{Gateway, UNANSWERED, refuse};
+use super::{Gateway, UNANSWERED, refuse, unknown_job};
+use crate::access::Identity;
 use crate::clock;
 use crate::lookup::{Lookup, LookupStep};
 use crate::peer::{self, Message, Reply};
@@ -18,7 +19,12 @@
 const UNKNOWN: &str = "job told unknown";
 
 impl Gateway {
-    pub(super) async fn state(&self, route: &Route, id: &str) -> (HttpResponse, &'static str) {
+    pub(super) async fn state(
+        &self,
+        route: &Route,
+        id: &str,
+        identity: &Identity,
+    ) -> (HttpResponse, &'static str) {
         let mut search = self.node.search(&route.name, &route.pool);
         let mut lookups = Vec::new();
         loop {
@@ -38,7 +44,8 @@
                 }
                 Step::Absent => break,
             };
-            let message = Message::State { pool: pool.clone(), id: id.to_owned() };
+            let (pool, job, asker) = (pool.clone(), id.to_owned(), identity.clone());
+            let message = Message::State { pool: pool.clone(), id: job, identity: asker };
             let started = clock::now();
             let reply = self.node.send_to_owner(&pool, message, peer::RESPONSE_TIMEOUT).await;
             let mut lookup_log = PoolLookup::new(&pool, started, &reply);
@@ -47,8 +54,10 @@
                 Ok(Reply::State { state }) => {
                     return (HttpResponse::new(200, caller::state(state)), "owner");
                 }
+                Ok(Reply::Foreign) => return unknown_job(),
                 _ if self.node.store.is_down() => search.mark_unclear(),
-                _ => match self.look_up(&pool, id, &mut lookup_log).await {
+                _ => match self.look_up(&pool, id, identity, &mut lookup_log).await {
+                    Ok(LookupStep::Foreign) => return unknown_job(),
                     // The record of a job's first tasks is written after they start.
                     Ok(LookupStep::Found(State::Queued)) if has_started => {
                         return (HttpResponse::new(200, caller::state(State::Running)), "owner");
@@ -65,7 +74,7 @@
             lookups.push(lookup_log);
         }
         self.log_lookups(UNKNOWN, route, id, &lookups);
-        (HttpResponse::new(410, caller::error("no such job")), "unknown job")
+        unknown_job()
     }
 
     /// Logs the lookups behind a response that reports no state.
@@ -86,9 +95,10 @@
         &self,
         pool: &str,
         id: &str,
+        identity: &Identity,
         log: &mut PoolLookup,
     ) -> Result<LookupStep, Error> {
-        let mut lookup = Lookup::new(pool, id);
+        let mut lookup = Lookup::new(pool, id).on_behalf_of(identity);
         loop {
             let key = match lookup.next() {
                 LookupStep::Read(key) => key,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,9 @@
 //! tasks on a single thread.
 
 pub mod absence;
+pub mod access;
 pub mod admission;
+pub mod allowance;
 pub mod arrivals;
 pub mod attempts;
 pub mod duty;
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -6,6 +6,9 @@
 //! the key to read next and interprets the values.
 
 use corianderfork_jobs::record::{Progress, State};
+use serde::Deserialize;
+
+use crate::access::Identity;
 
 /// The key prefix of acceptance records; pool and id follow.
 pub const JOB_PREFIX: &str = "job/";
@@ -22,6 +25,18 @@
     format!("{RUN_PREFIX}{pool}/{id}")
 }
 
+/// The organisation of a record of a job, whatever else it contains.
+#[derive(Deserialize)]
+struct Owned {
+    #[serde(default)]
+    organisation: Option<String>,
+}
+
+/// Returns the organisation to which a job belongs by one of its records.
+pub fn organisation(value: &[u8]) -> Option<String> {
+    serde_json::from_slice::<Owned>(value).ok()?.organisation
+}
+
 /// The next step or the result of a [`Lookup`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LookupStep {
@@ -29,6 +44,8 @@
     Read(String),
     /// The job exists and is in this state.
     Found(State),
+    /// The job belongs to another organisation.
+    Foreign,
     /// There is no such job.
     Absent,
     /// The job exists, but its progress record can't be decoded.
@@ -57,6 +74,7 @@
 pub struct Lookup {
     pool: String,
     id: String,
+    identity: Identity,
     is_accepted: Option<bool>,
     found: Option<LookupStep>,
 }
@@ -64,7 +82,20 @@
 impl Lookup {
     /// Starts a lookup of the job `id` of a pool.
     pub fn new(pool: &str, id: &str) -> Self {
-        Self { pool: pool.to_owned(), id: id.to_owned(), is_accepted: None, found: None }
+        Self {
+            pool: pool.to_owned(),
+            id: id.to_owned(),
+            identity: Identity::Anonymous,
+            is_accepted: None,
+            found: None,
+        }
+    }
+
+    /// Sets on whose behalf the job is looked up.
+    #[must_use]
+    pub fn on_behalf_of(mut self, identity: &Identity) -> Self {
+        self.identity = identity.clone();
+        self
     }
 
     /// Returns the key to read next, or the result.
@@ -78,6 +109,10 @@
 
     /// Records the value of the key that [`Lookup::next`] named.
     pub fn set_value(&mut self, value: Option<&[u8]>) {
+        if value.is_some_and(|value| !self.identity.may_use(organisation(value).as_deref())) {
+            self.found = Some(LookupStep::Foreign);
+            return;
+        }
         let Some(is_accepted) = self.is_accepted else {
             self.is_accepted = Some(value.is_some());
             return;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,6 +7,7 @@
 
 use corianderfork_adapter::config::{Config, Wave};
 use corianderfork_adapter::worker::Listing;
+use corianderfork_jobs::organisation::{Directory, Organisation};
 use corianderfork_jobs::queue::Queue;
 use corianderfork_model::Time;
 use serde_json::json;
@@ -67,6 +68,10 @@
     pub traffic: Traffic,
     /// The configuration in force.
     pub config: RefCell<Option<Rc<Config>>>,
+    /// All configurations that were accepted before this time are known.
+    pub config_known_at: Cell<Time>,
+    /// Notified when that time advances.
+    pub config_news: Notify,
     /// Waves by number, each with the time at which it was first seen.
     pub waves: RefCell<BTreeMap<u64, (Wave, Time)>>,
     /// Members, duties and queues.
@@ -95,6 +100,8 @@
     /// When something last happened that may have cost this daemon its duties: a freeze or
     /// the loss of its lease.
     pub ownership_doubted_at: Cell<Time>,
+    /// When the process was last found to have been frozen.
+    pub woken_at: Cell<Time>,
     /// All changes of duties before this time are known.
     pub duties_known_at: Cell<Time>,
     /// Whether the daemon is shutting down.
@@ -225,15 +232,28 @@
         if config.version <= known {
             return;
         }
+        let directory = config.organisations.as_ref();
+        let organisations = directory.map(|directory| directory.organisations().len());
+        let keys = directory.map(Directory::key_count);
         self.trace.unlimited(
             "configuration in force",
             json!({ "version": config.version, "before": known, "routes": config.routes.len(),
-                "bytes": encoded_len }),
+                "bytes": encoded_len, "organisations": organisations, "keys": keys }),
         );
+        for fault in &config.faults {
+            self.metrics.event("organisation damaged");
+            self.trace.line(
+                "organisation damaged",
+                || json!({ "version": config.version, "why": fault }),
+            );
+        }
         let queues = self.queues(&config);
+        let organisations = organisations_of(&config).to_vec();
         *self.config.borrow_mut() = Some(Rc::new(config));
         for owner in self.owners.borrow().values() {
-            owner.pool.borrow_mut().set_queues(queues.clone());
+            let mut pool = owner.pool.borrow_mut();
+            pool.set_queues(queues.clone());
+            pool.set_organisations(&organisations);
         }
         self.changed.notify_waiters();
     }
@@ -282,3 +302,8 @@
         listed_workers.values().filter(|s| s.pool == pool).map(|s| s.registration.clone()).collect()
     }
 }
+
+/// Returns the organisations of a configuration.
+pub fn organisations_of(config: &Config) -> &[Organisation] {
+    config.organisations.as_ref().map_or(&[], Directory::organisations)
+}
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of one pool's work: connects the pure [`Pool`] with the network and the store.
 
 mod advise;
+mod allowance;
 mod load;
 mod predecessors;
 mod workers;
@@ -17,10 +18,12 @@
 use corianderfork_model::Time;
 use serde::Serialize;
 use serde_json::json;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Mutex, Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::access::Identity;
+use crate::allowance::Book;
 use crate::clock;
 use crate::duty::HolderHistory;
 use crate::follow::Start;
@@ -96,6 +99,12 @@
     /// Advisers whose last request failed, and until when they are avoided.
     failed_advisers: RefCell<HashMap<advise::Adviser, Time>>,
     cancel_waiters: RefCell<Vec<(JobId, oneshot::Sender<()>)>>,
+    /// The divisions of organisations' limits.
+    book: RefCell<Book>,
+    /// Held while parts of limits are given away.
+    giving: Mutex<()>,
+    /// Notified when tasks wait for a part of a limit.
+    shortage: Notify,
     /// The store's revision of the record of the last write's number.
     write_revision: Cell<u64>,
     last_write_number: Cell<u64>,
@@ -140,6 +149,9 @@
             busy_advisers: RefCell::default(),
             failed_advisers: RefCell::default(),
             cancel_waiters: RefCell::default(),
+            book: RefCell::new(Book::new(name)),
+            giving: Mutex::default(),
+            shortage: Notify::new(),
             write_revision: Cell::new(0),
             last_write_number: Cell::new(0),
             accepted_count: Cell::new(0),
@@ -209,6 +221,7 @@
         spawn_local(self.clone().follow_predecessors());
         spawn_local(self.clone().write_loop());
         spawn_local(self.clone().follow_jobs());
+        spawn_local(self.clone().allowance_loop());
         self.plan_loop().await;
     }
 
@@ -221,8 +234,9 @@
                 }
                 Reply::Done
             }
-            Message::State { id, .. } => self.state(&id),
-            Message::Cancel { id, .. } => self.cancel(&id).await,
+            Message::State { id, identity, .. } => self.state(&id, &identity),
+            Message::Cancel { id, identity, .. } => self.cancel(&id, &identity).await,
+            Message::Allowance { taker, requests, .. } => self.give(&taker, &requests).await,
             // An owner that may have been replaced isn't notified of new jobs: it would count none
             // as queued while its successor has hundreds. Nor does it know the tasks that its
             // successor started: it would report their workers as empty.
@@ -278,9 +292,12 @@
     /// Returns the state of a job. A job whose end is decided but not known to be written
     /// is reported as ending: another entry VM may have read that end in the store and
     /// reported it, and the caller would see a completed job run again.
-    fn state(&self, id: &str) -> Reply {
+    fn state(&self, id: &str, identity: &Identity) -> Reply {
         let Ok(id) = id.parse() else { return Reply::Unknown };
         let pool = self.pool.borrow();
+        if pool.organisation_of(id).is_some_and(|owner| !identity.may_use(owner)) {
+            return Reply::Foreign;
+        }
         match pool.state(id) {
             Some(_) if pool.is_ending(id) => Reply::Ending,
             // A written end is final. Any other state may be out of date if this owner
@@ -291,7 +308,7 @@
         }
     }
 
-    async fn cancel(&self, text: &str) -> Reply {
+    async fn cancel(&self, text: &str, identity: &Identity) -> Reply {
         let Ok(id) = text.parse::<JobId>() else { return Reply::Unknown };
         if self.pool.borrow().state(id).is_none() {
             // It may have just been accepted.
@@ -305,6 +322,11 @@
                 Err(_) => return Reply::Later,
             }
         }
+        let is_foreign =
+            self.pool.borrow().organisation_of(id).is_some_and(|owner| !identity.may_use(owner));
+        if is_foreign {
+            return Reply::Foreign;
+        }
         self.pool.borrow_mut().cancel(clock::now(), id);
         let (confirmation, written) = oneshot::channel();
         if self.pool.borrow().is_written(id) {
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::follow::{Recovery, Start, Update, follow};
 use crate::lookup::{JOB_PREFIX, RUN_PREFIX};
+use crate::node::organisations_of;
 use crate::store::Error;
 
 /// How long changes of accepted jobs are batched. The entry VM that accepted a job notifies
@@ -82,6 +83,7 @@
         );
         let locations = roster?.and_then(|item| serde_json::from_slice(&item.value).ok());
         self.write_revision.set(write?.map_or(0, |item| item.revision));
+        self.load_divisions().await?;
         let (jobs, revision) = jobs?;
         self.jobs_read.set(Some(Start { revision, at }));
         // Runs last: when a job ends, only its owner moves it from one to the other.
@@ -104,6 +106,7 @@
         pool.set_roster(roster);
         if let Some(config) = self.node.config.borrow().as_ref() {
             pool.set_queues(self.node.queues(config));
+            pool.set_organisations(organisations_of(config));
         }
         drop(pool);
         self.limit_inherited();
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -62,6 +62,9 @@
             let started = Instant::now();
             let orders = self.pool.borrow_mut().plan(now, clock::wall_ms());
             self.note_decision(started.elapsed(), orders.len());
+            if self.pool.borrow().has_shortage() {
+                self.shortage.notify_one();
+            }
             for order in orders {
                 let order = self.lanes.borrow_mut().push(order);
                 if let Some(order) = order {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -15,6 +15,8 @@
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::access::Identity;
+use crate::allowance;
 use crate::duty::FormerHolder;
 use crate::http::{CallError, Client};
 
@@ -48,6 +50,9 @@
         pool: String,
         /// The job's id.
         id: String,
+        /// Who asks. Earlier versions don't send it.
+        #[serde(default)]
+        identity: Identity,
     },
     /// Asks the owner of a pool to cancel a job.
     Cancel {
@@ -55,6 +60,18 @@
         pool: String,
         /// The job's id.
         id: String,
+        /// Who asks. Earlier versions don't send it.
+        #[serde(default)]
+        identity: Identity,
+    },
+    /// Asks the owner of a pool for parts of organisations' limits.
+    Allowance {
+        /// The pool that is asked.
+        pool: String,
+        /// The pool that gets the parts.
+        taker: String,
+        /// What it lacks.
+        requests: Vec<allowance::Request>,
     },
     /// Asks the owner of a pool how many jobs of a queue have not started.
     Queued {
@@ -149,6 +166,7 @@
             | Self::Vacate { pool, .. }
             | Self::Shrink { pool, .. }
             | Self::Gone { pool, .. }
+            | Self::Allowance { pool, .. }
             | Self::Load { pool, .. } => pool,
             Self::Retire { .. }
             | Self::Advise { .. }
@@ -169,6 +187,13 @@
     NotOwner,
     /// The job doesn't exist or isn't known here.
     Unknown,
+    /// The job belongs to another organisation.
+    Foreign,
+    /// The divisions of the limits that were asked for, as far as known.
+    Allowance {
+        /// By organisation.
+        records: Vec<allowance::Record>,
+    },
     /// The state of a job.
     State {
         /// The state.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_adapter::caller;
+use corianderfork_adapter::{caller, organisation};
+use corianderfork_jobs::organisation::Digest;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -18,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use crate::access::Credential;
 use crate::trace::Trace;
 use crate::traffic::Traffic;
 
@@ -37,6 +39,8 @@
     pub path: String,
     /// The caller's deadline in milliseconds, if it has one.
     pub deadline_ms: Option<u64>,
+    /// The API key, as a digest.
+    pub credential: Credential,
     /// The body; `None` if it was too long or incomplete.
     pub body: Option<Bytes>,
 }
@@ -50,12 +54,14 @@
     pub body: Vec<u8>,
     /// The `Retry-After` header, in seconds.
     pub retry_after: Option<u64>,
+    /// The `WWW-Authenticate` header.
+    pub challenge: Option<&'static str>,
 }
 
 impl HttpResponse {
     /// Returns a response without a `Retry-After` header.
     pub fn new(status: u16, body: Vec<u8>) -> Self {
-        Self { status, body, retry_after: None }
+        Self { status, body, retry_after: None, challenge: None }
     }
 }
 
@@ -169,10 +175,29 @@
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = text("host").or_else(|| head.uri.host()).unwrap_or_default().to_owned();
     let deadline_ms = text(caller::DEADLINE).and_then(|text| text.trim().parse().ok());
+    let credential = credential(&head.headers);
     let path = head.uri.path().to_owned();
     let body = Limited::new(body, max_body).collect().await;
     let body = body.ok().map(http_body_util::Collected::to_bytes);
-    HttpRequest { method: head.method.as_str().to_owned(), host, path, deadline_ms, body }
+    HttpRequest {
+        method: head.method.as_str().to_owned(),
+        host,
+        path,
+        deadline_ms,
+        credential,
+        body,
+    }
+}
+
+/// Returns the API key among the headers, as a digest: nothing else of it is kept.
+fn credential(headers: &header::HeaderMap) -> Credential {
+    let mut values = headers.get_all(caller::API_KEY).iter();
+    let Some(value) = values.next() else { return Credential::Missing };
+    let key = value.to_str().ok().filter(|key| organisation::is_valid_key(key));
+    match key.filter(|_| values.next().is_none()) {
+        Some(key) => Credential::Key(Digest::of(key)),
+        None => Credential::Malformed,
+    }
 }
 
 fn build_response(
@@ -186,6 +211,9 @@
     if let Some(seconds) = http_response.retry_after {
         response = response.header(header::RETRY_AFTER, seconds);
     }
+    if let Some(challenge) = http_response.challenge {
+        response = response.header(header::WWW_AUTHENTICATE, challenge);
+    }
     if is_last {
         response = response.header(header::CONNECTION, "close");
     }
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use corianderfork_adapter::store::{Item, MAX_ROWS, Txn};
+use corianderfork_entry::access::Identity;
 use corianderfork_entry::admission::{Admission, Submission};
 use corianderfork_entry::duty::Table;
 use corianderfork_entry::placement::{PoolList, QueueRecord, QueueRoute, queue_key};
@@ -11,7 +12,9 @@
 
 fn submission(queue: &str, version: u64, pool: &str, id: &str) -> Submission {
     let queue_route = QueueRoute { version, pool: pool.to_owned() };
-    Submission { queue: queue.to_owned(), queue_route, id: id.to_owned(), value: b"{}".to_vec() }
+    let identity = Identity::Anonymous;
+    let (queue, id, value) = (queue.to_owned(), id.to_owned(), b"{}".to_vec());
+    Submission { queue, queue_route, id, identity, value }
 }
 
 fn submissions_of(queue: &str, version: u64, pool: &str, count: usize) -> Vec<Submission> {
