--- a/crates/entry/src/owner/allowance.rs
+++ b/crates/entry/src/owner/allowance.rs
@@ -30,6 +30,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The pause before a write without an answer is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
+/// How long a request waits while parts are given to another pool.
+const MAX_GIVING_WAIT: Duration = Duration::from_millis(100);
 /// How often a transfer is tried anew after another one changed the record.
 const MAX_ROUNDS: usize = 3;
 
@@ -76,10 +78,16 @@
             if shortages.is_empty() || !self.node.may_order() {
                 continue;
             }
-            self.create_divisions(&shortages).await;
-            let has_received = self.request_parts(&shortages).await;
+            let (new, known): (Vec<Request>, Vec<Request>) = shortages
+                .into_iter()
+                .partition(|shortage| !self.book.borrow().contains(&shortage.organisation));
+            let is_served = if new.is_empty() {
+                self.request_parts(&known).await
+            } else {
+                self.create_divisions(&new).await
+            };
             self.wake.notify_one();
-            let pause = if has_received { PAUSE_AFTER_GIFT } else { PAUSE_AFTER_NONE };
+            let pause = if is_served { PAUSE_AFTER_GIFT } else { PAUSE_AFTER_NONE };
             tokio::time::sleep(pause).await;
         }
     }
@@ -122,12 +130,11 @@
         }
     }
 
-    /// Creates the records of organisations that have none: all pools get equal parts.
-    async fn create_divisions(&self, shortages: &[Request]) {
-        let names = shortages.iter().map(|shortage| &shortage.organisation);
-        let names: Vec<&String> = names.filter(|name| !self.book.borrow().contains(name)).collect();
-        let config = self.node.config.borrow().clone();
-        let Some(config) = config.filter(|_| !names.is_empty()) else { return };
+    /// Creates the records of organisations that have none: all pools get equal parts. Returns
+    /// whether the store answered.
+    async fn create_divisions(&self, shortages: &[Request]) -> bool {
+        let names: Vec<&String> = shortages.iter().map(|s| &s.organisation).collect();
+        let Some(config) = self.node.config.borrow().clone() else { return false };
         let pools = config.pools.iter().filter(|pool| !pool.spare).map(|pool| pool.name.as_str());
         let division = Division::equal(pools);
         let value = serde_json::to_vec(&division).unwrap_or_default();
@@ -149,9 +156,10 @@
                 }
                 // Others created some of them; the rest follows in the next round.
                 Ok(Outcome::Conflict(items)) => self.apply_items(&items),
-                Ok(Outcome::NoLease) | Err(_) => return,
+                Ok(Outcome::NoLease) | Err(_) => return false,
             }
         }
+        true
     }
 
     /// Returns a transaction that only the current holder of the duty can carry out.
@@ -165,7 +173,7 @@
     /// While runs of a former owner may be alive where this one can't see them, it gives nothing.
     pub(super) async fn give(&self, taker: &str, requests: &[Request]) -> Reply {
         let is_recovering = self.pool.borrow().is_recovering(clock::now());
-        if let Ok(_giving) = self.giving.try_lock()
+        if let Ok(_giving) = timeout(MAX_GIVING_WAIT, self.giving.lock()).await
             && self.is_sure()
             && self.is_loaded()
             && !is_recovering
--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -7,7 +7,7 @@
 
 use super::Pool;
 use super::entry::Entry;
-use super::ranking::StepKey;
+use super::ranking::{Candidate, StepKey};
 use crate::allowance::Demand;
 use crate::id::JobId;
 use crate::job::{Room, Step};
@@ -182,7 +182,10 @@
         let mut room = self.charged(key, self.is_recovering(now));
         let used = organisation.parts_for(&room);
         let own = self.ranking.candidates().filter(|step| step.organisation == Some(key));
-        for step in own {
+        let (expired, own): (Vec<&Candidate>, Vec<&Candidate>) =
+            own.partition(|step| step.is_expired);
+        // Jobs that earn nothing any more don't take parts from pools whose jobs do.
+        for step in if own.is_empty() { expired } else { own } {
             room.add(&self.waiting_room(step.key));
         }
         Demand { used, wanted: organisation.parts_for(&room).max(used) }
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -75,6 +75,8 @@
     pub room: Room,
     /// The organisation, if it may have a limit.
     pub organisation: Option<organisation::Key>,
+    /// Whether its job earns nothing any more.
+    pub is_expired: bool,
     /// Whether only some workers may run it.
     pub has_feature: bool,
     /// The label that a worker must have.
@@ -214,7 +216,9 @@
                     step: index,
                 };
                 let key = StepKey { job: key, occurrence: *number, step: index };
-                ranked.push((position, self.candidate(key, entry, occurrence, step)));
+                let candidate = self.candidate(key, entry, occurrence, step);
+                let is_expired = urgency == Urgency::Expired;
+                ranked.push((position, Candidate { is_expired, ..candidate }));
             }
         }
         (ranked, changes)
@@ -238,6 +242,7 @@
             key,
             room: step.room(),
             organisation: entry.organisation,
+            is_expired: false,
             has_feature: Feature::of(step).is_some(),
             label: symbol(&step.label),
             rack: symbol(&step.preferred_rack),
