Count what a successor can't see, and let it give parts at once

Cause: after a takeover an owner gave no parts until each worker of its predecessors had answered or its lease had ended, up to 15 s, and charged an organisation for all of its waiting tasks if any such worker wasn't listed.

Change: unseen runs count with at most the room of the workers that haven't answered, a worker of unknown size as the largest one; they count as used when parts are given. They are computed once a plan. /organisations on the metrics address shows use, part and limit.

--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -1,4 +1,4 @@
-//! Explanations for operators of why a job waits.
+//! Explanations for operators of why a job waits, and of what organisations use.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -37,3 +37,13 @@
     };
     HttpResponse::new(status, body.to_string().into_bytes())
 }
+
+/// Returns what each organisation uses of its limit in the pools that this daemon owns.
+pub fn organisations(node: &Rc<Node>) -> HttpResponse {
+    let owners = node.owners.borrow();
+    let pools: BTreeMap<&String, _> =
+        owners.iter().map(|(pool, owner)| (pool, owner.pool.borrow().uses())).collect();
+    let version = node.config.borrow().as_ref().map(|config| config.version);
+    let body = json!({ "config": version, "pools": pools });
+    HttpResponse::new(200, body.to_string().into_bytes())
+}
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -30,6 +30,9 @@
 /// The path under which jobs are explained, on the metrics address; the id follows.
 const EXPLAIN_PATH: &str = "/jobs/";
 
+/// The path under which the use of limits is shown, on the metrics address.
+const ORGANISATIONS_PATH: &str = "/organisations";
+
 /// The gauges of all addresses.
 #[derive(Clone)]
 pub struct Gauges {
@@ -117,6 +120,10 @@
             let response = explain::explain(&node, id);
             return Box::pin(async move { response });
         }
+        if request.path == ORGANISATIONS_PATH {
+            let response = explain::organisations(&node);
+            return Box::pin(async move { response });
+        }
         if request.path != METRICS_PATH {
             return Box::pin(async { not_found() });
         }
--- a/crates/entry/src/owner/allowance.rs
+++ b/crates/entry/src/owner/allowance.rs
@@ -170,13 +170,11 @@
 
     /// Gives another pool parts that this one has no use for. Returns the divisions.
     ///
-    /// While runs of a former owner may be alive where this one can't see them, it gives nothing.
+    /// What runs of a former owner may use where this one can't see them counts as used.
     pub(super) async fn give(&self, taker: &str, requests: &[Request]) -> Reply {
-        let is_recovering = self.pool.borrow().is_recovering(clock::now());
         if let Ok(_giving) = timeout(MAX_GIVING_WAIT, self.giving.lock()).await
             && self.is_sure()
             && self.is_loaded()
-            && !is_recovering
         {
             for requests in requests.chunks(MAX_ORGANISATIONS) {
                 self.transfer(taker, requests).await;
--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -31,6 +31,8 @@
     accounts: Vec<Account>,
     by_name: HashMap<String, Key>,
     blocked: Vec<Key>,
+    /// What runs of predecessors may use unseen, as of this plan.
+    unseen: HashMap<Key, Room>,
 }
 
 impl Accounts {
@@ -58,8 +60,9 @@
         }
     }
 
-    /// Lets tasks of all organisations be tried again.
-    pub fn unblock(&mut self) {
+    /// Begins a plan: tasks of all organisations are tried again.
+    pub fn begin_plan(&mut self) {
+        self.unseen.clear();
         for key in std::mem::take(&mut self.blocked) {
             if let Some(account) = self.accounts.get_mut(key.0) {
                 account.is_blocked = false;
@@ -179,7 +182,10 @@
 
     fn demand_of(&self, now: Time, key: Key) -> Demand {
         let Some((organisation, _)) = self.accounts.limited(key) else { return Demand::default() };
-        let mut room = self.charged(key, self.is_recovering(now));
+        let mut room = self.usage.get(key);
+        if self.is_recovering(now) {
+            room.add(&self.unseen_room(key));
+        }
         let used = organisation.parts_for(&room);
         let own = self.ranking.candidates().filter(|step| step.organisation == Some(key));
         let (expired, own): (Vec<&Candidate>, Vec<&Candidate>) =
@@ -206,46 +212,52 @@
     pub(super) fn may_charge(&mut self, step_key: StepKey, step: &Step, count: u32) -> bool {
         let organisation = self.jobs.get(step_key.job).and_then(|entry| entry.organisation);
         let Some(key) = organisation else { return true };
-        let is_recovering = !self.gate_is_open_to_all();
+        let mut used = self.usage.get(key);
+        if !self.gate_is_open_to_all() {
+            used.add(&self.unseen_room_in_plan(key));
+        }
         let Some((organisation, part)) = self.accounts.limited(key) else { return true };
-        let needed = step.needs.times(count);
-        if organisation.allows(part, &self.charged(key, is_recovering), &needed) {
+        if organisation.allows(part, &used, &step.needs.times(count)) {
             return true;
         }
         self.accounts.block(key);
         false
     }
 
-    /// Returns the room that runs of an organisation may use in this pool.
-    fn charged(&self, key: Key, is_recovering: bool) -> Room {
-        let mut room = self.usage.get(key);
-        if is_recovering {
-            room.add(&self.unseen_room(key));
+    /// Returns [`Pool::unseen_room`], which is computed once a plan: it looks at all workers and
+    /// jobs.
+    fn unseen_room_in_plan(&mut self, key: Key) -> Room {
+        if let Some(room) = self.accounts.unseen.get(&key) {
+            return *room;
         }
+        let room = self.unseen_room(key);
+        self.accounts.unseen.insert(key, room);
         room
     }
 
     /// Returns the room that runs of a predecessor may use on workers that haven't answered: at
-    /// most what these workers have, and what the waiting tasks of earlier jobs need.
+    /// most what these workers have, and what the waiting tasks of the organisation need.
     fn unseen_room(&self, key: Key) -> Room {
+        // The size of a worker that isn't listed is unknown.
+        let mut largest = Room::default();
+        for worker in self.workers.values() {
+            largest.cpu = largest.cpu.max(worker.room.cpu);
+            largest.memory_mb = largest.memory_mb.max(worker.room.memory_mb);
+            largest.gpu = largest.gpu.max(worker.room.gpu);
+        }
         let mut hidden = Room::default();
-        for worker in self.workers.values().filter(|worker| !worker.fenced) {
-            hidden.add(&worker.room);
+        for worker in self.workers.values().filter(|worker| worker.is_inherited && !worker.fenced) {
+            let is_known = worker.room != Room::default();
+            hidden.add(if is_known { &worker.room } else { &largest });
         }
         let mut waiting = Room::default();
-        let is_earlier =
-            |entry: &&Entry| entry.organisation == Some(key) && entry.revision <= self.config.fence;
-        for entry in self.active_jobs().filter(is_earlier) {
+        for entry in self.active_jobs().filter(|entry| entry.organisation == Some(key)) {
             for occurrence in entry.occurrences.values() {
                 for (step, state) in entry.steps.iter().zip(&occurrence.steps) {
                     waiting.add(&step.needs.times(state.waiting));
                 }
             }
         }
-        // The room of a worker that hasn't answered may not be known either.
-        if self.workers.values().any(|worker| !worker.fenced && worker.room == Room::default()) {
-            return waiting;
-        }
         Room {
             cpu: hidden.cpu.min(waiting.cpu),
             memory_mb: hidden.memory_mb.min(waiting.memory_mb),
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -25,7 +25,7 @@
         if !self.is_every_inherited_worker_polled() {
             return;
         }
-        self.accounts.unblock();
+        self.accounts.begin_plan();
         let mut room = self.largest_room(now);
         let mut search = None;
         let mut last = None;
