--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -76,14 +76,15 @@
             (format!("{ROSTER_PREFIX}{}", self.name), format!("{WRITE_PREFIX}{}", self.name));
         let (job_prefix, run_prefix) =
             (format!("{JOB_PREFIX}{}/", self.name), format!("{RUN_PREFIX}{}/", self.name));
-        let (roster, write, jobs) = tokio::join!(
+        let (roster, write, jobs, divisions) = tokio::join!(
             store.get(&roster_key),
             store.get(&write_key),
             store.range_numbers(&job_prefix),
+            self.load_divisions(),
         );
+        divisions?;
         let locations = roster?.and_then(|item| serde_json::from_slice(&item.value).ok());
         self.write_revision.set(write?.map_or(0, |item| item.revision));
-        self.load_divisions().await?;
         let (jobs, revision) = jobs?;
         self.jobs_read.set(Some(Start { revision, at }));
         // Runs last: when a job ends, only its owner moves it from one to the other.
