Ask all pools for parts of a limit in turn

Cause: an owner asked the three pools with the largest parts only. With 34 pools these may need all of theirs while parts lie idle elsewhere, and an organisation under half of its limit would wait.

Change: each round asks the next three. requests_reach_all_pools_in_turn: red before (three of 33 pools asked).

--- a/crates/entry/src/allowance.rs
+++ b/crates/entry/src/allowance.rs
@@ -60,12 +60,14 @@
 pub struct Book {
     pool: String,
     accounts: HashMap<String, Account>,
+    /// The number of rounds of requests so far.
+    rounds: usize,
 }
 
 impl Book {
     /// Returns the book of the owner of `pool`.
     pub fn new(pool: &str) -> Self {
-        Self { pool: pool.to_owned(), accounts: HashMap::new() }
+        Self { pool: pool.to_owned(), accounts: HashMap::new(), rounds: 0 }
     }
 
     /// Returns whether an organisation's division is known.
@@ -99,9 +101,10 @@
         }
     }
 
-    /// Returns the requests for parts of the limits that tasks wait for, by the pool that is asked:
-    /// those with the largest parts.
-    pub fn requests(&self, shortages: &[Request]) -> BTreeMap<String, Vec<Request>> {
+    /// Returns the requests for parts of the limits that tasks wait for, by the pool that is asked.
+    /// Few pools are asked at once, and all of them in turn: those with the largest parts may need
+    /// all of them.
+    pub fn requests(&mut self, shortages: &[Request]) -> BTreeMap<String, Vec<Request>> {
         let mut requests: BTreeMap<String, Vec<Request>> = BTreeMap::new();
         for shortage in shortages {
             let Some(account) = self.accounts.get(&shortage.organisation) else { continue };
@@ -109,10 +112,13 @@
             let mut others: Vec<(&str, u32)> =
                 pools.filter(|(pool, part)| *pool != self.pool && *part > 0).collect();
             others.sort_by_key(|(_, part)| std::cmp::Reverse(*part));
+            let first = (self.rounds * MAX_GIVERS).checked_rem(others.len()).unwrap_or(0);
+            others.rotate_left(first);
             for (giver, _) in others.into_iter().take(MAX_GIVERS) {
                 requests.entry(giver.to_owned()).or_default().push(shortage.clone());
             }
         }
+        self.rounds = self.rounds.wrapping_add(1);
         requests
     }
 
--- a/crates/entry/src/owner/allowance.rs
+++ b/crates/entry/src/owner/allowance.rs
@@ -96,7 +96,7 @@
     async fn request_parts(self: &Rc<Self>, shortages: &[Request]) -> bool {
         let started = clock::now();
         let before = self.book.borrow().total();
-        let requests = self.book.borrow().requests(shortages);
+        let requests = self.book.borrow_mut().requests(shortages);
         let send = |(giver, requests): (String, Vec<Request>)| {
             let (node, taker) = (self.node.clone(), self.name.clone());
             spawn_local(async move {
--- a/crates/entry/tests/allowance.rs
+++ b/crates/entry/tests/allowance.rs
@@ -241,6 +241,19 @@
     violations.into_iter().filter(|violation| violation.starts_with(label)).collect()
 }
 
+// Guards against parts that lie idle with pools that are never asked.
+#[test]
+fn requests_reach_all_pools_in_turn() {
+    let pools: Vec<String> = (0..34).map(|number| format!("pool-{number}")).collect();
+    let mut book = Book::new("pool-0");
+    book.apply(CLUB, 1, Division::equal(pools.iter().map(String::as_str)));
+    let demand = Demand { used: 0, wanted: WHOLE };
+    let shortages = [Request { organisation: CLUB.to_owned(), demand }];
+    let rounds = (0..11).map(|_| book.requests(&shortages));
+    let asked: std::collections::BTreeSet<String> = rounds.flat_map(|r| r.into_keys()).collect();
+    assert_eq!(asked.len(), 33);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
 
@@ -268,7 +281,7 @@
         let used: u32 = simulation.owners.iter().map(|owner| owner.used).sum();
         let waiting: u32 = simulation.owners.iter().map(|owner| owner.waiting).sum();
         let may_start = simulation.owners.iter().any(|o| o.waiting >= RUN);
-        // Each pool may have a rest that is too small for a run, and one keeps a reserve.
+        // Each pool may have a rest that is too small for a run, and two keep a reserve.
         let rest = RUN * 3 + WHOLE / 6;
         prop_assert!(!may_start || used + rest > WHOLE, "{used} used, {waiting} wait");
     }
