Let a task that takes most of a limit start

Cause: each pool kept a reserve and its share of what it wanted, so a pool never got the whole limit, and a task that needs more than some four fifths of it would wait for ever while its organisation used nothing. Found by reading.

Change: where no task of an organisation could start in a pool for 0.8 s, the pool asks for what the next one needs, and others give all that their runs don't use.

Result: prepare_for_a_task_that_needs_the_whole_limit, red without the change (max removed).

--- a/crates/entry/src/allowance.rs
+++ b/crates/entry/src/allowance.rs
@@ -48,7 +48,7 @@
 /// let mut book = Book::new("a");
 /// book.apply("club", 3, Division::equal(["a", "b"]));
 /// assert_eq!(book.part("club"), 5_000);
-/// let demand = Demand { used: 0, wanted: 6_000 };
+/// let demand = Demand { wanted: 6_000, ..Demand::default() };
 /// let requests = [Request { organisation: "club".to_owned(), demand }];
 /// let transfer = book.prepare("b", &requests, |_| Demand::default());
 /// // The part is lowered before that is written.
--- a/crates/entry/tests/allowance.rs
+++ b/crates/entry/tests/allowance.rs
@@ -55,7 +55,7 @@
 impl Owner {
     fn demand(&self) -> Demand {
         let wanted = (self.used + self.waiting).min(WHOLE);
-        Demand { used: self.used, wanted }
+        Demand { used: self.used, wanted, needed: 0 }
     }
 }
 
@@ -247,13 +247,32 @@
     let pools: Vec<String> = (0..34).map(|number| format!("pool-{number}")).collect();
     let mut book = Book::new("pool-0");
     book.apply(CLUB, 1, Division::equal(pools.iter().map(String::as_str)));
-    let demand = Demand { used: 0, wanted: WHOLE };
+    let demand = Demand { used: 0, wanted: WHOLE, needed: 0 };
     let shortages = [Request { organisation: CLUB.to_owned(), demand }];
     let rounds = (0..11).map(|_| book.requests(&shortages));
     let asked: std::collections::BTreeSet<String> = rounds.flat_map(|r| r.into_keys()).collect();
     assert_eq!(asked.len(), 33);
 }
 
+// Guards against a task that takes most of the limit and never starts, since each other pool keeps
+// a reserve or wants a share.
+#[test]
+fn prepare_for_a_task_that_needs_the_whole_limit() {
+    let mut books: Vec<Book> = POOLS.iter().map(|pool| Book::new(pool)).collect();
+    let division = Division::equal(POOLS);
+    books.iter_mut().for_each(|book| book.apply(CLUB, 1, division.clone()));
+    let demand = Demand { used: 0, wanted: WHOLE, needed: WHOLE };
+    let requests = [Request { organisation: CLUB.to_owned(), demand }];
+    let busy = Demand { used: 0, wanted: WHOLE, needed: 0 };
+    for (giver, revision) in [(1, 2), (2, 3)] {
+        let transfer = books[giver].prepare("a", &requests, |_| busy);
+        books[giver].settle(&transfer, Some(revision));
+        let division = transfer[0].division.clone();
+        books.iter_mut().for_each(|book| book.apply(CLUB, revision, division.clone()));
+    }
+    assert_eq!(books[0].part(CLUB), WHOLE);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
 
--- a/crates/jobs/src/allowance.rs
+++ b/crates/jobs/src/allowance.rs
@@ -99,18 +99,24 @@
     pub used: u32,
     /// What its runs and the tasks that could start now would use.
     pub wanted: u32,
+    /// What its runs and the next task would use, if no task could start for a while; else 0.
+    #[serde(default)]
+    pub needed: u32,
 }
 
 /// Returns how many parts `giver` hands to `taker`.
 ///
 /// A pool gives what it has no use for. Where both want more than they have together, they divide
-/// that in proportion to what they want. What its runs use is never given.
+/// that in proportion to what they want. If no task of the taker could start for a while, it gives
+/// all that its runs don't use and the next task needs: a task that takes most of the limit would
+/// otherwise never start. What its runs use is never given.
 ///
 /// ```
 /// use corianderfork_jobs::allowance::{Demand, Division, gift};
 ///
 /// let division = Division::equal(["idle", "busy"]);
-/// let (idle, busy) = (Demand::default(), Demand { used: 5_000, wanted: 9_000 });
+/// let busy = Demand { used: 5_000, wanted: 9_000, needed: 0 };
+/// let idle = Demand::default();
 /// assert_eq!(gift(&division, ("idle", &idle), ("busy", &busy)), 3_750);
 /// assert_eq!(gift(&division, ("busy", &busy), ("idle", &idle)), 0);
 /// ```
@@ -122,6 +128,8 @@
     if missing == 0 || giver == taker {
         return 0;
     }
+    let unused = part.saturating_sub(own.used);
+    let for_next = other.needed.saturating_sub(taken).min(unused);
     let both = u64::from(part) + u64::from(taken);
     let wanted = u64::from(own.wanted) + u64::from(other.wanted);
     let fair = if wanted > both {
@@ -130,5 +138,5 @@
         own.wanted
     };
     let kept = fair.max(own.used).max(division.reserve());
-    missing.max(MIN_TRANSFER).min(part.saturating_sub(kept))
+    missing.max(MIN_TRANSFER).min(part.saturating_sub(kept)).max(for_next)
 }
--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -1,6 +1,7 @@
 //! What each organisation may use in a pool, and what it uses.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use corianderfork_model::Time;
 use serde::Serialize;
@@ -13,6 +14,11 @@
 use crate::job::{Room, Step};
 use crate::organisation::{Key, Organisation};
 
+/// How long no task of an organisation starts until the pool asks for what the next one needs
+/// whatever others want: several rounds of requests, and well below the time that a job may wait
+/// while there is room for it.
+const STARVED_AFTER: Duration = Duration::from_millis(800);
+
 /// An organisation, as the owner of one pool sees it.
 #[derive(Debug, Default)]
 struct Account {
@@ -23,6 +29,8 @@
     part: u32,
     /// Whether a task waits since the last plan because the part is used up.
     is_blocked: bool,
+    /// Since when no task could start for that reason, and the room that the next one needs.
+    starved: Option<(Time, Room)>,
 }
 
 /// The organisations that are known to a pool. None is removed.
@@ -51,11 +59,13 @@
         self.accounts.get(key.0).is_some_and(|account| account.is_blocked)
     }
 
-    fn block(&mut self, key: Key) {
+    fn block(&mut self, now: Time, key: Key, needed: Room) {
         if let Some(account) = self.accounts.get_mut(key.0)
             && !account.is_blocked
         {
             account.is_blocked = true;
+            let since = account.starved.map_or(now, |(since, _)| since);
+            account.starved = Some((since, needed));
             self.blocked.push(key);
         }
     }
@@ -187,6 +197,12 @@
             room.add(&self.unseen_room(key));
         }
         let used = organisation.parts_for(&room);
+        let starved = self.accounts.accounts[key.0].starved;
+        let needed = starved.filter(|(since, _)| now - *since >= STARVED_AFTER).map(|(_, next)| {
+            let mut room = room;
+            room.add(&next);
+            organisation.parts_for(&room)
+        });
         let own = self.ranking.candidates().filter(|step| step.organisation == Some(key));
         let (expired, own): (Vec<&Candidate>, Vec<&Candidate>) =
             own.partition(|step| step.is_expired);
@@ -194,7 +210,8 @@
         for step in if own.is_empty() { expired } else { own } {
             room.add(&self.waiting_room(step.key));
         }
-        Demand { used, wanted: organisation.parts_for(&room).max(used) }
+        let needed = needed.unwrap_or(0);
+        Demand { used, wanted: organisation.parts_for(&room).max(used).max(needed), needed }
     }
 
     /// Returns the room that the waiting tasks of a ready step count.
@@ -209,7 +226,13 @@
     /// Returns whether `count` tasks of a step may start within the limit of their organisation. If
     /// not, no other task of it is started in this plan: a smaller task behind one that waits would
     /// use up what becomes free.
-    pub(super) fn may_charge(&mut self, step_key: StepKey, step: &Step, count: u32) -> bool {
+    pub(super) fn may_charge(
+        &mut self,
+        now: Time,
+        step_key: StepKey,
+        step: &Step,
+        count: u32,
+    ) -> bool {
         let organisation = self.jobs.get(step_key.job).and_then(|entry| entry.organisation);
         let Some(key) = organisation else { return true };
         let mut used = self.usage.get(key);
@@ -217,10 +240,12 @@
             used.add(&self.unseen_room_in_plan(key));
         }
         let Some((organisation, part)) = self.accounts.limited(key) else { return true };
-        if organisation.allows(part, &used, &step.needs.times(count)) {
+        let needed = step.needs.times(count);
+        if organisation.allows(part, &used, &needed) {
+            self.accounts.accounts[key.0].starved = None;
             return true;
         }
-        self.accounts.block(key);
+        self.accounts.block(now, key, needed);
         false
     }
 
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -37,7 +37,7 @@
         if self.fail_at_crash_limit(now, names[0]) {
             return;
         }
-        if !self.may_charge(step_key, step, step.count) {
+        if !self.may_charge(now, step_key, step, step.count) {
             return;
         }
         let racks = if step.same_rack { self.racks() } else { Vec::new() };
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -109,7 +109,7 @@
             if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) || !self.may_charge(key, step, 1) {
+            if self.fail_at_crash_limit(now, name) || !self.may_charge(now, key, step, 1) {
                 return;
             }
             let Some(worker) = self.choose(now, name, step, None) else {
@@ -142,7 +142,7 @@
             if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) || !self.may_charge(key, step, 1) {
+            if self.fail_at_crash_limit(now, name) || !self.may_charge(now, key, step, 1) {
                 return false;
             }
             let Some(chosen) = self.choose_in(now, name, step, rack, space) else {
--- a/crates/jobs/tests/limit.rs
+++ b/crates/jobs/tests/limit.rs
@@ -77,7 +77,7 @@
     assert_eq!(sim.pool.state(unlimited), Some(State::Completed));
     let shortages = sim.pool.shortages(at(sim.now));
     assert_eq!(shortages.len(), 1);
-    assert_eq!(shortages[0].demand, Demand { used: 0, wanted: WHOLE / 2 });
+    assert_eq!(shortages[0].demand, Demand { used: 0, wanted: WHOLE / 2, needed: WHOLE / 8 });
     let why = sim.pool.explain(at(sim.now), held).expect("a job").steps[0].why.clone();
     assert!(why.contains(CLUB), "{why}");
 }
@@ -175,3 +175,14 @@
     sim.run_for(300);
     assert_eq!(sim.running_count(), 3);
 }
+
+// Guards against asking for what the next task needs although tasks start all the time.
+#[test]
+fn demand_needs_nothing_while_tasks_start() {
+    let mut sim = simulation(4, 8_000, WHOLE / 2);
+    submit(&mut sim, 1, Some(CLUB), vec![step(40, 1_000)]);
+    for _ in 0..30 {
+        sim.run_for(100);
+        assert_eq!(sim.pool.demand(at(sim.now), CLUB).needed, 0);
+    }
+}
