Settle transfers of limits whose taker stopped waiting

An owner that gives parts of a limit lowers its own part, writes the transfer and settles it. The handler of the request did all of that, and was dropped when the taker closed the connection after its timeout of 250 ms. The parts then stayed "being given": this owner never gave any again, and its pool could not use them either. Jobs of one organisation waited for good in the other pool.

The transfer now runs in a task of its own. The new test delays the giver's link to the store beyond the taker's timeout: red before (30 s without completion), green after; the other eight tests of organisations pass.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -226,7 +226,7 @@
     }
 
     /// Handles a request of a peer or of this process itself.
-    pub async fn handle(&self, message: Message) -> Reply {
+    pub async fn handle(self: &Rc<Self>, message: Message) -> Reply {
         match message {
             Message::Accepted { id, record, revision, .. } => {
                 if let Ok(id) = id.parse() {
@@ -236,7 +236,7 @@
             }
             Message::State { id, identity, .. } => self.state(&id, &identity),
             Message::Cancel { id, identity, .. } => self.cancel(&id, &identity).await,
-            Message::Allowance { taker, requests, .. } => self.give(&taker, &requests).await,
+            Message::Allowance { taker, requests, .. } => self.give(taker, requests).await,
             // An owner that may have been replaced isn't notified of new jobs: it would count none
             // as queued while its successor has hundreds. Nor does it know the tasks that its
             // successor started: it would report their workers as empty.
--- a/crates/entry/src/owner/allowance.rs
+++ b/crates/entry/src/owner/allowance.rs
@@ -171,11 +171,21 @@
     /// Gives another pool parts that this one has no use for. Returns the divisions.
     ///
     /// What runs of a former owner may use where this one can't see them counts as used.
-    pub(super) async fn give(&self, taker: &str, requests: &[Request]) -> Reply {
+    pub(super) async fn give(self: &Rc<Self>, taker: String, requests: Vec<Request>) -> Reply {
+        let owner = self.clone();
+        // The taker may stop waiting at any time, but a transfer has to be settled.
+        let giving = spawn_local(async move {
+            owner.transfer_all(&taker, &requests).await;
+            owner.book.borrow().records(&requests)
+        });
+        Reply::Allowance { records: giving.await.unwrap_or_default() }
+    }
+
+    async fn transfer_all(&self, taker: &str, requests: &[Request]) {
         let is_known = |request: &Request| self.book.borrow().contains(&request.organisation);
         // Another owner created the record, and no task of this pool has needed it so far.
         if !requests.iter().all(is_known) && self.load_divisions().await.is_err() {
-            return Reply::Allowance { records: self.book.borrow().records(requests) };
+            return;
         }
         if let Ok(_giving) = timeout(MAX_GIVING_WAIT, self.giving.lock()).await
             && self.is_sure()
@@ -185,7 +195,6 @@
                 self.transfer(taker, requests).await;
             }
         }
-        Reply::Allowance { records: self.book.borrow().records(requests) }
     }
 
     /// Moves parts to another pool: lowers its own first, then writes both.
