Place steps of organisations below half of their share first

Cause: the order of starts (priority, urgency, deadline) knew no weight, so the jobs of one organisation that came first kept all others out.

Change: organisations are owed room of a pool by weight, among those that use it or wait. Those below half of that go before deadlines within a priority. The ranking has an index by organisation, so a plan without laggards costs a look at each organisation.

Also: a metric of use by organisation with at most 20 names for each pool, benches of a plan with 570 organisations and of calls with keys (not run yet).

--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -5,6 +5,7 @@
 
 use corianderfork_adapter::caller;
 use corianderfork_jobs::JobId;
+use corianderfork_jobs::pool::Use;
 use serde_json::json;
 
 use crate::clock;
@@ -38,11 +39,15 @@
     HttpResponse::new(status, body.to_string().into_bytes())
 }
 
+/// Returns what each organisation uses, by the pools that this daemon owns.
+pub fn uses(node: &Rc<Node>) -> BTreeMap<String, Vec<Use>> {
+    let owners = node.owners.borrow();
+    owners.iter().map(|(pool, owner)| (pool.clone(), owner.pool.borrow().uses())).collect()
+}
+
 /// Returns what each organisation uses of its limit in the pools that this daemon owns.
 pub fn organisations(node: &Rc<Node>) -> HttpResponse {
-    let owners = node.owners.borrow();
-    let pools: BTreeMap<&String, _> =
-        owners.iter().map(|(pool, owner)| (pool, owner.pool.borrow().uses())).collect();
+    let pools = uses(node);
     let version = node.config.borrow().as_ref().map(|config| config.version);
     let body = json!({ "config": version, "pools": pools });
     HttpResponse::new(200, body.to_string().into_bytes())
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -127,6 +127,9 @@
         if request.path != METRICS_PATH {
             return Box::pin(async { not_found() });
         }
+        let uses = explain::uses(&node);
+        let pools = uses.into_iter().filter(|(_, uses)| !uses.is_empty());
+        node.metrics.set_organisations(pools);
         node.metrics.set("connections", gauges.callers.connections.get());
         node.metrics.set("requests", gauges.callers.requests.get());
         node.metrics.set("peers' connections", gauges.peers.connections.get());
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,11 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use corianderfork_jobs::pool::Use;
 use corianderfork_runtime::metrics;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::traffic::Tally;
 
+/// The most organisations that are named for each pool: those that use most of its room.
+const MAX_ORGANISATIONS: usize = 20;
+/// The label of all others.
+const OTHER_ORGANISATIONS: &str = "(others)";
+
 /// Counters, gauges and histograms. Clones share the same values.
 #[derive(Clone)]
 pub struct Metrics {
@@ -20,6 +26,7 @@
     call_bytes: IntGaugeVec,
     events: IntCounterVec,
     gauges: IntGaugeVec,
+    organisations: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -50,6 +57,12 @@
             ),
             events: all.counter("events", "Decisions and beliefs, by kind", &["event"]),
             gauges: all.gauge("state", "What is held", &["what"]),
+            organisations: all.gauge(
+                "organisation",
+                "What organisations use in a pool, in thousandths of a core and MB, and whether \
+                 their tasks wait for a part of their limit; those that use most, the others summed up",
+                &["pool", "organisation", "what"],
+            ),
             all,
         }
     }
@@ -97,6 +110,27 @@
         self.gauges.with_label_values(&[what]).set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Sets what organisations use in the pools that this process owns.
+    pub fn set_organisations(&self, pools: impl IntoIterator<Item = (String, Vec<Use>)>) {
+        self.organisations.reset();
+        for (pool, mut uses) in pools {
+            uses.sort_by_key(|usage| std::cmp::Reverse((usage.used.cpu, usage.used.memory_mb)));
+            for (rank, usage) in uses.iter().enumerate() {
+                let is_named = rank < MAX_ORGANISATIONS;
+                let name = if is_named { &usage.organisation } else { OTHER_ORGANISATIONS };
+                let values = [
+                    ("cpu", usage.used.cpu),
+                    ("memory", usage.used.memory_mb),
+                    ("blocked", u64::from(usage.is_blocked)),
+                ];
+                for (what, value) in values {
+                    let gauge = self.organisations.with_label_values(&[pool.as_str(), name, what]);
+                    gauge.add(i64::try_from(value).unwrap_or(i64::MAX));
+                }
+            }
+        }
+    }
+
     /// Returns all metrics in the text format.
     pub fn text(&self) -> String {
         self.all.text()
--- a/crates/jobs/benches/plan.rs
+++ b/crates/jobs/benches/plan.rs
@@ -17,7 +17,9 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
+use corianderfork_jobs::allowance::WHOLE;
 use corianderfork_jobs::job::Room;
+use corianderfork_jobs::organisation::Organisation;
 use corianderfork_jobs::pool::{Action, Answer, Config, Connection, Order, Pool, Report};
 use corianderfork_jobs::queue::Queue;
 use corianderfork_jobs::task::{Exit, Name, Outcome, Run};
@@ -28,6 +30,8 @@
 const FENCE: u64 = 7;
 const WAITING: [u64; 4] = [10, 100, 1_000, 10_000];
 const WORKERS: [u16; 3] = [30, 300, 1_100];
+/// Organisations whose tasks wait, each with a limit of its own.
+const ORGANISATIONS: [u64; 2] = [0, 570];
 /// Jobs that have ended and whose state is kept.
 const ENDED: [u64; 2] = [0, 2_000];
 /// Tasks of a step.
@@ -49,13 +53,17 @@
     running: HashMap<Key, Running>,
     exits: HashMap<Key, u64>,
     next_job: u64,
+    organisations: u64,
 }
 
 impl Bench {
-    fn new(workers: u16) -> Self {
+    fn new(workers: u16, organisations: u64) -> Self {
         let mut pool = Pool::new(Config::new(FENCE, Time::ZERO).remote_factor(3.0));
         let queue = Queue { attempts: 2, slack: Duration::from_secs(600), ..Queue::default() };
         pool.set_queues(HashMap::from([("q".to_owned(), queue)]));
+        let all: Vec<Organisation> = (0..organisations).map(organisation).collect();
+        pool.set_organisations(&all);
+        all.iter().for_each(|organisation| pool.set_part(&organisation.name, WHOLE));
         let registrations: Vec<Registration> = (0..workers).map(registration).collect();
         pool.set_workers(Time::from_millis(1), &registrations);
         if let Some(locations) = pool.roster_update() {
@@ -64,7 +72,7 @@
         let keys: Vec<Key> = pool.workers().collect();
         let running = keys.iter().map(|key| (*key, Running::new())).collect();
         let exits = keys.iter().map(|key| (*key, 0)).collect();
-        let mut bench = Self { now: 1_000, pool, keys, running, exits, next_job: 1 };
+        let mut bench = Self { now: 1_000, pool, keys, running, exits, next_job: 1, organisations };
         bench.poll_all();
         bench
     }
@@ -81,7 +89,9 @@
             step.preferred_rack = rack.map(str::to_owned);
             let steps = vec![step, Step::new(WIDTH).after(0)];
             let job = Job::new(String::new(), steps).expect("the job is valid");
-            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0, organisation: None };
+            let number = self.next_job.checked_rem(self.organisations);
+            let organisation = number.map(|number| organisation(number).name);
+            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0, organisation };
             let id = JobId(self.next_job);
             self.next_job += 1;
             self.pool.accept(self.at(), Duration::ZERO, id, &record, None, FENCE + 1);
@@ -181,24 +191,33 @@
     }
 }
 
+fn organisation(number: u64) -> Organisation {
+    let limit = Room { cpu: 1 << 40, memory_mb: 1 << 40, gpu: 0 };
+    let weight = 1 + u32::try_from(number % 100).expect("below 100");
+    Organisation { name: format!("organisation-{number}"), weight, limit }
+}
+
 fn main() {
-    println!("workers,ended,waiting,idle_us,exit_us,racks_us,load_us,shrink_us");
+    println!("organisations,workers,ended,waiting,idle_us,exit_us,racks_us,load_us,shrink_us");
     for workers in WORKERS {
         for ended in ENDED {
             for waiting in WAITING {
-                let [idle, exit, load, shrink] = measure_full(workers, ended, waiting);
-                let racks = measure_racks(workers, waiting);
-                println!(
-                    "{workers},{ended},{waiting},{idle:.1},{exit:.1},{racks:.1},{load:.1},{shrink:.1}"
-                );
+                for organisations in ORGANISATIONS {
+                    let full = measure_full(organisations, workers, ended, waiting);
+                    let [idle, exit, load, shrink] = full;
+                    let racks = measure_racks(organisations, workers, waiting);
+                    println!(
+                        "{organisations},{workers},{ended},{waiting},{idle:.1},{exit:.1},{racks:.1},{load:.1},{shrink:.1}"
+                    );
+                }
             }
         }
     }
 }
 
 /// Measures a pool whose workers are all full.
-fn measure_full(workers: u16, ended: u64, waiting: u64) -> [f64; 4] {
-    let mut bench = Bench::new(workers);
+fn measure_full(organisations: u64, workers: u16, ended: u64, waiting: u64) -> [f64; 4] {
+    let mut bench = Bench::new(workers, organisations);
     for _ in 0..ended {
         bench.add_jobs(1, None);
         let id = JobId(bench.next_job - 1);
@@ -224,8 +243,8 @@
 }
 
 /// Measures a pool in which only the rack of the waiting tasks' data is full.
-fn measure_racks(workers: u16, waiting: u64) -> f64 {
-    let mut bench = Bench::new(workers);
+fn measure_racks(organisations: u64, workers: u16, waiting: u64) -> f64 {
+    let mut bench = Bench::new(workers, organisations);
     let in_rack = u64::from(workers.min(WORKERS_PER_RACK)) * TASKS_PER_WORKER;
     bench.add_jobs(in_rack + waiting, Some("rack-0"));
     let orders = bench.plan();
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -24,6 +24,7 @@
 mod reserve;
 mod restart;
 mod runs;
+mod share;
 mod shrink;
 mod space;
 pub(crate) mod symbol;
@@ -60,6 +61,7 @@
 use entry::Entry;
 use plan::Gate;
 use ranking::Ranking;
+use share::Shares;
 use symbol::Symbols;
 use usage::Usage;
 
@@ -157,6 +159,8 @@
     usage: Rc<Usage>,
     agenda: Agenda,
     ranking: Ranking,
+    /// What organisations are owed, while steps of laggards are placed.
+    shares: Option<Shares>,
     symbols: Symbols,
     /// Whether tasks could be started at the last plan, and whether only new ones.
     gate: Gate,
@@ -221,6 +225,7 @@
             usage: Rc::default(),
             agenda: Agenda::default(),
             ranking: Ranking::default(),
+            shares: None,
             symbols: Symbols::default(),
             gate: Gate::default(),
             effort: Effort::default(),
--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -88,6 +88,13 @@
         }
     }
 
+    /// Returns the weight of an organisation, at least 1: jobs of one that the configuration
+    /// doesn't contain any more still have to end.
+    pub fn weight(&self, key: Key) -> u64 {
+        let organisation = self.accounts.get(key.0).and_then(|a| a.organisation.as_ref());
+        organisation.map_or(1, |organisation| u64::from(organisation.weight.max(1)))
+    }
+
     /// Returns the settings of an organisation that has a limit, and the part of this pool.
     fn limited(&self, key: Key) -> Option<(&Organisation, u32)> {
         let account = self.accounts.get(key.0)?;
@@ -233,8 +240,11 @@
         step: &Step,
         count: u32,
     ) -> bool {
-        let organisation = self.jobs.get(step_key.job).and_then(|entry| entry.organisation);
-        let Some(key) = organisation else { return true };
+        let Some(entry) = self.jobs.get(step_key.job) else { return true };
+        let Some(key) = entry.organisation else { return true };
+        if self.has_caught_up(key) {
+            return false;
+        }
         let mut used = self.usage.get(key);
         if !self.gate_is_open_to_all() {
             used.add(&self.unseen_room_in_plan(key));
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -6,6 +6,7 @@
 use super::entry::{StepState, TaskState, name};
 use super::order::Order;
 use super::ranking::{Candidate, Position, StepKey};
+use super::share::Laggards;
 use super::space::Space;
 use super::symbol::Symbol;
 use super::unmet::{Requirement, Unmet};
@@ -19,6 +20,18 @@
     unmet: Unmet,
 }
 
+/// How far a plan got in the order of steps.
+#[derive(Debug, Default)]
+struct Cursor {
+    /// The priority of the steps that are placed now.
+    priority: Option<u32>,
+    /// The same while steps of laggards are placed.
+    laggards_priority: Option<u32>,
+    laggards: Option<Laggards>,
+    /// The last step that was placed by its position alone.
+    last: Option<Position>,
+}
+
 impl Pool {
     /// Starts waiting tasks, those of the most urgent steps first.
     pub(super) fn place_tasks(&mut self, now: Time, orders: &mut Vec<Order>) {
@@ -28,9 +41,8 @@
         self.accounts.begin_plan();
         let mut room = self.largest_room(now);
         let mut search = None;
-        let mut last = None;
-        while let Some((position, candidate)) = self.next_step_that_may_fit(last, &room) {
-            last = Some(position);
+        let mut cursor = Cursor::default();
+        while let Some(candidate) = self.next_step_that_may_fit(now, &mut cursor, &room) {
             self.effort.steps += 1;
             let new = || Search { space: self.space(now), unmet: Unmet::default() };
             let known = search.get_or_insert_with(new);
@@ -159,26 +171,50 @@
         false
     }
 
-    /// Returns the most urgent ready step behind `last` that may fit if `room` is the largest that
-    /// any worker has left.
+    /// Returns the next step to place that may fit if `room` is the largest that any worker has
+    /// left. Of each priority the steps of laggards come first, and then all.
     fn next_step_that_may_fit(
-        &self,
-        last: Option<Position>,
+        &mut self,
+        now: Time,
+        cursor: &mut Cursor,
         room: &Room,
-    ) -> Option<(Position, Candidate)> {
+    ) -> Option<Candidate> {
+        self.shares = None;
         let is_selective = self.ranking.features().next().is_some();
         let has_special = is_selective || !self.reservations.is_empty();
         if !has_special && self.ranking.least_cpu().is_none_or(|least| room.cpu < least) {
             return None;
         }
-        let mut behind = self.ranking.behind(last);
-        let next = behind.find(|(_, candidate)| self.may_fit(room, candidate));
-        next.map(|(position, candidate)| (*position, *candidate))
+        let mut laggards = match cursor.laggards.take() {
+            Some(laggards) => laggards,
+            None => self.laggards(now),
+        };
+        let next = loop {
+            if let Some(priority) = cursor.laggards_priority {
+                let lagging = self.next_lagging_step(&mut laggards, priority, room);
+                if lagging.is_some() {
+                    break lagging;
+                }
+                cursor.laggards_priority = None;
+            }
+            let may_fit = |(_, candidate): &(&Position, &Candidate)| self.may_fit(room, candidate);
+            let Some((position, candidate)) = self.ranking.behind(cursor.last).find(may_fit) else {
+                break None;
+            };
+            if cursor.priority == Some(position.priority()) {
+                cursor.last = Some(*position);
+                break Some(*candidate);
+            }
+            cursor.priority = Some(position.priority());
+            cursor.laggards_priority = cursor.priority;
+        };
+        cursor.laggards = Some(laggards);
+        next
     }
 
     /// Returns whether a step may fit into a worker if `room` is the largest that any has left. A
     /// step that needs a feature may use other workers, and one with a reservation has room there.
-    fn may_fit(&self, room: &Room, candidate: &Candidate) -> bool {
+    pub(super) fn may_fit(&self, room: &Room, candidate: &Candidate) -> bool {
         if candidate.organisation.is_some_and(|key| self.accounts.is_blocked(key)) {
             return false;
         }
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -2,7 +2,7 @@
 //!
 //! The order is kept between plans: a job is ranked anew when it changes or its urgency does.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -53,6 +53,11 @@
 }
 
 impl Position {
+    /// Returns the operators' priority.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// Returns the occurrence and the index of the step.
     pub fn step(&self) -> (u32, usize) {
         (self.occurrence, self.step)
@@ -97,6 +102,8 @@
     features: BTreeMap<Feature, usize>,
     /// The number of candidates that need each amount of CPU.
     cpu: BTreeMap<u64, usize>,
+    /// The positions of each organisation's candidates.
+    organisations: BTreeMap<organisation::Key, BTreeSet<Position>>,
 }
 
 impl Ranking {
@@ -106,6 +113,9 @@
             return;
         }
         *self.cpu.entry(candidate.room.cpu).or_default() += 1;
+        if let Some(key) = candidate.organisation {
+            self.organisations.entry(key).or_default().insert(position);
+        }
         if let Some(feature) = Feature::of(step) {
             *self.features.entry(feature).or_default() += 1;
         }
@@ -114,6 +124,14 @@
     fn remove(&mut self, position: &Position, step: Option<&Step>) {
         let Some(candidate) = self.candidates.remove(position) else { return };
         decrement(&mut self.cpu, &candidate.room.cpu);
+        if let Some(key) = candidate.organisation
+            && let Some(positions) = self.organisations.get_mut(&key)
+        {
+            positions.remove(position);
+            if positions.is_empty() {
+                self.organisations.remove(&key);
+            }
+        }
         if let Some(feature) = step.and_then(Feature::of) {
             decrement(&mut self.features, &feature);
         }
@@ -138,6 +156,34 @@
         self.candidates.range((start, Bound::Unbounded))
     }
 
+    /// Returns the organisations with ready steps.
+    pub fn organisations(&self) -> impl Iterator<Item = organisation::Key> {
+        self.organisations.keys().copied()
+    }
+
+    /// Returns whether an organisation has ready steps.
+    pub fn has_organisation(&self, key: organisation::Key) -> bool {
+        self.organisations.contains_key(&key)
+    }
+
+    /// Returns the ready steps of an organisation with a priority behind a position, most urgent
+    /// first.
+    pub fn steps_of(
+        &self,
+        key: organisation::Key,
+        priority: u32,
+        position: Option<Position>,
+    ) -> impl Iterator<Item = (&Position, &Candidate)> {
+        let start = position.map_or(Bound::Unbounded, Bound::Excluded);
+        let positions = self.organisations.get(&key).into_iter();
+        let behind =
+            positions.flat_map(move |positions| positions.range((start, Bound::Unbounded)));
+        let of_priority = behind
+            .skip_while(move |position| position.priority < priority)
+            .take_while(move |position| position.priority == priority);
+        of_priority.filter_map(|position| Some((position, self.candidates.get(position)?)))
+    }
+
     /// Returns the features that ready steps need.
     pub fn features(&self) -> impl Iterator<Item = &Feature> {
         self.features.keys()
