Sum up an organisation's demand from its own steps only

Cause: an owner that asks for parts of limits, or is asked for some, summed up each organisation's demand by a look at all waiting steps, in every round and for each of the organisations.

Change: the index of the ranking by organisation is used.

--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -210,7 +210,7 @@
             room.add(&next);
             organisation.parts_for(&room)
         });
-        let own = self.ranking.candidates().filter(|step| step.organisation == Some(key));
+        let own = self.ranking.steps_of(key, None).map(|(_, step)| step);
         let (expired, own): (Vec<&Candidate>, Vec<&Candidate>) =
             own.partition(|step| step.is_expired);
         // Jobs that earn nothing any more don't take parts from pools whose jobs do.
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -166,22 +166,16 @@
         self.organisations.contains_key(&key)
     }
 
-    /// Returns the ready steps of an organisation with a priority behind a position, most urgent
-    /// first.
+    /// Returns the ready steps of an organisation behind a position, most urgent first.
     pub fn steps_of(
         &self,
         key: organisation::Key,
-        priority: u32,
         position: Option<Position>,
     ) -> impl Iterator<Item = (&Position, &Candidate)> {
         let start = position.map_or(Bound::Unbounded, Bound::Excluded);
         let positions = self.organisations.get(&key).into_iter();
-        let behind =
-            positions.flat_map(move |positions| positions.range((start, Bound::Unbounded)));
-        let of_priority = behind
-            .skip_while(move |position| position.priority < priority)
-            .take_while(move |position| position.priority == priority);
-        of_priority.filter_map(|position| Some((position, self.candidates.get(position)?)))
+        let behind = positions.flat_map(move |all| all.range((start, Bound::Unbounded)));
+        behind.filter_map(|position| Some((position, self.candidates.get(position)?)))
     }
 
     /// Returns the features that ready steps need.
--- a/crates/jobs/src/pool/share.rs
+++ b/crates/jobs/src/pool/share.rs
@@ -89,8 +89,11 @@
         let shares = laggards.shares?;
         let last = laggards.last;
         let next_of = |key: &Key| {
-            let mut steps = self.ranking.steps_of(*key, priority, last);
-            steps.find(|(_, candidate)| self.may_fit(room, candidate))
+            let steps = self.ranking.steps_of(*key, last);
+            let mut steps = steps.take_while(|(position, _)| position.priority() <= priority);
+            steps.find(|(position, candidate)| {
+                position.priority() == priority && self.may_fit(room, candidate)
+            })
         };
         let is_lagging = |key: &&Key| self.is_lagging(&shares, **key);
         let lagging = laggards.organisations.iter().filter(is_lagging);
