--- a/crates/entry/tests/allowance.rs
+++ b/crates/entry/tests/allowance.rs
@@ -24,7 +24,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Submit(usize, u32),
-    Start(usize),
+    /// The pool starts up to this many runs.
+    Start(usize, u32),
     End(usize),
     /// The first pool asks the second one for parts.
     Ask(usize, usize),
@@ -89,7 +90,7 @@
     fn apply(&mut self, event: &Event) {
         match *event {
             Event::Submit(pool, runs) => self.owners[pool].waiting += runs * RUN,
-            Event::Start(pool) => self.start(pool),
+            Event::Start(pool, runs) => (0..runs).for_each(|_| self.start(pool)),
             Event::End(pool) => {
                 let owner = &mut self.owners[pool];
                 owner.used = owner.used.saturating_sub(RUN);
@@ -217,7 +218,7 @@
     ];
     prop_oneof![
         3 => (pool.clone(), 1u32..30).prop_map(|(pool, runs)| Event::Submit(pool, runs)),
-        8 => pool.clone().prop_map(Event::Start),
+        8 => (pool.clone(), 1u32..20).prop_map(|(pool, runs)| Event::Start(pool, runs)),
         4 => pool.clone().prop_map(Event::End),
         6 => (pool.clone(), pool.clone()).prop_map(|(taker, giver)| Event::Ask(taker, giver)),
         6 => (pool.clone(), fate, any::<bool>()).prop_map(|(g, f, h)| Event::Write(g, f, h)),
--- a/crates/jobs/tests/limit.rs
+++ b/crates/jobs/tests/limit.rs
@@ -186,3 +186,36 @@
         assert_eq!(sim.pool.demand(at(sim.now), CLUB).needed, 0);
     }
 }
+
+// Guards against an owner that gives away parts which runs of its predecessor use unseen.
+#[test]
+fn demand_of_a_successor_counts_runs_on_a_silent_worker() {
+    let mut sim = simulation(2, 8_000, WHOLE);
+    sim.task_ms = 60_000;
+    let job = submit_at(&mut sim, 1, Some(CLUB), vec![step(6, 1_000)], FENCE + 1);
+    sim.run_for(300);
+    let locations = sim.pool.written_roster();
+    let silent = sim.workers_running(first_task(job))[0].to_owned();
+    sim.workers.get_mut(&silent).expect("a worker").silent = true;
+    sim.pool = owner(FENCE + 50, sim.now);
+    sim.pool.set_organisations(&[club(8_000)]);
+    sim.pool.set_part(CLUB, WHOLE);
+    sim.pool.set_roster(locations);
+    submit_at(&mut sim, 1, Some(CLUB), vec![step(6, 1_000)], FENCE + 1);
+    sim.list_and_poll();
+    assert!(sim.pool.demand(at(sim.now), CLUB).used >= WHOLE * 6 / 8);
+}
+
+// Guards against jobs that earn nothing any more taking parts from pools whose jobs do.
+#[test]
+fn demand_leaves_out_expired_jobs_beside_others() {
+    let mut sim = simulation(4, 8_000, 0);
+    submit(&mut sim, 1, Some(CLUB), vec![step(4, 1_000)]);
+    sim.now += 600_000;
+    sim.list_and_poll();
+    sim.plan();
+    assert_eq!(sim.pool.demand(at(sim.now), CLUB).wanted, WHOLE / 2);
+    submit(&mut sim, 2, Some(CLUB), vec![step(2, 1_000)]);
+    sim.plan();
+    assert_eq!(sim.pool.demand(at(sim.now), CLUB).wanted, WHOLE / 4);
+}
