Try one step of each lagging organisation until it is placed

Cause: the next step of a laggard was looked for among all organisations, for each step that was tried.

Change: a heap has the next step of each lagging organisation. One whose step can't be placed goes by deadline for the rest of the plan.

--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -55,6 +55,11 @@
         key
     }
 
+    /// Returns the keys of all organisations.
+    pub fn keys(&self) -> impl Iterator<Item = Key> + use<> {
+        (0..self.accounts.len()).map(Key)
+    }
+
     pub fn is_blocked(&self, key: Key) -> bool {
         self.accounts.get(key.0).is_some_and(|account| account.is_blocked)
     }
@@ -210,7 +215,7 @@
             room.add(&next);
             organisation.parts_for(&room)
         });
-        let own = self.ranking.steps_of(key, None).map(|(_, step)| step);
+        let own = self.ranking.steps_of(key);
         let (expired, own): (Vec<&Candidate>, Vec<&Candidate>) =
             own.partition(|step| step.is_expired);
         // Jobs that earn nothing any more don't take parts from pools whose jobs do.
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -28,6 +28,8 @@
     /// The same while steps of laggards are placed.
     laggards_priority: Option<u32>,
     laggards: Option<Laggards>,
+    /// Whether tasks of the last step were started.
+    was_placed: bool,
     /// The last step that was placed by its position alone.
     last: Option<Position>,
 }
@@ -48,7 +50,8 @@
             let known = search.get_or_insert_with(new);
             let before = orders.len();
             let is_outdated = self.place_candidate(now, &candidate, known, &room, orders);
-            if orders.len() > before {
+            cursor.was_placed = orders.len() > before;
+            if cursor.was_placed {
                 self.clear_waiting(candidate.key);
                 if is_outdated {
                     known.space = self.space(now);
@@ -191,7 +194,8 @@
         };
         let next = loop {
             if let Some(priority) = cursor.laggards_priority {
-                let lagging = self.next_lagging_step(&mut laggards, priority, room);
+                let was_placed = cursor.was_placed;
+                let lagging = self.next_lagging_step(&mut laggards, priority, room, was_placed);
                 if lagging.is_some() {
                     break lagging;
                 }
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -103,7 +103,7 @@
     /// The number of candidates that need each amount of CPU.
     cpu: BTreeMap<u64, usize>,
     /// The positions of each organisation's candidates.
-    organisations: BTreeMap<organisation::Key, BTreeSet<Position>>,
+    organisations: Vec<BTreeSet<Position>>,
 }
 
 impl Ranking {
@@ -114,7 +114,10 @@
         }
         *self.cpu.entry(candidate.room.cpu).or_default() += 1;
         if let Some(key) = candidate.organisation {
-            self.organisations.entry(key).or_default().insert(position);
+            if self.organisations.len() <= key.0 {
+                self.organisations.resize_with(key.0 + 1, BTreeSet::new);
+            }
+            self.organisations[key.0].insert(position);
         }
         if let Some(feature) = Feature::of(step) {
             *self.features.entry(feature).or_default() += 1;
@@ -125,12 +128,9 @@
         let Some(candidate) = self.candidates.remove(position) else { return };
         decrement(&mut self.cpu, &candidate.room.cpu);
         if let Some(key) = candidate.organisation
-            && let Some(positions) = self.organisations.get_mut(&key)
+            && let Some(positions) = self.organisations.get_mut(key.0)
         {
             positions.remove(position);
-            if positions.is_empty() {
-                self.organisations.remove(&key);
-            }
         }
         if let Some(feature) = step.and_then(Feature::of) {
             decrement(&mut self.features, &feature);
@@ -156,26 +156,31 @@
         self.candidates.range((start, Bound::Unbounded))
     }
 
-    /// Returns the organisations with ready steps.
-    pub fn organisations(&self) -> impl Iterator<Item = organisation::Key> {
-        self.organisations.keys().copied()
+    /// Returns the step at a position.
+    pub fn get(&self, position: &Position) -> Option<&Candidate> {
+        self.candidates.get(position)
+    }
+
+    fn positions_of(&self, key: organisation::Key) -> Option<&BTreeSet<Position>> {
+        self.organisations.get(key.0).filter(|positions| !positions.is_empty())
     }
 
     /// Returns whether an organisation has ready steps.
     pub fn has_organisation(&self, key: organisation::Key) -> bool {
-        self.organisations.contains_key(&key)
+        self.positions_of(key).is_some()
     }
 
-    /// Returns the ready steps of an organisation behind a position, most urgent first.
-    pub fn steps_of(
-        &self,
-        key: organisation::Key,
-        position: Option<Position>,
-    ) -> impl Iterator<Item = (&Position, &Candidate)> {
+    /// Returns the ready steps of an organisation, most urgent first.
+    pub fn steps_of(&self, key: organisation::Key) -> impl Iterator<Item = &Candidate> {
+        let positions = self.positions_of(key).into_iter().flatten();
+        positions.filter_map(|position| self.candidates.get(position))
+    }
+
+    /// Returns the most urgent ready step of an organisation behind a position.
+    pub fn next_of(&self, key: organisation::Key, position: Option<Position>) -> Option<Position> {
+        let positions = self.positions_of(key)?;
         let start = position.map_or(Bound::Unbounded, Bound::Excluded);
-        let positions = self.organisations.get(&key).into_iter();
-        let behind = positions.flat_map(move |all| all.range((start, Bound::Unbounded)));
-        behind.filter_map(|position| Some((position, self.candidates.get(position)?)))
+        positions.range((start, Bound::Unbounded)).next().copied()
     }
 
     /// Returns the features that ready steps need.
--- a/crates/jobs/src/pool/share.rs
+++ b/crates/jobs/src/pool/share.rs
@@ -6,6 +6,9 @@
 //! one organisation can't take the room of the others, and none is idle for a share that nobody
 //! wants.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use corianderfork_model::Time;
 
 use super::Pool;
@@ -36,24 +39,28 @@
     }
 }
 
-/// The steps that get room before others of the same priority, in one plan.
+/// The organisations whose steps get room before others of the same priority, in one plan.
+///
+/// The most urgent step of each is tried first, and the next one once it was placed. So the cost is
+/// that of one step for each organisation, beside those that are placed.
 #[derive(Debug, Default)]
 pub(super) struct Laggards {
     shares: Option<Shares>,
-    organisations: Vec<Key>,
-    /// The last step that was tried.
-    last: Option<Position>,
+    /// The next step of each organisation, the most urgent one on top.
+    next: BinaryHeap<Reverse<(Position, Key)>>,
+    /// The step that was tried last.
+    last: Option<(Position, Key)>,
 }
 
 impl Pool {
     /// Returns the laggards of this plan. There are none unless several organisations want room.
     pub(super) fn laggards(&self, now: Time) -> Laggards {
-        let waiting = self.ranking.organisations();
-        let using = self.usage.keys().filter(|key| !self.ranking.has_organisation(*key));
         let (mut count, mut weights) = (0, 0);
-        for key in waiting.chain(using) {
-            count += 1;
-            weights += self.accounts.weight(key);
+        for key in self.accounts.keys() {
+            if self.ranking.has_organisation(key) || self.usage.get(key) != Room::default() {
+                count += 1;
+                weights += self.accounts.weight(key);
+            }
         }
         if count < 2 {
             return Laggards::default();
@@ -63,45 +70,54 @@
             room.add(&worker.room);
         }
         let shares = Shares { room, weights };
-        let organisations =
-            self.ranking.organisations().filter(|key| self.is_lagging(&shares, *key)).collect();
-        Laggards { shares: Some(shares), organisations, last: None }
+        let waiting = self.accounts.keys().filter(|key| self.ranking.has_organisation(*key));
+        let lagging = waiting.filter(|key| self.is_lagging(&shares, *key));
+        let first = |key| Some(Reverse((self.ranking.next_of(key, None)?, key)));
+        Laggards { shares: Some(shares), next: lagging.filter_map(first).collect(), last: None }
     }
 
     fn is_lagging(&self, shares: &Shares, key: Key) -> bool {
         !shares.has_half(self.accounts.weight(key), &self.usage.get(key))
     }
 
-    /// Returns whether the step of an organisation that is being placed as a laggard's has got
-    /// enough.
+    /// Returns whether an organisation has got enough, while steps of laggards are placed.
     pub(super) fn has_caught_up(&self, key: Key) -> bool {
         self.shares.is_some_and(|shares| !self.is_lagging(&shares, key))
     }
 
     /// Returns the next step of a laggard with a priority that may fit if `room` is the largest
-    /// that any worker has left.
+    /// that any worker has left. `was_placed` says whether tasks of the last one were started.
     pub(super) fn next_lagging_step(
         &mut self,
         laggards: &mut Laggards,
         priority: u32,
         room: &Room,
+        was_placed: bool,
     ) -> Option<Candidate> {
+        self.shares = None;
         let shares = laggards.shares?;
-        let last = laggards.last;
-        let next_of = |key: &Key| {
-            let steps = self.ranking.steps_of(*key, last);
-            let mut steps = steps.take_while(|(position, _)| position.priority() <= priority);
-            steps.find(|(position, candidate)| {
-                position.priority() == priority && self.may_fit(room, candidate)
-            })
-        };
-        let is_lagging = |key: &&Key| self.is_lagging(&shares, **key);
-        let lagging = laggards.organisations.iter().filter(is_lagging);
-        let next = lagging.filter_map(next_of).min_by_key(|(position, _)| *position);
-        let next = next.map(|(position, candidate)| (*position, *candidate));
-        self.shares = next.is_some().then_some(shares);
-        let (position, candidate) = next?;
-        laggards.last = Some(position);
-        Some(candidate)
+        if let Some((position, key)) = laggards.last.take()
+            && was_placed
+            && let Some(next) = self.ranking.next_of(key, Some(position))
+        {
+            laggards.next.push(Reverse((next, key)));
+        }
+        loop {
+            let Reverse((position, key)) = *laggards.next.peek()?;
+            if position.priority() > priority {
+                return None;
+            }
+            laggards.next.pop();
+            let candidate = self.ranking.get(&position).copied();
+            let candidate = candidate.filter(|candidate| self.may_fit(room, candidate));
+            if position.priority() == priority
+                && self.is_lagging(&shares, key)
+                && candidate.is_some()
+            {
+                laggards.last = Some((position, key));
+                self.shares = Some(shares);
+                return candidate;
+            }
+        }
     }
 }
--- a/crates/jobs/src/pool/usage.rs
+++ b/crates/jobs/src/pool/usage.rs
@@ -25,14 +25,6 @@
         self.rooms.borrow().get(key.0).copied().unwrap_or_default()
     }
 
-    /// Returns the organisations whose runs use room.
-    pub fn keys(&self) -> impl Iterator<Item = Key> {
-        let rooms = self.rooms.borrow();
-        let used = rooms.iter().enumerate().filter(|(_, room)| **room != Room::default());
-        let keys: Vec<Key> = used.map(|(index, _)| Key(index)).collect();
-        keys.into_iter()
-    }
-
     fn with(&self, key: Key, change: impl FnOnce(&mut Room)) {
         let mut rooms = self.rooms.borrow_mut();
         if rooms.len() <= key.0 {
