Place expired jobs of lagging organisations by their position

Jobs that earn nothing any more would have got room before jobs in time of others, if their organisation used less than half of its share. The new test is red without the condition.

--- a/crates/jobs/src/pool/account.rs
+++ b/crates/jobs/src/pool/account.rs
@@ -235,9 +235,11 @@
         waiting.unwrap_or_default()
     }
 
-    /// Returns whether `count` tasks of a step may start within the limit of their organisation. If
-    /// not, no other task of it is started in this plan: a smaller task behind one that waits would
-    /// use up what becomes free.
+    /// Returns whether `count` tasks of a step may start within the limit of their organisation,
+    /// and within its share while steps of laggards are placed.
+    ///
+    /// If the limit is the reason, no other task of the organisation is started in this plan: a
+    /// smaller task behind one that waits would use up what becomes free.
     pub(super) fn may_charge(
         &mut self,
         now: Time,
--- a/crates/jobs/src/pool/share.rs
+++ b/crates/jobs/src/pool/share.rs
@@ -2,9 +2,9 @@
 //!
 //! The organisations that use room of a pool or wait for it are owed parts of it in proportion to
 //! their weights. An organisation that waits and uses less than half of what it is owed lags: its
-//! steps get room before all others of the same priority. Otherwise deadlines decide. So a flood of
-//! one organisation can't take the room of the others, and none is idle for a share that nobody
-//! wants.
+//! steps get room before all others of the same priority, unless their jobs earn nothing any more.
+//! Otherwise deadlines decide. So a flood of one organisation can't take the room of the others,
+//! and none is idle for a share that nobody wants.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -108,12 +108,11 @@
                 return None;
             }
             laggards.next.pop();
-            let candidate = self.ranking.get(&position).copied();
-            let candidate = candidate.filter(|candidate| self.may_fit(room, candidate));
-            if position.priority() == priority
-                && self.is_lagging(&shares, key)
-                && candidate.is_some()
-            {
+            let is_eligible = position.priority() == priority && self.is_lagging(&shares, key);
+            let candidate = self.ranking.get(&position).copied().filter(|candidate| {
+                is_eligible && !candidate.is_expired && self.may_fit(room, candidate)
+            });
+            if candidate.is_some() {
                 laggards.last = Some((position, key));
                 self.shares = Some(shares);
                 return candidate;
--- a/crates/jobs/tests/share.rs
+++ b/crates/jobs/tests/share.rs
@@ -138,3 +138,15 @@
     assert_eq!(sim.pool.state(job), Some(State::Running));
     assert_eq!(used(&sim, "club"), 3 * TASK_CPU);
 }
+
+// Guards against jobs that earn nothing any more taking room from jobs in time.
+#[test]
+fn plan_places_expired_jobs_behind_others_though_their_organisation_lags() {
+    let mut sim = simulation(&[organisation("late", 9), organisation("other", 1)]);
+    submit_all(&mut sim, 0..8, "q", "late");
+    sim.now += 600_000;
+    sim.list_and_poll();
+    submit_all(&mut sim, 100..108, "q", "other");
+    sim.plan();
+    assert_eq!(used(&sim, "other"), 8 * TASK_CPU);
+}
