--- a/review/standin/src/daemons.rs
+++ b/review/standin/src/daemons.rs
@@ -78,8 +78,14 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer =
-            call(self.ready, "GET", "/api/ready", &[("Host", "ready")], b"", Duration::from_secs(1));
+        let answer = call(
+            self.ready,
+            "GET",
+            "/api/ready",
+            &[("Host", "ready")],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|(status, _)| status == 200)
     }
 }
@@ -113,11 +119,13 @@
     store: SocketAddr,
     cloud: SocketAddr,
 ) -> Vec<Daemon> {
-    let template = std::fs::read_to_string("deploy/entry.ini").expect("the template of the settings");
+    let template =
+        std::fs::read_to_string("deploy/entry.ini").expect("the template of the settings");
     (1..=count)
         .map(|number| {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 77, octet, number));
-            let (name, zone) = (format!("front-z{}-{number}", (number - 1) % 3 + 1), (number - 1) % 3 + 1);
+            let (name, zone) =
+                (format!("front-z{}-{number}", (number - 1) % 3 + 1), (number - 1) % 3 + 1);
             let (front, ready) = (SocketAddr::new(ip, FRONT), SocketAddr::new(ip, READY));
             let fields = [
                 ("node_name", name.clone()),
@@ -140,7 +148,11 @@
                 ("bounds.lease_ms", "3000".to_owned()),
                 ("bounds.restore_ms", site.restore_ms.to_owned()),
                 ("bounds.stop_ms", site.stop_ms.to_owned()),
-                ("policies", "base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing".to_owned()),
+                (
+                    "policies",
+                    "base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing"
+                        .to_owned(),
+                ),
             ];
             let mut text = template.clone();
             for (field, value) in &fields {
@@ -149,7 +161,15 @@
             assert!(!text.contains("{{"), "the template has an unknown field");
             let settings = folder.join(format!("{name}.ini"));
             std::fs::write(&settings, text).expect("the settings");
-            Daemon { name, front, ready, child: None, settings, folder: folder.to_owned(), starts: 0 }
+            Daemon {
+                name,
+                front,
+                ready,
+                child: None,
+                settings,
+                folder: folder.to_owned(),
+                starts: 0,
+            }
         })
         .collect()
 }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -63,7 +63,9 @@
 }
 
 /// Reads the first line, the headers and the body of a message; `None` at the end.
-fn read_message(reader: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Vec<(String, String)>, Vec<u8>)>> {
+fn read_message(
+    reader: &mut BufReader<TcpStream>,
+) -> io::Result<Option<(String, Vec<(String, String)>, Vec<u8>)>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
--- a/review/standin/src/ledger.rs
+++ b/review/standin/src/ledger.rs
@@ -67,13 +67,27 @@
 
     /// Records a start. Returns when and how the run ends by itself, which its `spec` says:
     /// `runs MS`, `lasts`, or `fails once MS`.
-    pub fn started(&self, runner: &str, machine: &str, task: &str, run: u64, spec: &str) -> Option<(u64, &'static str)> {
+    pub fn started(
+        &self,
+        runner: &str,
+        machine: &str,
+        task: &str,
+        run: u64,
+        spec: &str,
+    ) -> Option<(u64, &'static str)> {
         self.say(&format!("runner {runner} on {machine} starts {task} run {run}"));
         let began_ms = self.now_ms();
         let mut state = self.state.lock().unwrap();
         let runs = state.runs.entry(task.to_owned()).or_default();
         let is_first = runs.is_empty();
-        runs.push(Run { runner: runner.to_owned(), run, began_ms, ended: None, is_noted: false, stopping_ms: None });
+        runs.push(Run {
+            runner: runner.to_owned(),
+            run,
+            began_ms,
+            ended: None,
+            is_noted: false,
+            stopping_ms: None,
+        });
         let number = |prefix: &str| spec.strip_prefix(prefix).and_then(|ms| ms.trim().parse().ok());
         if let Some(ms) = number("fails once") {
             return Some((ms, if is_first { "failed" } else { "done" }));
@@ -96,7 +110,9 @@
         });
         let away = others.filter(|(_, runs)| !runs.iter().any(is_at_work)).count();
         let runs = state.runs.get_mut(task).into_iter().flatten();
-        let Some(known) = runs.into_iter().find(|r| r.runner == runner && r.run == run) else { return };
+        let Some(known) = runs.into_iter().find(|r| r.runner == runner && r.run == run) else {
+            return;
+        };
         let was_at_work = is_at_work(known);
         known.stopping_ms = Some(at);
         if is_lasting {
@@ -175,7 +191,9 @@
         let mut state = self.state.lock().unwrap();
         let most = state.most_ended.entry(runner.to_owned()).or_default();
         if ended > listed && ended > *most {
-            self.say(&format!("runner {runner} lists {listed} of {ended} ends, and {running} running"));
+            self.say(&format!(
+                "runner {runner} lists {listed} of {ended} ends, and {running} running"
+            ));
         }
         *most = ended.max(*most);
     }
@@ -205,7 +223,12 @@
                     let text = |what: &str| {
                         format!(
                             "TWICE {task}: run {} on {} from {} ms, {how} at {until} ms; run {} starts on {} at {} ms, {what}",
-                            first.run, first.runner, first.began_ms, second.run, second.runner, second.began_ms
+                            first.run,
+                            first.runner,
+                            first.began_ms,
+                            second.run,
+                            second.runner,
+                            second.began_ms
                         )
                     };
                     if second.began_ms < until {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -59,7 +59,16 @@
         });
         let daemons = daemons::prepare(&folder, octet, daemons, site, store_address, cloud);
         let started = daemons.len() - 1;
-        Self { ledger, store, platform, daemons, started, version: 3, folder, began: Instant::now() }
+        Self {
+            ledger,
+            store,
+            platform,
+            daemons,
+            started,
+            version: 3,
+            folder,
+            began: Instant::now(),
+        }
     }
 
     /// Writes a configuration with or without the queue.
@@ -210,7 +219,11 @@
             world.ledger.say(&format!("BROKEN {line}"));
         }
         world.ledger.say(&format!("{} breaks", broken.len()));
-        println!("{} breaks{}", broken.len(), broken.first().map_or(String::new(), |b| format!("; the first: {b}")));
+        println!(
+            "{} breaks{}",
+            broken.len(),
+            broken.first().map_or(String::new(), |b| format!("; the first: {b}"))
+        );
         !broken.is_empty()
     });
     match outcome {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -116,7 +116,10 @@
                 if machine.pool != SPARE {
                     self.live(name, machine);
                     if let Some(runner) = &machine.runner {
-                        self.ledger.say(&format!("machine {name} is up in {} as {}", machine.pool, runner.id));
+                        self.ledger.say(&format!(
+                            "machine {name} is up in {} as {}",
+                            machine.pool, runner.id
+                        ));
                         self.enter(machine, runner, sequence);
                     }
                 }
@@ -188,7 +191,10 @@
     fn order(&self, request: &Request) -> Reply {
         let body = request.json();
         let fence = request.header("fencing-token").and_then(|f| f.parse().ok()).unwrap_or(0);
-        let (name, pool) = (body["machine"].as_str().unwrap_or_default(), body["pool"].as_str().unwrap_or_default());
+        let (name, pool) = (
+            body["machine"].as_str().unwrap_or_default(),
+            body["pool"].as_str().unwrap_or_default(),
+        );
         let mut machines = self.machines.lock().unwrap();
         let Some(machine) = machines.get_mut(name) else { return Reply::Answer(400, json!({})) };
         if fence < machine.fence {
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -34,7 +34,8 @@
         world.store.set_mode(Mode::Up);
         world.ledger.say("the platform's store is up again");
     }
-    let is_completed = |world: &World, id: &String| world.state(id, 1).as_deref() == Some("completed");
+    let is_completed =
+        |world: &World, id: &String| world.state(id, 1).as_deref() == Some("completed");
     let until = Instant::now() + Duration::from_secs(45);
     let mut open = ids;
     while !open.is_empty() && Instant::now() < until {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -57,7 +57,8 @@
 pub fn encode(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for digit in 0..4 {
             if digit <= chunk.len() {
                 text.push(DIGITS[(word >> (18 - 6 * digit)) as usize & 63] as char);
@@ -234,7 +235,8 @@
             .collect();
         let has_more = items.len() > 500;
         items.truncate(500);
-        let body = json!({ "items": items, "has_more": has_more, "store_revision": state.revision });
+        let body =
+            json!({ "items": items, "has_more": has_more, "store_revision": state.revision });
         Reply::Answer(200, body)
     }
 
