Log what lasting tasks wait for, since when and until when

Tasks of long-running steps now have a line for each wait of half a second or more, with its reason, the workers waited for, its beginning and its end, and one when it is over. An owner says when it holds starts back after a takeover, and which former holders it knows nothing of. /jobs/ID has the reason as a word and the remaining time. Waits are counted by reason.

--- a/crates/entry/src/owner/predecessors.rs
+++ b/crates/entry/src/owner/predecessors.rs
@@ -71,6 +71,13 @@
     /// Queries former owners until all are accounted for or the wait is over.
     pub(super) async fn follow_predecessors(self: Rc<Self>) {
         let started = clock::now();
+        if !self.limit_inherited() {
+            let pending = self.predecessors.borrow().pending();
+            self.node.trace.unlimited(
+                "grants of former owners unknown",
+                json!({ "duty": self.name, "fence": self.fence(), "holders": pending }),
+            );
+        }
         while !self.retired.get() && !self.limit_inherited() {
             if !self.pool.borrow().is_recovering(clock::now()) {
                 return;
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_adapter::worker as wire;
+use corianderfork_jobs::pool::wait::Wait;
 use corianderfork_jobs::pool::{self, Answer, Order, Poll};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
@@ -104,6 +105,10 @@
             self.node.metrics.event(note.event);
             *self.events.borrow_mut().entry(note.event).or_default() += 1;
             let task = note.task.map(wire::format_task);
+            if let Some(wait) = &note.wait {
+                self.log_wait(note.event, task, wait);
+                continue;
+            }
             self.node.trace.line(
                 note.event,
                 || json!({ "task": task, "worker": note.worker, "why": note.why, "fence": self.fence() }),
@@ -111,6 +116,20 @@
         }
     }
 
+    /// Logs a wait with its times on the wall clock, as all lines have theirs.
+    fn log_wait(&self, event: &'static str, task: Option<String>, wait: &Wait) {
+        if event == "task waits" {
+            self.node.metrics.event(wait.reason.event());
+        }
+        let (now, wall_ms) = (clock::now(), clock::wall_ms());
+        self.node.trace.line(event, || {
+            json!({ "task": task, "reason": wait.reason, "workers": wait.workers,
+                "since_ms": wall_ms.saturating_sub(ms(now - wait.since)),
+                "until_ms": wait.until.map(|until| wall_ms + ms(until - now)),
+                "waited_ms": ms(now - wait.since), "fence": self.fence() })
+        });
+    }
+
     fn start_polls(self: &Rc<Self>) {
         let joined = self.pool.borrow().joined_workers();
         if self.joined_workers.replace(joined) == joined {
--- a/crates/entry/src/predecessor.rs
+++ b/crates/entry/src/predecessor.rs
@@ -85,6 +85,12 @@
         self.holders.iter().filter(is_open).map(|(former, _)| former.clone()).collect()
     }
 
+    /// Returns the names of the former holders that may still be granting.
+    pub fn pending(&self) -> Vec<String> {
+        let is_open = |(_, grants): &&(FormerHolder, Grants)| matches!(grants, Grants::Open);
+        self.holders.iter().filter(is_open).map(|(former, _)| former.name.clone()).collect()
+    }
+
     /// Records that a former holder is known at `now` to have ended.
     pub fn mark_ended(&mut self, now: Time, former: &FormerHolder) {
         let until = now + self.lease;
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -43,6 +43,7 @@
 mod unmet;
 pub(crate) mod usage;
 mod victim;
+pub mod wait;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -81,6 +82,7 @@
 use share::Shares;
 use symbol::Symbols;
 use usage::Usage;
+use wait::Waits;
 
 slotmap::new_key_type! {
     /// A job of a pool.
@@ -233,6 +235,7 @@
     /// Number of workers that have joined so far.
     joined_workers: u64,
     notes: Vec<Note>,
+    waits: Waits,
     /// What became of jobs since that was last collected.
     tally: Tally,
     departed: EndedInstances,
@@ -278,6 +281,8 @@
     pub worker: Option<String>,
     /// The reason or details.
     pub why: String,
+    /// The wait that it is about, if any.
+    pub wait: Option<wait::Wait>,
 }
 
 impl Pool {
@@ -315,6 +320,7 @@
             is_roster_outdated: false,
             joined_workers: 0,
             notes: Vec::new(),
+            waits: Waits::default(),
             tally: Tally::default(),
             departed: EndedInstances::default(),
             reservations: BTreeMap::new(),
@@ -397,7 +403,7 @@
         why: String,
     ) {
         let worker = worker.and_then(|key| self.workers.get(key)).map(|worker| worker.id.clone());
-        self.notes.push(Note { event, task, worker, why });
+        self.notes.push(Note { event, task, worker, why, wait: None });
     }
 
     fn entry(&self, id: JobId) -> Option<&Entry> {
--- a/crates/jobs/src/pool/explain.rs
+++ b/crates/jobs/src/pool/explain.rs
@@ -6,6 +6,7 @@
 use super::Pool;
 use super::advice::is_suitable;
 use super::entry::{Entry, Occurrence, StepState, Task, TaskState, name};
+use super::wait::Reason;
 use crate::feature::Feature;
 use crate::id::JobId;
 use crate::job::{Room, Step};
@@ -45,6 +46,12 @@
     pub left: u32,
     /// The remaining time until the occurrence is late, in milliseconds; 0 if it is late.
     pub in_time_for_ms: u64,
+    /// What its tasks wait for, if any does.
+    pub waits_for: Option<Reason>,
+    /// For how many milliseconds the first of them has waited for that, if the step is long-running.
+    pub waiting_ms: Option<u64>,
+    /// For how many milliseconds more they wait at most, if that is known.
+    pub left_ms: Option<u64>,
     /// Why tasks wait; empty if none does.
     pub why: String,
 }
@@ -86,16 +93,20 @@
     ) -> StepExplanation {
         let placed =
             state.tasks.iter().filter(|task| matches!(task.state, TaskState::Placed(_))).count();
-        let mut why = if state.waiting == 0 {
-            String::new()
-        } else {
-            let why = self.why_waiting(now, entry, (number, occurrence), step);
-            why + &why_stopped(state)
+        let waits =
+            (state.waiting > 0).then(|| self.why_waiting(now, entry, (number, occurrence), step));
+        let (waits_for, mut why) = match waits {
+            Some((reason, why)) => (Some(reason), why + &why_stopped(state)),
+            None => (None, String::new()),
         };
+        let until = waits_for.and_then(|reason| self.awaited_workers(now, reason).1);
         if state.waiting > 0 && !entry.is_owed {
             why.push_str("; its organisation submits more jobs a second than its weight, and this one yields to those within it");
         }
-        let task = name(entry.id, number, step, 0);
+        let is_waiting = |task: &Task| matches!(task.state, TaskState::Waiting);
+        let first = state.tasks.iter().position(is_waiting).unwrap_or(0);
+        let (task, waiting) =
+            (name(entry.id, number, step, 0), name(entry.id, number, step, first));
         StepExplanation {
             occurrence: number,
             step: task.step,
@@ -103,46 +114,59 @@
             placed: u32::try_from(placed).unwrap_or(u32::MAX),
             left: state.unfinished,
             in_time_for_ms: millis(entry.deadline(occurrence) - now),
+            waits_for,
+            waiting_ms: self.waiting_since(waiting).map(|since| millis(now - since)),
+            left_ms: until.map(|until| millis(until - now)),
             why,
         }
     }
 
     /// Returns why the tasks of a step wait.
-    fn why_waiting(
+    pub(super) fn why_waiting(
         &self,
         now: Time,
         entry: &Entry,
         (number, occurrence): (u32, &Occurrence),
         index: usize,
-    ) -> String {
-        let Some(step) = entry.steps.get(index) else { return String::new() };
+    ) -> (Reason, String) {
+        let Some(step) = entry.steps.get(index) else {
+            return (Reason::Steps, String::new());
+        };
         if !occurrence.is_ready(step) {
-            return format!("runs after the steps {:?}, which are not all done", step.after);
+            let why = format!("runs after the steps {:?}, which are not all done", step.after);
+            return (Reason::Steps, why);
         }
         if self.is_recovering(now) && entry.revision <= self.config.fence {
-            return "a run that an owner before started may be alive where this one can't look"
-                .to_owned();
+            let (workers, _) = self.awaited_workers(now, Reason::FormerOwners);
+            let why = format!(
+                "a run that an owner before started may be alive where this one can't look: on {}",
+                workers.join(", ")
+            );
+            return (Reason::FormerOwners, why);
         }
         let with_room = self.tasks_with_kept_room(name(entry.id, number, index, 0));
         if with_room > 0 {
-            return format!(
+            let why = format!(
                 "{with_room} tasks were stopped because their worker is to leave, and resume on others that keep room for them"
             );
+            return (Reason::KeptRoom, why);
         }
         let preempting = self.preempting_tasks(name(entry.id, number, index, 0));
         if preempting > 0 {
-            return format!("other runs are being stopped to make room for {preempting} tasks");
+            let why = format!("other runs are being stopped to make room for {preempting} tasks");
+            return (Reason::Preemption, why);
         }
         if let Some(why) = self.describe_limit(now, entry) {
-            return why;
+            return (Reason::Limit, why);
         }
         let suitable: Vec<&Worker> =
             self.workers.values().filter(|worker| is_suitable(worker, now, step)).collect();
         if suitable.is_empty() {
-            return self.why_none_fits(now, step);
+            return (Reason::Worker, self.why_none_fits(now, step));
         }
         if occurrence.steps.get(index).is_some_and(|state| state.advice.is_query_pending()) {
-            return "advice on which workers may run it was asked and not told yet".to_owned();
+            let why = "advice on which workers may run it was asked and not told yet".to_owned();
+            return (Reason::Advice, why);
         }
         let task = name(entry.id, number, index, 0);
         let occupied = |worker: &Worker| worker.occupied(|reserved| reserved.is_sibling(&task));
@@ -157,19 +181,25 @@
             } else {
                 ""
             };
-            return format!(
+            let why = format!(
                 "none of {} workers that suit has room: a task needs {}, the most that one has left is {} thousandths of a core{}{yields}",
                 suitable.len(),
                 describe_room(&step.room()),
                 free_cpu.max().unwrap_or(0),
                 self.why_reserved(task, &suitable)
             );
+            return (Reason::Room, why);
         }
         match &step.preferred_rack {
-            Some(rack) => format!("waits for room in rack {rack}, where its data is"),
-            None => format!(
-                "{with_room} workers have room; it goes with the next plan, or its last run failed or was refused a moment ago"
-            ),
+            Some(rack) => {
+                (Reason::Rack, format!("waits for room in rack {rack}, where its data is"))
+            }
+            None => {
+                let why = format!(
+                    "{with_room} workers have room; it goes with the next plan, or its last run failed or was refused a moment ago"
+                );
+                (Reason::Plan, why)
+            }
         }
     }
 
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -8,6 +8,7 @@
 use super::entry::{Entry, Phase, Placement, StepState, TaskState};
 use super::order::{Action, Order};
 use super::ranking::StepKey;
+use super::wait::Reason;
 use super::{JobKey, Pool};
 use crate::job::Step;
 use crate::task;
@@ -86,6 +87,7 @@
         self.preempt(now, &mut orders);
         self.reserve_room(now);
         self.update_pressure(now);
+        self.review_waits(now);
         orders
     }
 
@@ -119,11 +121,30 @@
             is_open_to_all: !self.is_recovering(now),
         };
         if gate != self.gate {
+            self.note_gate(now, gate);
             self.gate = gate;
             self.mark_all_changed();
         }
     }
 
+    fn note_gate(&mut self, now: Time, gate: Gate) {
+        if gate.is_open_to_all && !self.gate.is_open_to_all {
+            self.note(
+                "starts released",
+                None,
+                None,
+                "no run of a former owner is unseen".to_owned(),
+            );
+        } else if !gate.is_open_to_all {
+            let (workers, until) = self.awaited_workers(now, Reason::FormerOwners);
+            let left_ms = until.map_or(0, |until| worker::millis(until - now));
+            let why = format!(
+                "former owners may have granted leases on {workers:?}, which have not answered, for {left_ms} ms more"
+            );
+            self.note("starts held", None, None, why);
+        }
+    }
+
     /// Returns whether each worker of a predecessor has answered, as of the last
     /// [`Pool::update_gate`].
     pub(super) fn knows_capacity(&self) -> bool {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -402,6 +402,11 @@
         }
     }
 
+    /// Returns the runs of long-running tasks.
+    pub(crate) fn long_running_runs(&self) -> impl Iterator<Item = (&task::Name, &Allocation)> {
+        self.allocations.iter().filter(|(_, allocation)| allocation.is_long_running)
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| own == label)
     }
