--- a/crates/entry/src/owner/predecessors.rs
+++ b/crates/entry/src/owner/predecessors.rs
@@ -71,8 +71,8 @@
     /// Queries former owners until all are accounted for or the wait is over.
     pub(super) async fn follow_predecessors(self: Rc<Self>) {
         let started = clock::now();
-        if !self.limit_inherited() {
-            let pending = self.predecessors.borrow().pending();
+        let pending = self.predecessors.borrow().pending();
+        if !self.limit_inherited() && !pending.is_empty() {
             self.node.trace.unlimited(
                 "grants of former owners unknown",
                 json!({ "duty": self.name, "fence": self.fence(), "holders": pending }),
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -128,14 +128,14 @@
     }
 
     fn note_gate(&mut self, now: Time, gate: Gate) {
-        if gate.is_open_to_all && !self.gate.is_open_to_all {
+        if gate.is_open_to_all && self.gate.is_open && !self.gate.is_open_to_all {
             self.note(
                 "starts released",
                 None,
                 None,
                 "no run of a former owner is unseen".to_owned(),
             );
-        } else if !gate.is_open_to_all {
+        } else if gate.is_open && !gate.is_open_to_all {
             let (workers, until) = self.awaited_workers(now, Reason::FormerOwners);
             let left_ms = until.map_or(0, |until| worker::millis(until - now));
             let why = format!(
