Start tasks of a lost worker again once no VM runs it

Callers saw a lasting task away for 17 to 24 s after its worker and the owner of its pool were lost for good; 9 s are allowed.

Cause: a successor that can't ask the former owner for its grants starts no task accepted before it took over while a worker of the former roster hasn't answered, until 10.5 s and a lease have passed since the takeover. Nothing told it that the worker had ended. Class: a wait that is bounded by the worst case alone, where another part knows the fact that would end it.

The platform knows: it lists each VM with the worker instance that runs on it. Owners now report silent workers with their load, and the planner tells them which of these no VM has run in three whole lists over 2 s. It keeps track of all workers, so that one that was lost while its pool had no owner has been missed when the next owner asks. A list with unreadable rows or without rows proves nothing. Silence, or the end of the worker's entry, isn't proof either: a former owner cut off with the worker may renew its lease.

Also waves: a VM no longer counts as removed by lists with unreadable rows.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -295,8 +295,10 @@
                 meter_parts,
                 meter_version,
                 meter_change,
+                ended,
                 ..
             } => {
+                self.remove_ended_workers(&ended);
                 if let Some(target) = target {
                     self.pool.borrow_mut().set_target_size(clock::now(), target);
                 }
@@ -320,8 +322,9 @@
                 };
                 let pool = self.pool.borrow();
                 let counted = arrived.into_iter().filter(|id| pool.is_counted(id)).collect();
-                let load = pool.load(clock::now()).compact();
-                Reply::Load { load, counted, arrivals, arrival_changes, holds_parts }
+                let load = Box::new(pool.load(clock::now()).compact());
+                let silent = pool.silent_workers().map(str::to_owned).collect();
+                Reply::Load { load, counted, arrivals, arrival_changes, holds_parts, silent }
             }
             Message::Shrink { keep, missing, .. } => {
                 let now = clock::now();
@@ -360,6 +363,17 @@
         Reply::Vacated { empty, busy_ms }
     }
 
+    /// Removes workers that no VM runs any more.
+    fn remove_ended_workers(&self, ended: &[String]) {
+        let mut pool = self.pool.borrow_mut();
+        for id in ended {
+            pool.remove_ended_worker(clock::now(), id);
+        }
+        if !ended.is_empty() {
+            self.wake.notify_one();
+        }
+    }
+
     /// Whether the pool is certain to be still this owner's, as far as it can know.
     fn is_sure(&self) -> bool {
         self.node.is_sure_of(&self.name, self.fence())
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -137,6 +137,10 @@
         /// owner that confirmed that message with `holds_parts`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         meter_change: Option<division::Change>,
+        /// Instance ids of workers among the `silent` ones of the last reply that no VM runs any
+        /// more. Earlier versions neither send nor read it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        ended: Vec<String>,
     },
     /// Asks the owner of a pool to keep some workers and to vacate the others.
     Shrink {
@@ -290,7 +294,7 @@
     /// The load of the pool.
     Load {
         /// The load.
-        load: Load,
+        load: Box<Load>,
         /// The requested instances that are included in the load.
         counted: Vec<String>,
         /// The jobs a second by organisation, at most 64, the largest first; `None` if the request
@@ -305,6 +309,9 @@
         /// to it. Earlier versions don't send it.
         #[serde(default, skip_serializing_if = "is_false")]
         holds_parts: bool,
+        /// Instance ids of workers that don't answer. Earlier versions neither send nor read it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        silent: Vec<String>,
     },
     /// Workers that are empty and may leave the pool.
     Spare {
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -26,6 +26,7 @@
 use crate::away::{self, RESPONSE_TIMEOUT};
 use crate::clock;
 use crate::duty::FLEET;
+use crate::ended;
 use crate::member;
 use crate::node::Node;
 use crate::peer::{self, Message, Reply};
@@ -78,6 +79,8 @@
     sizes: HashMap<String, size::Pool>,
     /// VMs of waves that are missing from the list.
     absence: Absence,
+    /// The workers that no VM runs any more.
+    workers: ended::Workers,
     /// The arrivals by which the rates of organisations are divided among pools.
     meter: meter::Meter,
     /// VMs that the previous holder ordered recently, and until when they are left alone:
@@ -120,6 +123,7 @@
         arrivals,
         sizes,
         absence: Absence::default(),
+        workers: ended::Workers::default(),
         meter: meter::Meter::new(fence),
         quarantined,
         recent_orders,
@@ -222,19 +226,22 @@
         };
         let known = self.listed.clone().filter(|(at, _)| clock::now() - *at < LIST_INTERVAL);
         let is_fresh = known.is_none();
-        let (listed_at, vms) = match known {
-            Some(listed) => listed,
+        let (listed_at, vms, is_whole) = match known {
+            Some((at, vms)) => (at, vms, false),
             None => {
                 let at = clock::now();
-                let Some(vms) = self.list().await else { return };
-                (at, Rc::new(vms))
+                let Some((vms, is_whole)) = self.list().await else { return };
+                (at, Rc::new(vms), is_whole)
             }
         };
         self.listed = Some((listed_at, vms.clone()));
         if is_fresh {
             self.update_away(listed_at, &vms);
             let wanted = waves.iter().flat_map(|wave| &wave.vms).map(String::as_str);
-            self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
+            if is_whole {
+                self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
+                self.workers.note_list(listed_at, &vms);
+            }
             if self.node.settings.contention.maintenance {
                 let remaining = waves.iter().flat_map(|wave| self.remaining_vms(wave)).cloned();
                 let remaining = remaining.collect();
@@ -252,16 +259,18 @@
         self.tick_sizes(listed_at, &vms).await;
     }
 
-    async fn list(&self) -> Option<BTreeMap<String, Vm>> {
-        let mut vms = BTreeMap::new();
+    /// Returns the VMs, and whether the list is whole: without unreadable rows.
+    async fn list(&self) -> Option<(BTreeMap<String, Vm>, bool)> {
+        let (mut vms, mut is_whole) = (BTreeMap::new(), true);
         let mut page = None;
         loop {
             let (status, body) = call(&self.node, &fleet::list(page.as_deref())).await?;
-            let (rows, next) = fleet::parse_list(status, &body).ok()?;
-            vms.extend(rows.into_iter().map(|vm| (vm.name.clone(), vm)));
-            page = next;
+            let read = fleet::parse_list(status, &body).ok()?;
+            is_whole &= read.is_whole;
+            vms.extend(read.vms.into_iter().map(|vm| (vm.name.clone(), vm)));
+            page = read.next;
             if page.is_none() {
-                return Some(vms);
+                return Some((vms, is_whole));
             }
         }
     }
--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -159,15 +159,18 @@
                 meter_parts,
                 meter_version,
                 meter_change,
+                ended: self.workers.ended(pool),
             });
         }
         let replies = self.send_to_owners(messages).await;
         let mut demands = Vec::new();
         for (pool, reply) in pools.iter().zip(replies) {
-            let Some(Reply::Load { load, counted, arrivals, arrival_changes, holds_parts }) = reply
+            let Some(Reply::Load { load, counted, arrivals, arrival_changes, holds_parts, silent }) =
+                reply
             else {
                 continue;
             };
+            self.workers.set_silent(pool, silent);
             let arrivals = arrivals
                 .map(|all| Arrivals::Whole(all.into_iter().collect()))
                 .or(arrival_changes.map(Arrivals::Change));
@@ -178,7 +181,13 @@
             let stock = Stock::new(&load, self.arrivals.count_coming(pool));
             let sizing = self.sizes.entry(pool.clone()).or_default();
             let request = sizing.sizer.request(clock::now(), &load, vm_room);
-            demands.push(Demand { pool: pool.clone(), load, stock, request, is_current: true });
+            demands.push(Demand {
+                pool: pool.clone(),
+                load: *load,
+                stock,
+                request,
+                is_current: true,
+            });
         }
         demands
     }
--- a/crates/entry/tests/message_bytes.rs
+++ b/crates/entry/tests/message_bytes.rs
@@ -30,7 +30,17 @@
         None => (None, None, None),
     };
     let (pool, arrived, expects, target) = ("p".to_owned(), Vec::new(), false, None);
-    Message::Load { pool, arrived, expects, target, meter_parts, meter_version, meter_change }
+    let ended = Vec::new();
+    Message::Load {
+        pool,
+        arrived,
+        expects,
+        target,
+        meter_parts,
+        meter_version,
+        meter_change,
+        ended,
+    }
 }
 
 fn reply(report: Option<Arrivals>, holds_parts: bool) -> Reply {
@@ -40,7 +50,8 @@
         None => (None, None),
     };
     let (load, counted) = (Default::default(), Vec::new());
-    Reply::Load { load, counted, arrivals, arrival_changes, holds_parts }
+    let silent = Vec::new();
+    Reply::Load { load, counted, arrivals, arrival_changes, holds_parts, silent }
 }
 
 fn hash(number: u64) -> u64 {
--- a/crates/entry/tests/peer.rs
+++ b/crates/entry/tests/peer.rs
@@ -82,6 +82,25 @@
     assert_eq!(format!("{from_old:?}"), format!("{expected:?}"));
 }
 
+// Guards against an upgrade in which an owner and a planner of different versions don't understand
+// each other's reports of workers.
+#[test]
+fn message_beside_the_version_without_ended_workers() {
+    let told = json!({ "ask": "load", "pool": "p", "arrived": [], "expects": true,
+        "ended": ["i-1"] });
+    let sent = round_trip(&told);
+    assert_eq!(sent, told);
+    serde_json::from_value::<OldMessage>(sent).unwrap();
+    let from_old = messages(false)[2].clone();
+    assert_eq!(round_trip(&from_old).get("ended"), None, "it is sent only if there are some");
+    let reply = json!({ "reply": "load", "load": Load::default(), "counted": [] });
+    let Ok(Reply::Load { silent, .. }) = serde_json::from_value(reply) else { panic!() };
+    assert!(silent.is_empty());
+    let new = json!({ "reply": "load", "load": Load::default(), "counted": [], "arrivals": null,
+        "silent": ["i-1"] });
+    let Ok(WholeReply::Load { arrivals: None }) = serde_json::from_value(new) else { panic!() };
+}
+
 /// What a process of the version before differences reads.
 #[derive(Debug, Deserialize)]
 #[serde(tag = "ask", rename_all = "kebab-case")]
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -92,7 +92,7 @@
         let lease = self.config.lease;
         let worker = self.workers.get_mut(key)?;
         let is_kept = connection == Connection::Kept;
-        let is_reachable = is_kept && worker.fenced && worker.unanswered_polls < 2;
+        let is_reachable = is_kept && worker.fenced && !worker.is_silent();
         let deadline_ms = if is_reachable { worker.grant(now, lease) } else { None };
         let wait = if is_reachable && worker.is_responsive() { MAX_WAIT } else { Duration::ZERO };
         Some(Poll {
@@ -122,7 +122,7 @@
             Answer::Gone => self.remove_worker(now, key, "another worker instance answers"),
             _ => {
                 worker.unanswered_polls += 1;
-                if worker.unanswered_polls == 2 {
+                if worker.unanswered_polls == worker::SILENT_POLLS {
                     self.note(
                         "worker silent",
                         None,
@@ -144,7 +144,7 @@
     fn handle_report(&mut self, now: Time, sent: Time, key: worker::Key, report: &Report) {
         let Some(key) = self.reporting_instance(now, sent, key, report) else { return };
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if worker.unanswered_polls >= 2 {
+        if worker.is_silent() {
             let why = format!("after {} polls without an answer", worker.unanswered_polls);
             self.note("worker answers again", None, Some(key), why);
         }
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -170,7 +170,7 @@
 
     /// Adds the runs on silent workers: their tasks start elsewhere when the lease has expired.
     fn add_unheard_runs(&self, now: Time, waits: &mut Vec<(task::Name, Wait)>) {
-        for worker in self.workers.values().filter(|worker| worker.unanswered_polls >= 2) {
+        for worker in self.workers.values().filter(|worker| worker.is_silent()) {
             for (task, _) in worker.long_running_runs() {
                 let until = Some(worker.leases_end());
                 waits.push((*task, Wait::new(now, Reason::Lease, vec![worker.id.clone()], until)));
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -10,6 +10,9 @@
 use crate::task;
 use crate::worker::{self, Location, Registration, Worker};
 
+/// The most silent workers that are reported at once.
+const MAX_SILENT: usize = 64;
+
 impl Pool {
     pub(super) fn add_worker(&mut self, location: Location, inherited_until: Time) -> worker::Key {
         self.insert_worker(Worker::new(location, inherited_until, self.usage.clone()))
@@ -171,6 +174,50 @@
         }
     }
 
+    /// Returns the IDs of workers that don't answer, at most [`MAX_SILENT`].
+    pub fn silent_workers(&self) -> impl Iterator<Item = &str> {
+        let silent = self.workers.values().filter(|worker| worker.is_silent());
+        silent.map(|worker| worker.id.as_str()).take(MAX_SILENT)
+    }
+
+    /// Removes a silent worker instance that has certainly ended, with all its runs: the platform's
+    /// list shows that no VM runs it.
+    ///
+    /// Silence alone proves nothing: a worker that is cut off runs on, and a former owner on its
+    /// side of the cut may go on renewing its lease. Nor does the end of its own entry in the store,
+    /// which it may be unable to renew. Tasks started elsewhere on such a sign would run twice.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::{Answer, Config, Connection, Pool};
+    /// use corianderfork_jobs::worker::Location;
+    /// use corianderfork_model::Time;
+    ///
+    /// let (now, far) = (Time::from_millis(1), Time::from_millis(15_000));
+    /// let mut pool = Pool::new(Config::new(7, far));
+    /// let address = ([127, 0, 0, 1], 80).into();
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }]);
+    /// let key = pool.workers().next().expect("a worker");
+    /// for _ in 0..2 {
+    ///     pool.next_poll(now, key, Connection::New);
+    ///     pool.handle_poll_answer(now, now, key, &Answer::Lost);
+    /// }
+    /// assert!(pool.is_recovering(now), "a former owner may have granted a lease on it");
+    /// pool.remove_ended_worker(now, "w");
+    /// assert!(!pool.is_recovering(now));
+    /// ```
+    pub fn remove_ended_worker(&mut self, now: Time, id: &str) {
+        let is_ended = |worker: &Worker| worker.id == id && worker.is_silent();
+        let ended: Vec<worker::Key> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| is_ended(worker))
+            .map(|(key, _)| key)
+            .collect();
+        for key in ended {
+            self.remove_worker(now, key, "silent, and no VM runs it any more");
+        }
+    }
+
     /// Removes a worker that has ended, with all its runs.
     pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
         self.note("worker gone", None, Some(key), why.to_owned());
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -38,6 +38,9 @@
     length * (100 + CLOCK_SLOW_PERCENT + 1) / 100
 }
 
+/// After how many polls without an answer a worker is considered silent.
+pub(crate) const SILENT_POLLS: u32 = 2;
+
 /// How long a worker that is to be maintained waits for room elsewhere. This is longer than
 /// moving another worker into the pool takes.
 pub(crate) const STRANDED_AFTER: Duration = Duration::from_millis(4_000);
@@ -352,6 +355,11 @@
         self.unanswered_polls == 0
     }
 
+    /// Returns whether the worker is considered silent.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.unanswered_polls >= SILENT_POLLS
+    }
+
     /// Allocates room to a run, whether or not it fits: the run exists.
     pub(crate) fn allocate(&mut self, task: task::Name, allocation: Allocation) {
         if let Some(old) = self.allocations.insert(task, allocation) {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -80,6 +80,54 @@
     assert_ne!(now, [holder.as_str()]);
 }
 
+// Guards against a task that waits for the leases of a former owner on a worker that has ended, and
+// that the successor has never reached.
+#[test]
+fn remove_ended_worker_of_a_predecessor() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 60_000;
+    let job = sim.submit(1, vec![step(1, 1_000)]);
+    sim.plan();
+    let holder = sim.workers_running(first_task(job))[0].to_owned();
+    sim.workers.get_mut(&holder).expect("a worker").silent = true;
+    let locations = sim.pool.written_roster();
+    sim.pool = owner(FENCE + 50, sim.now);
+    sim.pool.set_roster(locations);
+    sim.list_and_poll();
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
+    };
+    sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
+    sim.run_for(1_000);
+    let silent: Vec<&str> = sim.pool.silent_workers().collect();
+    assert_eq!(silent, [holder.as_str()]);
+    sim.workers.get_mut(&holder).expect("a worker").running.clear();
+    sim.pool.remove_ended_worker(at(sim.now), &holder);
+    sim.plan();
+    let now = sim.workers_running(first_task(job));
+    assert_eq!(now.len(), 1, "it is started at once");
+    assert_ne!(now, [holder.as_str()]);
+}
+
+// Guards against the removal of a worker that answers: a report that it has ended may be about an
+// earlier instance.
+#[test]
+fn remove_ended_worker_that_answers() {
+    let mut sim = Simulation::new(1);
+    sim.task_ms = 60_000;
+    let job = sim.submit(1, vec![step(1, 1_000)]);
+    sim.plan();
+    sim.poll_all();
+    sim.pool.remove_ended_worker(at(sim.now), "w0");
+    sim.run_for(1_000);
+    assert_eq!(sim.pool.silent_workers().count(), 0);
+    assert_eq!(sim.workers_running(first_task(job)), ["w0"]);
+    assert_eq!(sim.pool.workers().count(), 1);
+}
+
 // Guards against starting more on a worker than it has room for: a job is cancelled and its
 // owner dies before its tasks are stopped; the successor finds them running and places others
 // there. The room of the tasks of an ended job is unknown, and their current CPU use may be
