Ask whether a task is restarted of its step, not of its job

Callers saw a job with a long-running step after one that ends stand still: each task of the first step was started again each time that it was done (TWICE, without any disruption), and failed without a limit.

Cause: Entry::long_running, which any step sets, was asked for a property of the task's step.

--- a/crates/jobs/src/pool/agenda.rs
+++ b/crates/jobs/src/pool/agenda.rs
@@ -117,8 +117,8 @@
 }
 
 fn lacks_workers(entry: &Entry) -> bool {
-    let states = entry.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-    states.flat_map(|state| &state.tasks).any(|task| super::reserve::lacks_worker(&task.state))
+    let mut tasks = entry.long_running_states().flat_map(|state| &state.tasks);
+    tasks.any(|task| super::reserve::lacks_worker(&task.state))
 }
 
 /// Returns when something is due for a job, apart from a change of its urgency.
--- a/crates/jobs/src/pool/backlog.rs
+++ b/crates/jobs/src/pool/backlog.rs
@@ -118,17 +118,17 @@
             let predicted = Duration::from_millis(self.predict(&entry.queue, step));
             let room = charge(&self.backlog.worker, &step.room());
             size += Work::of(&step.room().times(step.count), predicted).cpu;
-            if !entry.long_running {
+            if !step.long_running {
                 work.add(&room.times(f64::from(state.waiting) * predicted.as_secs_f64()));
             }
-            if entry.long_running || state.unfinished > state.waiting {
-                let predicted = (!entry.long_running).then_some(predicted);
+            if step.long_running || state.unfinished > state.waiting {
+                let predicted = (!step.long_running).then_some(predicted);
                 let run = |task: &Task| match &task.state {
                     TaskState::Placed(placement) => {
                         let (worker, since) = (Some(placement.worker), placement.since);
                         Some(PlacedRun { worker, room, since, predicted })
                     }
-                    TaskState::Waiting if entry.long_running => {
+                    TaskState::Waiting if step.long_running && occurrence.is_ready(step) => {
                         Some(PlacedRun { worker: None, room, since: Time::ZERO, predicted })
                     }
                     TaskState::Waiting | TaskState::Done => None,
--- a/crates/jobs/src/pool/emptying.rs
+++ b/crates/jobs/src/pool/emptying.rs
@@ -25,10 +25,11 @@
     fn run_left(&self, now: Time, key: worker::Key, name: task::Name) -> Option<Duration> {
         let entry = self.entry(name.job)?;
         let placement = entry.placement(name).filter(|placement| placement.worker == key)?;
-        if entry.long_running {
+        let step = entry.step(name)?;
+        if step.long_running {
             return None;
         }
-        let left_ms = self.predicted_remaining_ms(now, entry, entry.step(name)?, placement);
+        let left_ms = self.predicted_remaining_ms(now, entry, step, placement);
         Some(Duration::from_millis(left_ms))
     }
 }
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -35,6 +35,8 @@
     pub steps: Rc<[Step]>,
     pub schedule: Option<crate::job::Schedule>,
     pub occurrence_count: u32,
+    /// Whether it has a long-running step, so that it never ends by itself. Whether a task is
+    /// restarted however it ends is a property of its step.
     pub long_running: bool,
     /// Whether it is within what its organisation is owed.
     pub is_owed: bool,
@@ -284,11 +286,25 @@
             matches!(task.state, TaskState::Waiting)
                 && now - task.not_before.max(self.known_since) > UNPLACED_AFTER
         };
-        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        let unplaced = steps.flat_map(|state| &state.tasks).filter(is_unplaced).count();
+        let unplaced =
+            self.long_running_states().flat_map(|state| &state.tasks).filter(is_unplaced).count();
         u32::try_from(unplaced).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether the step of a task is long-running. A job may have such steps beside others.
+    pub fn is_long_running(&self, name: task::Name) -> bool {
+        self.step(name).is_some_and(|step| step.long_running)
+    }
+
+    /// Returns the states of the long-running steps whose tasks may start.
+    pub fn long_running_states(&self) -> impl Iterator<Item = &StepState> {
+        self.occurrences.values().flat_map(|occurrence| {
+            let steps = self.steps.iter().zip(&occurrence.steps);
+            let ready = steps.filter(|(step, _)| step.long_running && occurrence.is_ready(step));
+            ready.map(|(_, state)| state)
+        })
+    }
+
     /// Returns the names of the tasks that are placed on a worker.
     pub fn placed_tasks(&self) -> Vec<task::Name> {
         let mut names = Vec::new();
--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -151,7 +151,7 @@
             worker.failures_in_row = 0;
         }
         let Some(entry) = self.entry_mut(name.job) else { return };
-        if entry.long_running {
+        if entry.is_long_running(name) {
             return;
         }
         if entry.state.is_final() {
@@ -218,7 +218,7 @@
         let name = exit.task;
         self.count_worker_failure(now, key, name);
         let Some(entry) = self.entry_mut(name.job) else { return };
-        if entry.long_running {
+        if entry.is_long_running(name) {
             if was_current {
                 self.requeue(name, now + RETRY_DELAY);
             }
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -104,8 +104,7 @@
             load.unfit += entry.unplaced_tasks(now).saturating_sub(held_count) + unrunnable;
             load.refused += refused;
             if entry.long_running {
-                load.lasting.add(&entry.unfinished_room(held_in));
-                continue;
+                load.lasting.add(&entry.long_running_room(held_in));
             }
             for (number, occurrence) in &entry.occurrences {
                 let held = |step| held.count((key, (*number, step)));
@@ -149,7 +148,8 @@
         };
         let until_deadline = (entry.deadline(occurrence) - now).max(MIN_HORIZON);
         let (mut ready_count, mut held_count) = (0, 0);
-        for (index, (step, state)) in entry.steps.iter().zip(&occurrence.steps).enumerate() {
+        let steps = entry.steps.iter().zip(&occurrence.steps).enumerate();
+        for (index, (step, state)) in steps.filter(|(_, (step, _))| !step.long_running) {
             let room = step.room();
             let held = held(index).min(state.waiting);
             if !is_late {
@@ -202,7 +202,7 @@
         for (step_key, step, state) in steps {
             let is_blocked =
                 state.waiting_since.is_some_and(|since| now - since > evacuate::BLOCKED_AFTER);
-            if entry.long_running || state.waiting <= held(step_key) || !is_blocked {
+            if step.long_running || state.waiting <= held(step_key) || !is_blocked {
                 continue;
             }
             let could_run = |worker: &Worker| {
@@ -340,11 +340,13 @@
         }
     }
 
-    /// Returns the room that all unfinished tasks need, except those that are held.
-    fn unfinished_room(&self, held: impl Fn((u32, usize)) -> u32) -> Room {
+    /// Returns the room that the tasks of long-running steps need, except those that are held.
+    fn long_running_room(&self, held: impl Fn((u32, usize)) -> u32) -> Room {
         let mut room = Room::default();
         for (number, occurrence) in &self.occurrences {
-            for (index, (step, state)) in self.steps.iter().zip(&occurrence.steps).enumerate() {
+            let steps = self.steps.iter().zip(&occurrence.steps).enumerate();
+            let is_ready = |step: &Step| step.long_running && occurrence.is_ready(step);
+            for (index, (step, state)) in steps.filter(|(_, (step, _))| is_ready(step)) {
                 let count = state.unfinished.saturating_sub(held((*number, index)));
                 room.add(&step.room().times(count));
             }
@@ -355,7 +357,8 @@
     /// Returns the work per second of the largest ready gang, which can only start as a whole.
     fn largest_gang(&self, occurrence: &Occurrence, held: impl Fn(usize) -> u32) -> Work {
         let steps = self.steps.iter().zip(&occurrence.steps).enumerate();
-        let gangs = steps.filter(|(index, (step, _))| step.gang && held(*index) == 0);
+        let is_ending_gang = |step: &Step| step.gang && !step.long_running;
+        let gangs = steps.filter(|(index, (step, _))| is_ending_gang(step) && held(*index) == 0);
         let ready =
             gangs.filter(|(_, (step, state))| state.unfinished > 0 && occurrence.is_ready(step));
         let room = |(_, (step, _)): (usize, (&Step, _))| {
--- a/crates/jobs/tests/long_running.rs
+++ b/crates/jobs/tests/long_running.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{FENCE, Simulation, at, first_task, owner, step};
-use corianderfork_jobs::record::Record;
+use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::{Name, Outcome};
 use corianderfork_jobs::{Job, Step};
 
@@ -174,3 +174,56 @@
     sim.run_for(500);
     assert_eq!(sim.workers_running(task), ["w3"]);
 }
+
+/// Returns a job's steps: one that ends, and after it one that is long-running.
+fn mixed_steps() -> Vec<Step> {
+    vec![step(2, 1_000), Step { after: vec![0], ..long_running_step(2, 1) }]
+}
+
+fn runs_of(sim: &Simulation, step: u32) -> usize {
+    let tasks = sim.workers.values().flat_map(|worker| worker.running.keys());
+    tasks.filter(|task| task.step == step).count()
+}
+
+// Guards against tasks that are done and run again without end, since another step of their job is
+// long-running. That step never started.
+#[test]
+fn task_done_beside_a_long_running_step() {
+    let mut sim = Simulation::new(4);
+    let job = sim.submit(1, mixed_steps());
+    sim.plan();
+    assert_eq!((runs_of(&sim, 0), runs_of(&sim, 1)), (2, 0));
+    sim.run_for(10_000);
+    assert_eq!((runs_of(&sim, 0), runs_of(&sim, 1)), (0, 2));
+    assert!((0..2).all(|index| sim.pool.is_done(Name { index, ..first_task(job) })));
+    assert_eq!(sim.pool.state(job), Some(State::Running), "it lasts");
+}
+
+// Guards against a task that fails without a limit since another step of its job is long-running.
+#[test]
+fn task_failed_beside_a_long_running_step() {
+    let mut sim = Simulation::new(4);
+    sim.task_ms = 600_000;
+    let job = sim.submit(1, mixed_steps());
+    let mut failures = 0;
+    while sim.pool.state(job) != Some(State::Failed) {
+        sim.run_for(1_500);
+        let task = first_task(job);
+        let worker = sim.workers_running(task).first().map(|worker| (*worker).to_owned());
+        let Some(worker) = worker else { continue };
+        sim.workers.get_mut(&worker).expect("a worker").finish_run(task, Outcome::Failed);
+        failures += 1;
+        assert!(failures <= 2, "it may fail twice");
+        sim.run_for(500);
+    }
+    assert_eq!(failures, 2);
+}
+
+#[test]
+fn load_of_a_job_with_a_long_running_step() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, mixed_steps());
+    let load = sim.pool.load(at(sim.now));
+    assert_eq!(load.lasting.cpu, 0, "the long-running step isn't ready");
+    assert!(load.needed.cpu > 0, "the step before it is");
+}
