Take no run for vanished behind a list of ends that is cut short

Cause: a run that a report lists neither as running nor as ended counted as vanished, though the report may not list all ends. A successor started tasks whose ends weren't listed yet.

--- a/crates/jobs/benches/overload/simulation.rs
+++ b/crates/jobs/benches/overload/simulation.rs
@@ -253,7 +253,8 @@
             });
             let running = running.collect();
             self.pool.next_poll(at, *key, Connection::Kept);
-            let report = Report { clock_ms: now, born_ms: None, running, exits };
+            let report =
+                Report { clock_ms: now, born_ms: None, running, exits, is_cut_short: false };
             self.pool.handle_poll_answer(at, at, *key, &Answer::Done(report));
         }
     }
--- a/crates/jobs/benches/plan/fleet.rs
+++ b/crates/jobs/benches/plan/fleet.rs
@@ -116,8 +116,13 @@
             percent: u32::try_from(self.now / 10 % 100).expect("below 100"),
             gauge: 0,
         });
-        let report =
-            Report { clock_ms: self.now, born_ms: None, running: running.collect(), exits };
+        let report = Report {
+            clock_ms: self.now,
+            born_ms: None,
+            running: running.collect(),
+            exits,
+            is_cut_short: false,
+        };
         let at = self.at();
         self.pool.next_poll(at, key, Connection::Kept);
         self.pool.handle_poll_answer(at, at, key, &Answer::Done(report));
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -445,9 +445,9 @@
     }
 
     /// Returns whether a run that a predecessor started may still be alive on a worker that
-    /// this owner can't reach. Until then, tasks that a predecessor may have started are not
+    /// this owner can't reach, or have ended on one that has more exits than it lists. Until then, tasks that a predecessor may have started are not
     /// started.
     pub fn is_recovering(&self, now: Time) -> bool {
-        self.workers.values().any(|worker| !worker.fenced && now < worker.inherited_until)
+        self.workers.values().any(|worker| worker.hides_runs(now))
     }
 }
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -53,8 +53,10 @@
     pub born_ms: Option<u64>,
     /// The current runs.
     pub running: Vec<Run>,
-    /// The exits that the worker has not forgotten.
+    /// The exits that the worker has not forgotten, or the first of them.
     pub exits: Vec<Exit>,
+    /// Whether there may be more exits than listed. What isn't listed may then have ended or not.
+    pub is_cut_short: bool,
 }
 
 impl Pool {
@@ -167,13 +169,16 @@
             let until = now + worker::max_lease_duration(self.config.lease);
             worker.inherited_until = worker.inherited_until.min(until);
         }
+        worker.has_listed_all |= !report.is_cut_short;
         for exit in &report.exits {
             self.handle_listed_exit(now, key, exit);
         }
         for running in &report.running {
             self.handle_running(now, key, running);
         }
-        self.release_unlisted(now, sent, key, report);
+        if !report.is_cut_short {
+            self.release_unlisted(now, sent, key, report);
+        }
         self.expire_orphans(now, key);
         self.advance_ack(key);
     }
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -29,7 +29,8 @@
 pub enum Reason {
     /// Earlier steps, which are not done.
     Steps,
-    /// Leases that former owners may have granted on workers that have not answered.
+    /// Leases that former owners may have granted on workers that have not answered, or exits that
+    /// workers have not listed yet.
     FormerOwners,
     /// The lease of the silent worker on which it was started.
     Lease,
@@ -183,9 +184,10 @@
         if reason != Reason::FormerOwners {
             return (Vec::new(), None);
         }
-        let is_awaited = |worker: &&Worker| !worker.fenced && now < worker.inherited_until;
+        let is_awaited = |worker: &&Worker| worker.hides_runs(now);
         let awaited = || self.workers.values().filter(is_awaited);
         let workers = awaited().take(MAX_WORKERS).map(|worker| worker.id.clone()).collect();
-        (workers, awaited().map(|worker| worker.inherited_until).max())
+        let until = awaited().map(|worker| (!worker.fenced).then_some(worker.inherited_until));
+        (workers, until.collect::<Option<Vec<Time>>>().and_then(|all| all.into_iter().max()))
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -164,6 +164,8 @@
     pub(crate) fenced: bool,
     /// Whether a predecessor may have started tasks on it.
     pub(crate) is_inherited: bool,
+    /// Whether a report has listed all of its exits.
+    pub(crate) has_listed_all: bool,
     /// Whether it has been polled, successfully or not.
     pub(crate) is_polled: bool,
     /// Whether the written roster contains it.
@@ -230,6 +232,7 @@
             missing_since: None,
             fenced: false,
             is_inherited: false,
+            has_listed_all: false,
             is_polled: false,
             rostered: false,
             unanswered_polls: 0,
@@ -355,6 +358,13 @@
         self.unanswered_polls == 0
     }
 
+    /// Returns whether tasks may run or have ended there unknown to this owner, which a predecessor
+    /// started.
+    pub(crate) fn hides_runs(&self, now: Time) -> bool {
+        let may_run = !self.fenced && now < self.inherited_until;
+        may_run || self.is_inherited && self.fenced && !self.has_listed_all
+    }
+
     /// Returns whether the worker is considered silent.
     pub(crate) fn is_silent(&self) -> bool {
         self.unanswered_polls >= SILENT_POLLS
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -28,6 +28,9 @@
     Time::from_millis(millis)
 }
 
+/// The most exits that a worker lists at a time.
+pub const MAX_LISTED_EXITS: usize = 500;
+
 /// A current run on a worker.
 #[derive(Clone, Debug)]
 pub struct ActiveRun {
@@ -243,7 +246,8 @@
             clock_ms: self.clock(now),
             born_ms: Some(self.born),
             running,
-            exits: self.exits.clone(),
+            exits: self.exits.iter().take(MAX_LISTED_EXITS).cloned().collect(),
+            is_cut_short: self.exits.len() > MAX_LISTED_EXITS,
         })
     }
 }
