Don't give up a lasting job for crashes of one machine

Cause: three crashes under a task as the only suspect ended its job, also a long-running one, and also if they were crashes of one worker, which may be their cause.

A long-running task is no longer given up: it waits 2 s before its next start and the log says so. Of other tasks, crashes of one worker alone count as those among others: five end the job.

--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -31,6 +31,9 @@
 const MAX_SUSPECT_AGE: Duration = Duration::from_secs(10);
 /// Crashes after which a task is given up although as many workers crashed without it.
 const MAX_CRASHES_AMONG_OTHERS: usize = 5;
+/// How long a long-running task waits after a crash of which it may be the cause. Beside the time in
+/// which the crash is noticed it has to fit into the time in which such a task is to run again.
+const LONG_RUNNING_BACKOFF: Duration = Duration::from_secs(2);
 /// How long a crash is remembered as one among others.
 const CRASH_MEMORY: Duration = Duration::from_secs(60);
 
@@ -49,22 +52,25 @@
         self.record_crash(now);
         let suspects = self.crash_suspects(key);
         let is_only_suspect = suspects.len() == 1;
+        let address = self.workers.get(key).map(|worker| worker.address);
         for (name, run) in suspects {
             let entry = self.entry_mut(name.job).filter(|entry| !entry.state.is_final());
             let Some(task) = entry.and_then(|entry| entry.task_mut(name)) else { continue };
             task.starting_run = None;
             if !task.crashed.contains(&run) {
                 task.crashed.push(run);
+                task.crashed_at.extend(address);
             }
             let since = *task.crashed_since.get_or_insert(now);
             let crashes = task.crashed.len();
             let others = self.crashes_since(since).saturating_sub(crashes);
+            let is_one_worker = self.has_crashed_one_worker(name);
             let why = format!(
-                "run {run}, crashes: {crashes}, only suspect: {is_only_suspect}, without it: {others}"
+                "run {run}, crashes: {crashes}, only suspect: {is_only_suspect}, without it: {others}, all of one worker: {is_one_worker}"
             );
             self.note("crash counted", Some(name), Some(key), why);
-            if is_given_up(crashes, others, is_only_suspect) {
-                self.fail_suspect(now, name);
+            if is_given_up(crashes, others, is_only_suspect, is_one_worker) {
+                self.handle_crash_limit(now, name);
             } else {
                 // Written at once, so that a successor knows of the crash.
                 self.mark_dirty(now, name.job, true);
@@ -91,13 +97,50 @@
         let since = task.and_then(|task| task.crashed_since).unwrap_or(now);
         let crashes = self.crashes(name);
         let others = self.crashes_since(since).saturating_sub(crashes);
-        let has_reached_limit = is_given_up(crashes, others, false);
+        let is_long_running = self.entry(name.job).is_some_and(|entry| entry.is_long_running(name));
+        let is_one_worker = self.has_crashed_one_worker(counted);
+        let has_reached_limit =
+            !is_long_running && is_given_up(crashes, others, false, is_one_worker);
         if has_reached_limit {
             self.fail_suspect(now, name);
         }
         has_reached_limit
     }
 
+    /// Returns whether all counted crashes of a task were of one worker, which may be their cause. A
+    /// crash that a predecessor noticed may have been of any.
+    fn has_crashed_one_worker(&self, name: task::Name) -> bool {
+        let task = self.entry(name.job).and_then(|entry| entry.task(name));
+        task.is_some_and(|task| {
+            let is_known = task.crashed_at.len() >= task.crashed.len();
+            is_known && task.crashed_at.windows(2).all(|pair| pair[0] == pair[1])
+        })
+    }
+
+    /// Fails the job of a task with too many crashes. One that is long-running has no such limit: it
+    /// is started again after a pause.
+    fn handle_crash_limit(&mut self, now: Time, name: task::Name) {
+        if !self.entry(name.job).is_some_and(|entry| entry.is_long_running(name)) {
+            return self.fail_suspect(now, name);
+        }
+        let why = format!("suspected of {} worker crashes", self.crashes(name));
+        self.note("task backs off", Some(name), None, why);
+        self.back_off(now, name);
+        self.mark_dirty(now, name.job, true);
+    }
+
+    /// Delays the next start of a task, or of all members of a gang.
+    fn back_off(&mut self, now: Time, name: task::Name) {
+        let Some(entry) = self.entry_mut(name.job) else { return };
+        let members = entry.step(name).map_or(1, |step| if step.gang { step.count } else { 1 });
+        for member in 0..members {
+            let index = name.index + member;
+            if let Some(task) = entry.task_mut(task::Name { index, ..name }) {
+                task.not_before = task.not_before.max(now + LONG_RUNNING_BACKOFF);
+            }
+        }
+    }
+
     fn fail_suspect(&mut self, now: Time, name: task::Name) {
         let why = format!("suspected of {} worker crashes", self.crashes(name));
         self.note("task given up", Some(name), None, why);
@@ -274,6 +317,7 @@
         if let Some(task) = self.entry_mut(name.job).and_then(|entry| entry.task_mut(counted)) {
             task.crashed.clear();
             task.crashed_since = None;
+            task.crashed_at.clear();
             task.inherited_starts.clear();
             self.mark_dirty(now, name.job, false);
         }
@@ -323,9 +367,10 @@
 }
 
 /// Returns whether a task is given up after `crashes` of workers under it, while `others` crashed
-/// without it. Where as many crash without it, it may be under the others by chance.
-fn is_given_up(crashes: usize, others: usize, is_only_suspect: bool) -> bool {
-    if others >= crashes {
+/// without it. Where as many crash without it, it may be under the others by chance, and where one
+/// worker crashes again and again, that worker may be the cause.
+fn is_given_up(crashes: usize, others: usize, is_only_suspect: bool, is_one_worker: bool) -> bool {
+    if others >= crashes || is_one_worker {
         return crashes >= MAX_CRASHES_AMONG_OTHERS;
     }
     crashes >= MAX_CRASHES || (crashes >= MAX_CRASHES_AS_ONLY_SUSPECT && is_only_suspect)
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -1,6 +1,7 @@
 //! Jobs and the states of their tasks.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -103,6 +104,9 @@
     pub crashed: Vec<u64>,
     /// When the first of these crashes was noticed by this owner.
     pub crashed_since: Option<Time>,
+    /// The addresses of the workers of crashes that this owner noticed. Crashes of one worker alone
+    /// may be its own.
+    pub crashed_at: Vec<SocketAddr>,
     /// Whether a run of it has lasted so long that it is no longer suspected of any crash. A gang
     /// keeps it at its first member.
     pub is_proven: bool,
@@ -177,6 +181,7 @@
             failed: Vec::new(),
             crashed: Vec::new(),
             crashed_since: None,
+            crashed_at: Vec::new(),
             is_proven: false,
             starting_run: None,
             inherited_starts: Vec::new(),
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -241,7 +241,8 @@
         let Some(entry) = self.entry_mut(name.job) else { return };
         entry.set_task_state(name, TaskState::Waiting);
         if let Some(task) = entry.task_mut(name) {
-            task.not_before = not_before;
+            // A task that backs off after a crash does so until the end.
+            task.not_before = task.not_before.max(not_before);
         }
     }
 
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -9,7 +9,7 @@
 use corianderfork_jobs::pool::Action;
 use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task;
-use corianderfork_jobs::{Job, JobId};
+use corianderfork_jobs::{Job, JobId, Step};
 
 /// Most starts of a crashing task: two after the third crash.
 const MAX_STARTS: usize = 5;
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Runs long-running tasks, which are at work as soon as they start.
+    fn run_at_work(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            let runs = self.sim.workers.values_mut().flat_map(|w| w.running.values_mut());
+            runs.for_each(|run| run.percent = Some(100));
+            self.sim.run_for(100);
+            self.restart_due();
+        }
+    }
+
     fn crash(&mut self, id: &str) {
         self.crashes += 1;
         let worker = self.sim.workers.get_mut(id).expect("a worker");
@@ -124,6 +134,46 @@
     assert_eq!(scenario.starts(), scenario.crashes);
 }
 
+// Guards against a lasting job that is given up, and whose healthy tasks are stopped, since one of
+// its workers crashes again and again.
+#[test]
+fn plan_keeps_a_long_running_job_whose_worker_crashes() {
+    let mut scenario = Scenario::new(3);
+    scenario.sim.task_ms = 600_000;
+    let lasting = Step { long_running: true, max_per_worker: 1, ..step(3, 1_000) };
+    let job = scenario.sim.submit(1, vec![lasting]);
+    scenario.run_at_work(1_000);
+    for _ in 0..5 {
+        let worker = scenario.sim.workers_running(scenario.crashing)[0].to_owned();
+        scenario.crash(&worker);
+        let mut waited = 0;
+        while scenario.sim.workers_running(scenario.crashing).is_empty() {
+            scenario.run_at_work(100);
+            waited += 100;
+            assert!(waited < 9_000, "away for {waited} ms");
+        }
+        scenario.run_at_work(1_000);
+    }
+    assert_eq!(scenario.sim.pool.state(job), Some(State::Running));
+    assert_eq!(scenario.sim.running_count(), 3);
+    assert!(scenario.sim.pool.take_notes().iter().any(|note| note.event == "task backs off"));
+}
+
+// Guards against a job that is given up for the crashes of one worker, with as little evidence against
+// it as against the worker. It is given up in time all the same.
+#[test]
+fn plan_gives_up_a_task_later_if_one_worker_crashes() {
+    let mut scenario = Scenario::new(1);
+    let job = scenario.sim.submit(1, vec![step(1, 1_000)]);
+    while scenario.crashes < 4 {
+        scenario.run(100);
+        assert_ne!(scenario.sim.pool.state(job), Some(State::Failed));
+    }
+    scenario.run(40_000);
+    assert_eq!(scenario.sim.pool.state(job), Some(State::Failed));
+    assert_eq!(scenario.starts(), MAX_STARTS);
+}
+
 // Guards against losing the crash count when another owner takes over.
 #[test]
 fn accept_by_a_successor_keeps_the_crash_count() {
