--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use corianderfork_adapter::worker as wire;
-use corianderfork_jobs::pool::wait::Wait;
+use corianderfork_jobs::pool::wait::{self, Wait};
 use corianderfork_jobs::pool::{self, Answer, Order, Poll};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
@@ -118,7 +118,7 @@
 
     /// Logs a wait with its times on the wall clock, as all lines have theirs.
     fn log_wait(&self, event: &'static str, task: Option<String>, wait: &Wait) {
-        if event == "task waits" {
+        if event == wait::BEGUN {
             self.node.metrics.event(wait.reason.event());
         }
         let (now, wall_ms) = (clock::now(), clock::wall_ms());
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -14,6 +14,11 @@
 use crate::task;
 use crate::worker::Worker;
 
+/// The event of a wait that has begun.
+pub const BEGUN: &str = "task waits";
+/// The event of a wait that is over, if its beginning was noted.
+pub const OVER: &str = "task wait over";
+
 /// How often the waits are reviewed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 /// Shorter waits are not logged.
@@ -117,7 +122,7 @@
             }
             if !wait.is_logged && now - wait.since >= MIN_LOGGED {
                 wait.is_logged = true;
-                self.note_wait("task waits", task, wait.clone());
+                self.note_wait(BEGUN, task, wait.clone());
             }
             self.waits.tasks.insert(task, wait);
         }
@@ -133,7 +138,7 @@
 
     fn note_wait_over(&mut self, task: task::Name, wait: Wait) {
         if wait.is_logged {
-            self.note_wait("task wait over", task, wait);
+            self.note_wait(OVER, task, wait);
         }
     }
 
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Returns the IDs of workers that don't answer, at most [`MAX_SILENT`].
+    /// Returns the IDs of workers that don't answer, at most 64.
     pub fn silent_workers(&self) -> impl Iterator<Item = &str> {
         let silent = self.workers.values().filter(|worker| worker.is_silent());
         silent.map(|worker| worker.id.as_str()).take(MAX_SILENT)
--- a/crates/jobs/tests/wait.rs
+++ b/crates/jobs/tests/wait.rs
@@ -6,7 +6,7 @@
 
 use common::{FENCE, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::pool::Note;
-use corianderfork_jobs::pool::wait::{Reason, Wait};
+use corianderfork_jobs::pool::wait::{BEGUN, OVER, Reason, Wait};
 use corianderfork_jobs::record::Record;
 use corianderfork_jobs::{Job, JobId, Step};
 
@@ -45,7 +45,7 @@
     let taken = at(sim.now);
     sim.run_for(1_500);
     let notes = sim.pool.take_notes();
-    let waits_begun = waits(&notes, "task waits");
+    let waits_begun = waits(&notes, BEGUN);
     assert_eq!(waits_begun.len(), 1, "one line for one wait");
     assert_eq!(waits_begun[0].reason, Reason::FormerOwners);
     assert_eq!(waits_begun[0].workers, [holder]);
@@ -57,7 +57,7 @@
     assert!(explanation.steps[0].left_ms > Some(0), "{explanation:?}");
     sim.run_for(10_000);
     assert!(at(sim.now) > until);
-    let ended = waits(&sim.pool.take_notes(), "task wait over");
+    let ended = waits(&sim.pool.take_notes(), OVER);
     assert_eq!(ended.len(), 1);
     assert_eq!(ended[0].since, waits_begun[0].since);
 }
@@ -71,7 +71,7 @@
     let holder = sim.workers_running(first_task(job))[0].to_owned();
     sim.workers.get_mut(&holder).expect("a worker").silent = true;
     sim.run_for(3_000);
-    let begun = waits(&sim.pool.take_notes(), "task waits");
+    let begun = waits(&sim.pool.take_notes(), BEGUN);
     assert_eq!(begun.len(), 1);
     assert_eq!((begun[0].reason, begun[0].workers.as_slice()), (Reason::Lease, &[holder][..]));
     assert!(begun[0].until.is_some());
@@ -82,5 +82,5 @@
     let mut sim = Simulation::new(2);
     sim.submit(1, vec![lasting()]);
     sim.run_for(3_000);
-    assert!(waits(&sim.pool.take_notes(), "task waits").is_empty());
+    assert!(waits(&sim.pool.take_notes(), BEGUN).is_empty());
 }
