Log lists of VMs with rows that can't be read

Such a list no longer counts a VM as removed or a worker as ended, so that a wave or a lost task may wait for it without a word. Now `list incomplete` is logged and counted.

--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -241,6 +241,10 @@
             if is_whole {
                 self.absence.note(listed_at, wanted, |vm| vms.contains_key(vm));
                 self.workers.note_list(listed_at, &vms);
+            } else {
+                // No VM or worker counts as ended by such a list, however long it takes.
+                self.node.metrics.event("list incomplete");
+                self.node.trace.line("list incomplete", || json!({ "readable": vms.len() }));
             }
             if self.node.settings.contention.maintenance {
                 let remaining = waves.iter().flat_map(|wave| self.remaining_vms(wave)).cloned();
