Keep runs of an ended worker whose starts may still arrive

A worker may start again under its ID, and a start that got no answer may be carried out seconds later: also by the next instance, whose clock and runs begin anew. Two paths forgot that.

- `remove_ended_worker`, which is new, requeued all runs of a worker that no VM ran any more.
A start on its way then ran on the next instance, beside the new run (TWICE).
- A run that was confirmed after a resend counted as settled at a restart, though the first copy of its start was still on its way.

Both ask `may_start_late` now: a start is settled only if no copy of it is without an answer. An ended worker is kept for those runs alone, counts as one crash, hides nothing of a former owner, and goes as soon as the next instance confirms a stop, another instance has its address, or the lease has ended.

Three tests in restart.rs, red before: "at 1700 ms it runs on [w0, w1]", "at 2400 ms it runs on [w0, w1]", and the last one for the kept run.

--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -186,12 +186,9 @@
     /// occupies room until then, so it becomes a stray.
     fn mark_done(&mut self, now: Time, name: task::Name, is_member: bool) {
         let Some(entry) = self.entry_mut(name.job) else { return };
-        let placement = entry.placement(name).map(|placement| {
-            let is_start_pending = matches!(placement.phase, Phase::Starting { .. })
-                || placement.is_start_unconfirmed
-                    && matches!(placement.phase, Phase::Stopping { .. });
-            (placement.worker, placement.run, is_start_pending)
-        });
+        let placement = entry
+            .placement(name)
+            .map(|placement| (placement.worker, placement.run, placement.may_start_late()));
         entry.set_task_state(name, TaskState::Done);
         // The members of a gang end by themselves, together.
         let Some((key, run, is_start_pending)) = placement.filter(|_| !is_member) else { return };
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -114,18 +114,29 @@
         if is_listed {
             return Fate::Listed;
         }
-        let placement = self.entry(name.job).and_then(|entry| entry.placement(name));
-        let is_current = |p: &&Placement| p.worker == key && p.run == run;
-        let is_pending = match placement.filter(is_current).map(|p| (p.phase, p)) {
-            Some((Phase::Starting { .. }, _)) => true,
-            // Confirmed after the report was requested, so perhaps by the new instance.
-            Some((Phase::Running { confirmed }, _)) => confirmed >= sent,
-            Some((Phase::Stopping { .. }, placement)) => placement.is_start_unconfirmed,
-            None => self.stray(key, name, run).is_some_and(|stray| stray.is_start_pending),
-        };
+        let placement = self.placement_on(key, name, run);
+        // Confirmed after the report was requested, so perhaps by the new instance.
+        let is_confirmed_since = placement.is_some_and(|placement| {
+            matches!(placement.phase, Phase::Running { confirmed } if confirmed >= sent)
+        });
+        let is_pending = is_confirmed_since || self.may_start_late(key, name, run);
         if is_pending { Fate::Pending } else { Fate::Lost }
     }
 
+    /// Returns whether a copy of a run's start may still reach the next instance of its worker. An
+    /// answer settles only the copy that it answers.
+    pub(super) fn may_start_late(&self, key: worker::Key, name: task::Name, run: u64) -> bool {
+        match self.placement_on(key, name, run) {
+            Some(placement) => placement.may_start_late(),
+            None => self.stray(key, name, run).is_some_and(|stray| stray.is_start_pending),
+        }
+    }
+
+    fn placement_on(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Placement> {
+        let placement = self.entry(name.job)?.placement(name)?;
+        (placement.worker == key && placement.run == run).then_some(placement)
+    }
+
     fn stray(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Stray> {
         self.workers.get(key)?.strays.get(&name).filter(|stray| stray.run == run)
     }
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Returns whether a copy of the start may still be carried out.
+    pub(super) fn may_start_late(&self) -> bool {
+        self.is_start_unconfirmed || matches!(self.phase, Phase::Starting { .. })
+    }
+
     /// Updates the progress. Returns whether anything else changed: the run is confirmed, or has
     /// fallen back.
     fn update(&mut self, now: Time, running: &Run) -> bool {
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -176,12 +176,16 @@
 
     /// Returns the IDs of workers that don't answer, at most 64.
     pub fn silent_workers(&self) -> impl Iterator<Item = &str> {
-        let silent = self.workers.values().filter(|worker| worker.is_silent());
+        let is_silent = |worker: &&Worker| worker.is_silent() && !worker.has_ended;
+        let silent = self.workers.values().filter(is_silent);
         silent.map(|worker| worker.id.as_str()).take(MAX_SILENT)
     }
 
-    /// Removes a silent worker instance that has certainly ended, with all its runs: the platform's
-    /// list shows that no VM runs it.
+    /// Removes a silent worker instance that has certainly ended, with its runs: the platform's list
+    /// shows that no VM runs it.
+    ///
+    /// The worker may start again under its ID, and carry out a start that was on its way. Tasks
+    /// with such a start wait until the next instance confirms a stop, or the lease ends.
     ///
     /// Silence alone proves nothing: a worker that is cut off runs on, and a former owner on its
     /// side of the cut may go on renewing its lease. Nor does the end of its own entry in the store,
@@ -206,7 +210,7 @@
     /// assert!(!pool.is_recovering(now));
     /// ```
     pub fn remove_ended_worker(&mut self, now: Time, id: &str) {
-        let is_ended = |worker: &Worker| worker.id == id && worker.is_silent();
+        let is_ended = |worker: &Worker| worker.id == id && worker.is_silent() && !worker.has_ended;
         let ended: Vec<worker::Key> = self
             .workers
             .iter()
@@ -214,8 +218,31 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
-            self.remove_worker(now, key, "silent, and no VM runs it any more");
+            self.remove_ended_instance(now, key);
+        }
+    }
+
+    fn remove_ended_instance(&mut self, now: Time, key: worker::Key) {
+        const WHY: &str = "silent, and no VM runs it any more";
+        let Some(worker) = self.workers.get(key) else { return };
+        let runs = worker.allocations.iter().map(|(name, allocation)| (*name, allocation.run));
+        let (pending, settled): (Vec<_>, Vec<_>) =
+            runs.partition(|(name, run)| self.may_start_late(key, *name, *run));
+        if pending.is_empty() {
+            return self.remove_worker(now, key, WHY);
+        }
+        let is_end_expected = worker.is_end_expected(now);
+        let why = format!("{WHY}; starts that may still arrive: {}", pending.len());
+        self.note("worker ended", None, Some(key), why);
+        if !is_end_expected {
+            self.count_crash(now, key);
+        }
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.has_ended = true;
+            worker.strays.retain(|_, stray| stray.is_start_pending);
+            settled.iter().for_each(|(name, run)| worker.release(*name, *run));
         }
+        self.requeue_tasks(now, key, settled.into_iter().map(|(name, _)| name).collect(), WHY);
     }
 
     /// Removes a worker that has ended, with all its runs.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -166,6 +166,9 @@
     pub(crate) is_inherited: bool,
     /// Whether a report has listed all of its exits.
     pub(crate) has_listed_all: bool,
+    /// Whether the instance has certainly ended. It is kept for starts that may still reach the next
+    /// one under its ID.
+    pub(crate) has_ended: bool,
     /// Whether it has been polled, successfully or not.
     pub(crate) is_polled: bool,
     /// Whether the written roster contains it.
@@ -233,6 +236,7 @@
             fenced: false,
             is_inherited: false,
             has_listed_all: false,
+            has_ended: false,
             is_polled: false,
             rostered: false,
             unanswered_polls: 0,
@@ -362,7 +366,8 @@
     /// started.
     pub(crate) fn hides_runs(&self, now: Time) -> bool {
         let may_run = !self.fenced && now < self.inherited_until;
-        may_run || self.is_inherited && self.fenced && !self.has_listed_all
+        let may_have_exits = self.is_inherited && self.fenced && !self.has_listed_all;
+        !self.has_ended && (may_run || may_have_exits)
     }
 
     /// Returns whether the worker is considered silent.
@@ -435,7 +440,7 @@
 
     /// Returns whether the worker is about to leave or to be maintained, so that its end is no crash.
     pub(crate) fn is_end_expected(&self, now: Time) -> bool {
-        self.draining || self.is_vacating(now)
+        self.has_ended || self.draining || self.is_vacating(now)
     }
 
     /// Returns whether the worker is ready for tasks, apart from decisions of the owner.
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -87,6 +87,75 @@
     assert_eq!(sim.pool.state(id), Some(State::Completed));
 }
 
+// Guards against a task that runs on two workers: a start that was sent twice, and answered once,
+// counted as settled, so that its other copy could still start the task on the next instance.
+#[test]
+fn handle_poll_answer_after_a_restart_with_an_earlier_copy_of_a_start() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    let orders = sim.pool.plan(at(sim.now), 0);
+    sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+    sim.run_for(1_000);
+    assert_eq!(sim.running_count(), 1, "the second copy was carried out");
+    restart(&mut sim, &orders[0].id);
+    sim.run_for(300);
+    carry_out_unanswered(&mut sim, &orders[0]);
+    run_and_check_single(&mut sim, 8_000, first_task(id));
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+}
+
+// Guards against a task that runs on two workers: its worker was removed as ended while a copy of
+// its start was on its way, and the next instance under that ID carried it out.
+#[test]
+fn remove_ended_worker_while_a_start_may_reach_the_next_instance() {
+    for is_resent in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.task_ms = 3_000;
+        let id = sim.submit(1, vec![step(1, 1_000)]);
+        let orders = sim.pool.plan(at(sim.now), 0);
+        let place = orders[0].id.clone();
+        sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+        if is_resent {
+            sim.run_for(1_000);
+            assert_eq!(sim.running_count(), 1, "the second copy was carried out");
+        }
+        sim.workers.get_mut(&place).expect("a worker").silent = true;
+        sim.run_for(300);
+        sim.pool.remove_ended_worker(at(sim.now), &place);
+        sim.run_for(300);
+        restart(&mut sim, &place);
+        carry_out_unanswered(&mut sim, &orders[0]);
+        sim.list_and_poll();
+        run_and_check_single(&mut sim, 12_000, first_task(id));
+        assert_eq!(sim.pool.state(id), Some(State::Completed));
+    }
+}
+
+// Guards against tasks that wait for a start of another one: of the runs of an ended worker, only
+// those whose starts may still arrive are kept.
+#[test]
+fn remove_ended_worker_releases_runs_whose_starts_are_settled() {
+    let mut sim = Simulation::new(1);
+    sim.task_ms = 20_000;
+    let settled = sim.submit(1, vec![step(1, 1_000)]);
+    sim.run_for(500);
+    let pending = sim.submit(2, vec![step(1, 1_000)]);
+    let orders = sim.pool.plan(at(sim.now), 0);
+    sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+    sim.workers.get_mut("w0").expect("a worker").silent = true;
+    sim.registrations.push(registration("w1", 9_001, "r1"));
+    sim.workers.insert("w1".to_owned(), common::Worker::default());
+    sim.list_and_poll();
+    sim.run_for(300);
+    sim.pool.remove_ended_worker(at(sim.now), "w0");
+    sim.run_for(500);
+    assert!(sim.workers_running(first_task(settled)).contains(&"w1"));
+    assert!(!sim.workers_running(first_task(pending)).contains(&"w1"));
+    sim.run_for(10_000);
+    assert!(sim.workers_running(first_task(pending)).contains(&"w1"), "its lease has ended");
+}
+
 // Guards against a task that runs on two workers: a deadline on the clock of the former instance
 // is far ahead on that of the new one, whose lease outlasts what its owner waits for.
 #[test]
