Stop a run before its task starts elsewhere if a copy of its start is in flight

A start is sent again 400 ms after it was ordered, whether or not the 700 ms for the answer to its first copy are over, and at most two orders are in flight to one worker. If another order to that worker got no answer meanwhile, the second copy was returned from its lane as never sent, which is true of that copy alone. The run counted as never started, its task started on another worker at once, and the first copy was carried out as well (TWICE). A refusal of the second copy by the worker had the same effect. Only after the first copy's answer was lost did a refusal lead to a stop.

The pool now counts the copies of a start that were sent and whose answers are due. A copy that is refused or never sent settles itself; as long as another one is without an answer, the run is stopped first, and its task starts elsewhere once the stop is confirmed. A start of which nothing was sent is still given up at once.

`handle_order_answer_of_a_copy_while_the_first_is_in_flight` was red before: "after Unhealthy it runs on [w0, w1]".

--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -265,6 +265,7 @@
     async fn send(&self, order: &Order) -> Answer<u64> {
         let call = wire::order(order);
         let started = clock::now();
+        self.pool.borrow_mut().note_sent(order);
         let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
         self.count("order", started, answer.is_ok());
         let answer = match answer {
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -153,6 +153,8 @@
     pub phase: Phase,
     /// Whether a start order of this run got no answer.
     pub is_start_unconfirmed: bool,
+    /// The start orders of this run that were sent and whose answers are due.
+    pub starts_in_flight: u32,
     pub percent: u32,
     /// When the percentage last changed.
     pub progressed: Time,
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -85,6 +85,19 @@
 }
 
 impl Pool {
+    /// Records that an order is being sent. Its answer has to be handled by
+    /// [`Pool::handle_order_answer`], which is all that is needed for an order that isn't sent.
+    ///
+    /// A start may be sent again before the answer to its first copy is due. As long as that copy is
+    /// in flight, the refusal of another one doesn't mean that the task hasn't started.
+    pub fn note_sent(&mut self, order: &Order) {
+        if matches!(order.action, Action::Start { .. })
+            && let Some(placement) = self.current_placement(order)
+        {
+            placement.starts_in_flight += 1;
+        }
+    }
+
     /// Handles the answer to an order.
     pub fn handle_order_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
         match answer {
@@ -112,6 +125,8 @@
 
     fn handle_start_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
         let Some(placement) = self.current_placement(order) else { return };
+        placement.starts_in_flight = placement.starts_in_flight.saturating_sub(1);
+        placement.is_start_unconfirmed |= *answer == Answer::Lost;
         if !matches!(placement.phase, Phase::Starting { .. }) {
             return;
         }
@@ -133,10 +148,10 @@
             // The run has started and ended; the next poll lists its outcome. If it counted as
             // never started, a task that is done would run again.
             Answer::Old => placement.phase = Phase::Running { confirmed: now },
-            // An earlier copy of this order may still be carried out. Stopping the run prevents
+            // Another copy of this order may still be carried out. Stopping the run prevents
             // that; only then may the task start elsewhere.
             Answer::Full | Answer::Ticket | Answer::Refused | Answer::Unhealthy
-                if placement.is_start_unconfirmed =>
+                if placement.has_unsettled_start() =>
             {
                 placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
             }
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -191,6 +191,7 @@
             since: now,
             phase,
             is_start_unconfirmed: false,
+            starts_in_flight: 0,
             percent: 0,
             progressed: now,
             saved_at: now,
@@ -202,7 +203,12 @@
 
     /// Returns whether a copy of the start may still be carried out.
     pub(super) fn may_start_late(&self) -> bool {
-        self.is_start_unconfirmed || matches!(self.phase, Phase::Starting { .. })
+        self.has_unsettled_start() || matches!(self.phase, Phase::Starting { .. })
+    }
+
+    /// Returns whether a copy of the start was sent that isn't answered.
+    pub(super) fn has_unsettled_start(&self) -> bool {
+        self.is_start_unconfirmed || self.starts_in_flight > 0
     }
 
     /// Updates the progress. Returns whether anything else changed: the run is confirmed, or has
