Remove no worker as ended that has answered since the list was made

A worker that starts again under its ID is on the list of VMs up to two seconds later. If it had answered, was given tasks and two polls then broke off, within that time, the owner took the list for proof that it had ended, and started its tasks elsewhere.

An owner now asks that the worker's last answer is older than the list can be (3 s).

`remove_ended_worker_that_has_answered_since` is red without the condition: "at 1900 ms it runs on [w0, w1]".

--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -12,6 +12,9 @@
 
 /// The most silent workers that are reported at once.
 const MAX_SILENT: usize = 64;
+/// The greatest age of what is known by a list of VMs as it reaches an owner: it lags by up to two
+/// seconds, and is read, reported and sent within one more.
+const MAX_LIST_AGE: Duration = Duration::from_millis(3_000);
 
 impl Pool {
     pub(super) fn add_worker(&mut self, location: Location, inherited_until: Time) -> worker::Key {
@@ -210,7 +213,14 @@
     /// assert!(!pool.is_recovering(now));
     /// ```
     pub fn remove_ended_worker(&mut self, now: Time, id: &str) {
-        let is_ended = |worker: &Worker| worker.id == id && worker.is_silent() && !worker.has_ended;
+        // An instance that has started or answered since the list was made may not be on it.
+        let is_older = |heard: Time| now - heard >= MAX_LIST_AGE;
+        let is_ended = |worker: &Worker| {
+            worker.id == id
+                && worker.is_silent()
+                && !worker.has_ended
+                && worker.last_heard().is_none_or(is_older)
+        };
         let ended: Vec<worker::Key> = self
             .workers
             .iter()
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -121,7 +121,7 @@
             assert_eq!(sim.running_count(), 1, "the second copy was carried out");
         }
         sim.workers.get_mut(&place).expect("a worker").silent = true;
-        sim.run_for(300);
+        sim.run_for(3_000);
         sim.pool.remove_ended_worker(at(sim.now), &place);
         sim.run_for(300);
         restart(&mut sim, &place);
@@ -132,6 +132,23 @@
     }
 }
 
+// Guards against a task that runs on two workers: its worker had started again under its ID and
+// answered, then a connection broke, and the list still lacked it.
+#[test]
+fn remove_ended_worker_that_has_answered_since() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 6_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    sim.run_for(500);
+    let place = sim.workers_running(first_task(id))[0].to_owned();
+    sim.workers.get_mut(&place).expect("a worker").silent = true;
+    sim.run_for(300);
+    sim.pool.remove_ended_worker(at(sim.now), &place);
+    sim.workers.get_mut(&place).expect("a worker").silent = false;
+    run_and_check_single(&mut sim, 8_000, first_task(id));
+    assert_eq!(started_runs(&sim), 1, "it was started again");
+}
+
 // Guards against tasks that wait for a start of another one: of the runs of an ended worker, only
 // those whose starts may still arrive are kept.
 #[test]
@@ -147,7 +164,7 @@
     sim.registrations.push(registration("w1", 9_001, "r1"));
     sim.workers.insert("w1".to_owned(), common::Worker::default());
     sim.list_and_poll();
-    sim.run_for(300);
+    sim.run_for(3_000);
     sim.pool.remove_ended_worker(at(sim.now), "w0");
     sim.run_for(500);
     assert!(sim.workers_running(first_task(settled)).contains(&"w1"));
