Keep a job's number of attempts while its queue isn't configured

The job's record now has the number under which it was accepted, and a pool takes it while the configuration lacks the queue. If neither tells, as for jobs of earlier versions, a task that has failed is held (`task held`, `waits_for: configuration`) until a configuration has the queue: it is neither failed nor started once too often. Earlier versions ignore the new field.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -150,8 +150,13 @@
         if let Some(answer) = self.refuse_unservable(route, id, &identity, &job).await {
             return answer;
         }
-        let record =
-            Record { queue: route.name.clone(), accepted_ms: clock::wall_ms(), job, organisation };
+        let record = Record {
+            queue: route.name.clone(),
+            accepted_ms: clock::wall_ms(),
+            job,
+            organisation,
+            attempts: Some(route.queue.attempts),
+        };
         let submission = Submission {
             queue: route.name.clone(),
             queue_route: QueueRoute { version: config.version, pool: route.pool.clone() },
--- a/crates/entry/tests/meter.rs
+++ b/crates/entry/tests/meter.rs
@@ -58,7 +58,8 @@
         let (now, id) = (Time::from_millis(self.now), JobId(self.next_job));
         let job = Job::new(String::new(), vec![Step::new(1)]).expect("a job");
         let organisation = Some(name(organisation));
-        let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation };
+        let record =
+            Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation };
         self.pools[pool].accept(now, Duration::ZERO, id, &record, None, 8);
         self.owed += u32::from(self.pools[pool].is_owed(id));
     }
--- a/crates/jobs/benches/exits.rs
+++ b/crates/jobs/benches/exits.rs
@@ -57,7 +57,8 @@
         let step = Step { count: TASKS_PER_JOB, needs, estimate_ms: 100, ..Step::default() };
         let job_of_one = Job::new("run".to_owned(), vec![step]).expect("a job");
         let (queue, organisation) = ("q".to_owned(), None);
-        let record = Record { queue, accepted_ms: 0, job: job_of_one, organisation };
+        let record =
+            Record { queue, accepted_ms: 0, attempts: None, job: job_of_one, organisation };
         pool.accept(now, Duration::ZERO, JobId(u64::from(job) + 1), &record, None, 8);
     }
     let orders = pool.plan(now, 0);
--- a/crates/jobs/benches/overload/simulation.rs
+++ b/crates/jobs/benches/overload/simulation.rs
@@ -192,7 +192,13 @@
         let durations = job.steps.iter().map(|step| self.durations(step.count)).collect();
         let id = JobId(self.jobs.len() as u64 + 1);
         let name = self.has_organisations.then(|| self::organisation(organisation));
-        let record = Record { job, queue: "q".to_owned(), accepted_ms: 0, organisation: name };
+        let record = Record {
+            job,
+            queue: "q".to_owned(),
+            accepted_ms: 0,
+            attempts: None,
+            organisation: name,
+        };
         self.pool.accept(self.at(), Duration::ZERO, id, &record, None, FENCE + 1);
         self.jobs.push(Submitted {
             begun: self.now,
--- a/crates/jobs/benches/plan/fleet.rs
+++ b/crates/jobs/benches/plan/fleet.rs
@@ -85,7 +85,8 @@
             let job = Job::new(String::new(), steps).expect("the job is valid");
             let number = self.next_job.checked_rem(self.organisations);
             let organisation = number.map(|number| organisation(number).name);
-            let record = Record { job, queue: "q".to_owned(), accepted_ms: 0, organisation };
+            let record =
+                Record { job, queue: "q".to_owned(), accepted_ms: 0, attempts: None, organisation };
             let id = JobId(self.next_job);
             self.next_job += 1;
             self.pool.accept(self.at(), age, id, &record, None, FENCE + 1);
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -3,6 +3,7 @@
 mod account;
 mod advice;
 mod agenda;
+mod attempts;
 mod backlog;
 mod batch;
 mod choose;
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -90,8 +90,13 @@
         self.recent_crashes.iter().filter(|at| **at >= since).count()
     }
 
-    /// Fails the job of a task that has reached its limit of crashes, and returns whether it has.
-    pub(super) fn fail_at_crash_limit(&mut self, now: Time, name: task::Name) -> bool {
+    /// Fails the job of a task that has reached its limit of failed runs or of crashes, and returns
+    /// whether it has.
+    pub(super) fn fail_at_limit(&mut self, now: Time, name: task::Name) -> bool {
+        self.fail_at_attempt_limit(now, name) || self.fail_at_crash_limit(now, name)
+    }
+
+    fn fail_at_crash_limit(&mut self, now: Time, name: task::Name) -> bool {
         let counted = self.crash_counted_task(name);
         let task = self.entry(name.job).and_then(|entry| entry.task(counted));
         let since = task.and_then(|task| task.crashed_since).unwrap_or(now);
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -32,6 +32,8 @@
     pub organisation: Option<organisation::Key>,
     /// The name of that organisation.
     pub organisation_name: Option<Rc<str>>,
+    /// The number of attempts by the configuration under which it was accepted.
+    pub accepted_attempts: Option<u32>,
     pub spec: Rc<str>,
     pub steps: Rc<[Step]>,
     pub schedule: Option<crate::job::Schedule>,
@@ -387,6 +389,7 @@
         queue: queue.to_owned(),
         organisation: None,
         organisation_name: None,
+        accepted_attempts: None,
         spec: Rc::from(job.spec.as_str()),
         steps: Rc::from(job.steps.clone()),
         schedule: job.schedule,
--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -227,10 +227,13 @@
         if entry.state.is_final() || is_done {
             return self.hold_until_written(key, exit);
         }
-        let queue = entry.queue.clone();
-        let attempts = self.queue(&queue).attempts.max(1);
         let Some(failed) = self.count_failure(name, exit.run) else { return };
-        let version = if failed >= attempts {
+        let attempts = self.entry(name.job).and_then(|entry| self.attempts(entry));
+        if attempts.is_none() {
+            let why = format!("run {} has failed, and the queue isn't configured", exit.run);
+            self.note("task held", Some(name), Some(key), why);
+        }
+        let version = if attempts.is_some_and(|attempts| failed >= attempts) {
             self.end_job(now, name.job, State::Failed);
             self.entry(name.job).map_or(0, |entry| entry.version)
         } else {
--- a/crates/jobs/src/pool/explain.rs
+++ b/crates/jobs/src/pool/explain.rs
@@ -136,6 +136,17 @@
             let why = format!("runs after the steps {:?}, which are not all done", step.after);
             return (Reason::Steps, why);
         }
+        let awaits_attempts = |task: &Task| {
+            matches!(task.state, TaskState::Waiting) && self.awaits_attempts(entry, task)
+        };
+        if occurrence.steps.get(index).is_some_and(|state| state.tasks.iter().any(awaits_attempts))
+        {
+            let why = format!(
+                "a run has failed, and the configuration doesn't say how many may: it lacks the queue {}",
+                entry.queue
+            );
+            return (Reason::Configuration, why);
+        }
         if self.is_recovering(now) && entry.revision <= self.config.fence {
             let (workers, _) = self.awaited_workers(now, Reason::FormerOwners);
             let why = format!(
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -34,7 +34,9 @@
         if !names.iter().all(is_ready) {
             return;
         }
-        if self.fail_at_crash_limit(now, names[0]) {
+        if entry.task(names[0]).is_some_and(|task| self.awaits_attempts(entry, task))
+            || self.fail_at_limit(now, names[0])
+        {
             return;
         }
         if !self.may_charge(now, step_key, step, step.count) {
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -34,6 +34,7 @@
         }
         let queue = self.queue(&record.queue);
         let mut entry = new_entry(id, &record.job, &record.queue, revision);
+        entry.accepted_attempts = record.attempts;
         entry.organisation_name = record.organisation.as_deref().map(Rc::from);
         entry.organisation = record.organisation.as_deref().map(|name| self.accounts.key(name));
         let chain = chain_ms(&record.job.steps, |_, step| self.predict(&record.queue, step));
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -122,10 +122,13 @@
             let Some(entry) = self.jobs.get(key.job) else { return };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return };
-            if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
+            if !matches!(task.state, TaskState::Waiting)
+                || now < task.not_before
+                || self.awaits_attempts(entry, task)
+            {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) || !self.may_charge(now, key, step, 1) {
+            if self.fail_at_limit(now, name) || !self.may_charge(now, key, step, 1) {
                 return;
             }
             let Some(worker) = self.choose(now, name, step, None) else {
@@ -155,10 +158,13 @@
             let Some(entry) = self.jobs.get(key.job) else { return false };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return false };
-            if !matches!(task.state, TaskState::Waiting) || now < task.not_before {
+            if !matches!(task.state, TaskState::Waiting)
+                || now < task.not_before
+                || self.awaits_attempts(entry, task)
+            {
                 continue;
             }
-            if self.fail_at_crash_limit(now, name) || !self.may_charge(now, key, step, 1) {
+            if self.fail_at_limit(now, name) || !self.may_charge(now, key, step, 1) {
                 return false;
             }
             let Some(chosen) = self.choose_in(now, name, step, rack, space) else {
--- a/crates/jobs/src/pool/tally.rs
+++ b/crates/jobs/src/pool/tally.rs
@@ -35,7 +35,7 @@
     /// let settings = Settings { relocate: true, ..Settings::default() };
     /// let mut pool = Pool::new(Config::new(7, Time::ZERO).contention(settings));
     /// let job = Job::new(String::new(), vec![Step::new(1)])?;
-    /// let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation: None };
+    /// let record = Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation: None };
     /// pool.accept(Time::ZERO, Duration::ZERO, JobId(1), &record, None, 8);
     /// pool.count_accepted(JobId(1));
     /// pool.cancel(Time::ZERO, JobId(1));
--- a/crates/jobs/src/pool/victim.rs
+++ b/crates/jobs/src/pool/victim.rs
@@ -146,7 +146,7 @@
         let finish = self.finish_after(now, entry, name, remaining_ms)?;
         let occurrence = entry.occurrences.get(&name.occurrence)?;
         let (outlook, slack) = entry.outlook(occurrence, finish);
-        let attempts = self.queue(&entry.queue).attempts.max(1);
+        let attempts = self.attempts(entry).unwrap_or(0);
         let failed = u32::try_from(task.failed.len()).unwrap_or(u32::MAX);
         let unsaved_ms = if step.checkpoints {
             millis(now - placement.saved_at.max(placement.since))
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -34,6 +34,8 @@
 pub enum Reason {
     /// Earlier steps, which are not done.
     Steps,
+    /// A configuration that says how often it may fail.
+    Configuration,
     /// Leases that former owners may have granted on workers that have not answered, or exits that
     /// workers have not listed yet.
     FormerOwners,
@@ -62,6 +64,7 @@
     pub fn event(self) -> &'static str {
         match self {
             Self::Steps => "wait for steps",
+            Self::Configuration => "wait for a configuration",
             Self::FormerOwners => "wait for former owners",
             Self::Lease => "wait for a lease",
             Self::KeptRoom => "wait for kept room",
--- a/crates/jobs/src/queue.rs
+++ b/crates/jobs/src/queue.rs
@@ -29,7 +29,8 @@
 
 impl Default for Queue {
     /// The settings for a queue that the configuration no longer contains: its accepted jobs
-    /// still run, after those of other queues.
+    /// still run, after those of other queues. The number of attempts isn't meant for these; a pool
+    /// takes it from the job's record.
     fn default() -> Self {
         Self {
             priority: u32::MAX,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -18,6 +18,11 @@
     /// The organisation that submitted it; `None` if its route needed no key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub organisation: Option<String>,
+    /// How many failed runs of a task failed its job by the configuration under which it was
+    /// accepted. It holds while the configuration lacks the queue. Earlier versions neither write
+    /// nor read this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
 }
 
 /// The progress of a job. Written by the pool's owner.
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -43,7 +43,8 @@
     sim.steps.insert(id, steps.clone());
     let job = Job::new("run".to_owned(), steps).expect("a job");
     let organisation = Some(organisation.to_owned());
-    let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation };
+    let record =
+        Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation };
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, FENCE + 1_000);
     id
 }
--- a/crates/jobs/tests/backlog.rs
+++ b/crates/jobs/tests/backlog.rs
@@ -23,6 +23,7 @@
         let record = Record {
             queue: "q".to_owned(),
             accepted_ms: 0,
+            attempts: None,
             job: job.expect("the job is valid"),
             organisation: None,
         };
@@ -94,7 +95,8 @@
     let other = JobId(3);
     simulation.steps.insert(other, vec![step(1, 8_000)]);
     let job = Job::new("run".to_owned(), vec![step(1, 8_000)]).expect("the job is valid");
-    let record = Record { queue: "r".to_owned(), accepted_ms: 0, job, organisation: None };
+    let record =
+        Record { queue: "r".to_owned(), accepted_ms: 0, attempts: None, job, organisation: None };
     let now = at(simulation.now);
     simulation.pool.accept(now, Duration::ZERO, other, &record, None, FENCE + 1);
     simulation.run_for(100);
--- a/crates/jobs/tests/checkpoint.rs
+++ b/crates/jobs/tests/checkpoint.rs
@@ -53,6 +53,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -275,7 +275,13 @@
         });
         let job = Job::new("run".to_owned(), steps.collect()).expect("a job");
         let queue = if self.settings.preempt && self.next.is_multiple_of(2) { "low" } else { "q" };
-        let record = Record { queue: queue.to_owned(), accepted_ms: 0, job, organisation: None };
+        let record = Record {
+            queue: queue.to_owned(),
+            accepted_ms: 0,
+            attempts: None,
+            job,
+            organisation: None,
+        };
         self.records.insert(JobId(self.next), (record, self.fence + 1));
     }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -405,7 +405,13 @@
         let id = JobId(id);
         self.steps.insert(id, steps.clone());
         let job = Job::new("run".to_owned(), steps).expect("a job");
-        let record = Record { queue: queue.to_owned(), accepted_ms: 0, job, organisation: None };
+        let record = Record {
+            queue: queue.to_owned(),
+            accepted_ms: 0,
+            attempts: None,
+            job,
+            organisation: None,
+        };
         let revision = FENCE + 1_000;
         self.pool.accept(at(self.now), age, id, &record, None, revision);
         id
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -115,7 +115,13 @@
         sim.pool.set_roster(locations);
         for (id, steps) in &sim.steps {
             let job = Job::new("run".to_owned(), steps.clone()).expect("a job");
-            let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation: None };
+            let record = Record {
+                queue: "q".to_owned(),
+                accepted_ms: 0,
+                attempts: None,
+                job,
+                organisation: None,
+            };
             let (now, progress) = (at(sim.now), sim.progress.get(id));
             sim.pool.accept(now, Duration::ZERO, *id, &record, progress, FENCE + 1);
         }
--- a/crates/jobs/tests/exits.rs
+++ b/crates/jobs/tests/exits.rs
@@ -64,7 +64,7 @@
     sim.list_and_poll();
     let lasting = Job::new("run".to_owned(), vec![small_step()]).expect("a job");
     let (queue, organisation) = ("q".to_owned(), None);
-    let record = Record { queue, accepted_ms: 0, job: lasting, organisation };
+    let record = Record { queue, accepted_ms: 0, attempts: None, job: lasting, organisation };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     sim.run_for(5_000);
     assert_eq!(sim.pool.state(job), Some(State::Completed));
--- a/crates/jobs/tests/limit.rs
+++ b/crates/jobs/tests/limit.rs
@@ -42,7 +42,8 @@
     sim.steps.insert(id, steps.clone());
     let job = Job::new("run".to_owned(), steps).expect("a job");
     let organisation = organisation.map(str::to_owned);
-    let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation };
+    let record =
+        Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation };
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, revision);
     id
 }
--- a/crates/jobs/tests/long_running.rs
+++ b/crates/jobs/tests/long_running.rs
@@ -86,6 +86,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![long_running_step(4, 1)]).expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/meter.rs
+++ b/crates/jobs/tests/meter.rs
@@ -36,7 +36,7 @@
 fn record(organisation: &str, step: Step) -> Record {
     let job = Job::new("run".to_owned(), vec![step]).expect("a job");
     let organisation = Some(organisation.to_owned());
-    Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation }
+    Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation }
 }
 
 fn submit(sim: &mut Simulation, id: u64, organisation: &str) -> JobId {
--- a/crates/jobs/tests/occurrence.rs
+++ b/crates/jobs/tests/occurrence.rs
@@ -22,7 +22,13 @@
     let schedule = Schedule { first_ms: MIDNIGHT + first, every_ms: INTERVAL_MS, times };
     let job = Job::new("run".to_owned(), steps).and_then(|job| job.scheduled(schedule));
     let job = job.expect("a job");
-    let record = Record { queue: "q".to_owned(), accepted_ms: MIDNIGHT, job, organisation: None };
+    let record = Record {
+        queue: "q".to_owned(),
+        accepted_ms: MIDNIGHT,
+        attempts: None,
+        job,
+        organisation: None,
+    };
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, FENCE + 1_000);
     id
 }
@@ -107,6 +113,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: MIDNIGHT,
+        attempts: None,
         job: whole.expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -196,6 +196,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/preempt.rs
+++ b/crates/jobs/tests/preempt.rs
@@ -109,7 +109,8 @@
     let submit = |sim: &mut Simulation, id: u64, organisation: &str, task: Step| {
         let job = Job::new("run".to_owned(), vec![task.clone()]).expect("a job");
         let organisation = Some(organisation.to_owned());
-        let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation };
+        let record =
+            Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation };
         sim.steps.insert(JobId(id), vec![task]);
         sim.pool.accept(at(sim.now), NO_AGE, JobId(id), &record, None, FENCE + 1_000);
         JobId(id)
@@ -299,7 +300,8 @@
     for (job, queue) in [(low, "low"), (urgent, "q")] {
         let job_of = Job::new("run".to_owned(), sim.steps[&job].clone()).expect("a job");
         let queue = queue.to_owned();
-        let record = Record { queue, accepted_ms: 0, job: job_of, organisation: None };
+        let record =
+            Record { queue, accepted_ms: 0, attempts: None, job: job_of, organisation: None };
         let progress = sim.progress.get(&job);
         sim.pool.accept(at(sim.now), NO_AGE, job, &record, progress, FENCE);
     }
--- a/crates/jobs/tests/pressure.rs
+++ b/crates/jobs/tests/pressure.rs
@@ -181,6 +181,7 @@
         let record = Record {
             queue: ROUTE.0.to_owned(),
             accepted_ms: 0,
+            attempts: None,
             job,
             organisation: organisation_name,
         };
--- a/crates/jobs/tests/relocate.rs
+++ b/crates/jobs/tests/relocate.rs
@@ -172,7 +172,7 @@
 
 fn record(steps: Vec<Step>) -> Record {
     let job = Job::new("run".to_owned(), steps).expect("a job");
-    Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation: None }
+    Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation: None }
 }
 
 // Guards against more tasks of a step on a worker than it allows: room was kept for several of them
--- a/crates/jobs/tests/share.rs
+++ b/crates/jobs/tests/share.rs
@@ -29,7 +29,8 @@
     sim.steps.insert(id, vec![step.clone()]);
     let job = Job::new("run".to_owned(), vec![step]).expect("a job");
     let organisation = Some(organisation.to_owned());
-    let record = Record { queue: queue.to_owned(), accepted_ms: 0, job, organisation };
+    let record =
+        Record { queue: queue.to_owned(), accepted_ms: 0, attempts: None, job, organisation };
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, FENCE + 1_000);
     id
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -37,6 +37,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(2, 1_000)]).expect("a job"),
         organisation: None,
     };
@@ -68,6 +69,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
@@ -97,6 +99,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
@@ -231,6 +234,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/unloaded_owner.rs
+++ b/crates/jobs/tests/unloaded_owner.rs
@@ -36,7 +36,8 @@
         third.set_inherited_leases(at(sim.now), &grants);
     }
     let job = Job::new("run".to_owned(), steps).expect("a job");
-    let record = Record { queue: "q".to_owned(), accepted_ms: 0, job, organisation: None };
+    let record =
+        Record { queue: "q".to_owned(), accepted_ms: 0, attempts: None, job, organisation: None };
     third.accept(at(sim.now), Duration::ZERO, id, &record, None, 1);
     third.set_workers(at(sim.now), &sim.registrations);
     let keys: Vec<_> = third.workers().collect();
--- a/crates/jobs/tests/unrelated_crash.rs
+++ b/crates/jobs/tests/unrelated_crash.rs
@@ -68,6 +68,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), job_steps).expect("a job"),
         organisation: None,
     };
@@ -110,6 +111,7 @@
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
+        attempts: None,
         job: Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
         organisation: None,
     };
--- a/crates/jobs/tests/wait.rs
+++ b/crates/jobs/tests/wait.rs
@@ -30,7 +30,7 @@
     sim.list_and_poll();
     let job_of_one = Job::new("lasts".to_owned(), vec![lasting()]).expect("a job");
     let (queue, organisation) = ("q".to_owned(), None);
-    let record = Record { queue, accepted_ms: 0, job: job_of_one, organisation };
+    let record = Record { queue, accepted_ms: 0, attempts: None, job: job_of_one, organisation };
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, None, FENCE + 1);
     holder
 }
