Call a key unknown only if no configuration up to the request has it

A process that woke with a call on its way took its own freeze for an outage of the store; and while the store counts as down, the last configuration is relied on, also for the claim that a key is unknown. A caller that is told so gives up.

- Time for which the process was frozen doesn't count as silence of the store.
- 401 for an unknown key needs that all configurations up to the request's arrival are known.
If need be the store is asked for changes, at most ten times a second for all requests, for up to 400 ms; otherwise the answer is 503 with Retry-After, and nothing was done.

`is_down_not_after_a_freeze` in outage.rs.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -38,8 +38,8 @@
     All(Vec<Item>),
     /// A change of one key.
     Change(Event),
-    /// All changes written before this time have been reported.
-    KnownUntil(Time),
+    /// All changes written before this time, or up to this revision of the store, have been reported.
+    KnownUntil(Time, u64),
 }
 
 /// What follows a watch without an answer.
@@ -76,7 +76,7 @@
     while is_wanted() {
         let mut after = match start.take() {
             Some(Start { revision, at }) => {
-                apply(Update::KnownUntil(at));
+                apply(Update::KnownUntil(at, revision));
                 revision
             }
             None => {
@@ -90,7 +90,7 @@
                     }
                 };
                 apply(Update::All(items));
-                apply(Update::KnownUntil(started));
+                apply(Update::KnownUntil(started, revision));
                 revision
             }
         };
@@ -102,8 +102,8 @@
                     for event in events {
                         apply(Update::Change(event));
                     }
-                    apply(Update::KnownUntil(started));
                     after = after.max(revision);
+                    apply(Update::KnownUntil(started, after));
                     if has_changes {
                         tokio::time::sleep(batch_pause()).await;
                     }
@@ -150,9 +150,9 @@
                 update_from_operators(&target, &event.key, &value, event.revision);
             }
         }
-        Update::KnownUntil(at) => {
-            target.config_known_at.set(at.max(target.config_known_at.get()));
-            target.config_news.notify_waiters();
+        Update::KnownUntil(at, revision) => {
+            target.config_revision.set(revision);
+            target.note_config_known(at);
         }
     };
     follow(
@@ -214,7 +214,7 @@
                     || json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
                 );
             }
-            Update::KnownUntil(at) => return target.duties_known_at.set(at),
+            Update::KnownUntil(at, _) => return target.duties_known_at.set(at),
         }
         target.changed.notify_waiters();
     };
@@ -296,7 +296,7 @@
                 Update::Change(event) => {
                     update_worker(&target, &event.key, event.value.as_deref(), event.revision);
                 }
-                Update::KnownUntil(_) => return,
+                Update::KnownUntil(..) => return,
             }
             for owner in target.owners.borrow().values() {
                 owner.list_changed.set(true);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -18,6 +18,7 @@
 use corianderfork_jobs::{Job, JobId, Record, Step};
 use corianderfork_model::Time;
 use serde_json::json;
+use tokio::sync::Mutex;
 use tokio::task::spawn_local;
 
 use crate::access::Identity;
@@ -55,6 +56,8 @@
     writes_in_flight: Cell<usize>,
     submission_count: Cell<u64>,
     refusals: Rc<refuse::RefusalLog>,
+    /// When the store was last asked for a newer configuration; one request asks for all.
+    config_asked_at: Mutex<Time>,
 }
 
 impl Gateway {
@@ -66,6 +69,7 @@
             writes_in_flight: Cell::new(0),
             submission_count: Cell::new(0),
             refusals: Rc::default(),
+            config_asked_at: Mutex::new(Time::ZERO),
         })
     }
 
@@ -80,7 +84,7 @@
             let response = HttpResponse::new(404, caller::error("no such queue"));
             return self.log(&request, started, response, "no route");
         };
-        let identity = match self.authenticate(&config, route.is_public, &request) {
+        let identity = match self.authenticate(&config, route.is_public, &request, started).await {
             Ok(identity) => identity,
             Err((response, why)) => return self.log(&request, started, response, why),
         };
--- a/crates/entry/src/gateway/authenticate.rs
+++ b/crates/entry/src/gateway/authenticate.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use corianderfork_adapter::caller;
-use corianderfork_adapter::config::Config;
+use corianderfork_adapter::config::{self, Config};
+use corianderfork_adapter::store::Update;
+use corianderfork_jobs::organisation::{Digest, Directory};
+use corianderfork_model::Time;
 use serde_json::json;
 
 use super::{Gateway, refuse};
@@ -18,6 +21,9 @@
 const MAX_CONFIG_AGE: Duration = Duration::from_millis(1_900);
 /// How long a request waits for news of the configuration.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(400);
+/// The pause between two calls that ask the store for a newer configuration, however many requests
+/// have unknown keys.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 
 impl Gateway {
     /// Returns the configuration to serve a request by: one that was confirmed a moment ago, or the
@@ -54,12 +60,18 @@
         clock::now() - self.node.config_known_at.get() < MAX_CONFIG_AGE
     }
 
-    /// Returns on whose behalf a request is made, or the response to one without a valid key.
-    pub(super) fn authenticate(
+    /// Returns on whose behalf a request is made that arrived at `arrived`, or the response to one
+    /// without a valid key.
+    ///
+    /// A key that this process doesn't know may be in force: it may have been frozen, or be cut off
+    /// from the store. A caller that is told that its key is unknown gives up, so that this is only
+    /// said of a key that no configuration up to the request has.
+    pub(super) async fn authenticate(
         &self,
         config: &Config,
         is_public: bool,
         request: &HttpRequest,
+        arrived: Time,
     ) -> Result<Identity, (HttpResponse, &'static str)> {
         let Some(directory) = config.organisations.as_ref().filter(|_| !is_public) else {
             return Ok(Identity::Anonymous);
@@ -72,18 +84,61 @@
                 return Err((unauthorized(why), "malformed key"));
             }
         };
-        match directory.find(digest) {
-            Some(organisation) => Ok(Identity::Organisation(organisation.name.clone())),
-            None => {
-                self.node.trace.line(
-                    "key unknown",
-                    || json!({ "key": digest.to_string(), "config": config.version }),
-                );
-                let why = "the key is unknown; it was removed, or isn't in force yet";
-                Err((unauthorized(why), "unknown key"))
-            }
+        if let Some(identity) = identity(directory, digest) {
+            return Ok(identity);
+        }
+        let is_newest = self.await_newest_config(arrived).await;
+        let config = self.node.config.borrow().clone();
+        let directory = config.as_ref().and_then(|config| config.organisations.as_ref());
+        if let Some(identity) = directory.and_then(|directory| identity(directory, digest)) {
+            return Ok(identity);
+        }
+        let version = config.as_ref().map(|config| config.version);
+        self.node.trace.line(
+            "key unknown",
+            || json!({ "key": digest.to_string(), "config": version, "newest": is_newest }),
+        );
+        if is_newest {
+            let why = "the key is unknown; it was removed, or isn't in force yet";
+            Err((unauthorized(why), "unknown key"))
+        } else {
+            let why = "this entry VM can't tell whether the key is in force; come back";
+            Err((refuse(why), "key not confirmed"))
         }
     }
+
+    /// Waits until all configurations that were accepted before `since` are known, and returns
+    /// whether they are.
+    async fn await_newest_config(&self, since: Time) -> bool {
+        let is_known = || self.node.config_known_at.get() >= since;
+        let ask = async {
+            let mut asked_at = self.config_asked_at.lock().await;
+            while !is_known() {
+                tokio::time::sleep((*asked_at + ASK_PAUSE) - clock::now()).await;
+                if is_known() {
+                    return;
+                }
+                *asked_at = clock::now();
+                let revision = self.node.config_revision.get();
+                let news = self.node.store.watch(config::PREFIX, revision, Duration::ZERO).await;
+                match news {
+                    Ok(Update::Events(events, _)) if events.is_empty() => {
+                        self.node.note_config_known(*asked_at);
+                    }
+                    // They are applied by what follows the configuration.
+                    Ok(Update::Events(..)) => {}
+                    Ok(Update::Compacted) | Err(_) => return,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(NEWS_TIMEOUT, ask).await;
+        is_known()
+    }
+}
+
+fn identity(directory: &Directory, key: &Digest) -> Option<Identity> {
+    let organisation = directory.find(key)?;
+    Some(Identity::Organisation(organisation.name.clone()))
 }
 
 fn unauthorized(why: &str) -> HttpResponse {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -71,6 +71,8 @@
     pub config: RefCell<Option<Rc<Config>>>,
     /// All configurations that were accepted before this time are known.
     pub config_known_at: Cell<Time>,
+    /// The store's revision up to which changes by operators are known.
+    pub config_revision: Cell<u64>,
     /// Notified when that time advances.
     pub config_news: Notify,
     /// Waves by number, each with the time at which it was first seen.
@@ -259,6 +261,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Records that all configurations that were accepted before `at` are known.
+    pub fn note_config_known(&self, at: Time) {
+        self.config_known_at.set(at.max(self.config_known_at.get()));
+        self.config_news.notify_waiters();
+    }
+
     /// Returns the queues' parameters. Without an advice service, no advice is waited for.
     pub fn queues(&self, config: &Config) -> HashMap<String, Queue> {
         let mut queues = config.queues();
--- a/crates/entry/src/outage.rs
+++ b/crates/entry/src/outage.rs
@@ -15,6 +15,10 @@
 /// resets all connections at one moment.
 const MIN_FAILING_TIME: Duration = Duration::from_millis(250);
 
+/// The most time that passes between two calls of [`Outage::note_running`] unless the process is
+/// frozen. Each of them counts for no more.
+const MAX_TICK: Duration = Duration::from_millis(200);
+
 /// A call in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
@@ -47,11 +51,49 @@
     /// Whether a waiting call was cut since the last response.
     is_cut: bool,
     last_response: Time,
+    /// When the process last noted that it runs.
+    last_tick: Option<Time>,
+    /// How long it was frozen.
+    frozen: Duration,
 }
 
 impl Outage {
+    /// Records that the process runs, which it has to do several times a second if at all. The time
+    /// for which it didn't doesn't count as silence of the store.
+    ///
+    /// ```
+    /// use corianderfork_entry::outage::Outage;
+    /// use corianderfork_model::Time;
+    ///
+    /// let at = Time::from_millis;
+    /// let mut outage = Outage::default();
+    /// outage.note_running(at(1_000));
+    /// outage.note_sent(at(1_000));
+    /// assert!(!outage.is_down(at(5_000)), "the process was frozen for most of this");
+    /// outage.note_running(at(5_000));
+    /// outage.note_running(at(5_200));
+    /// assert!(!outage.is_down(at(5_200)));
+    /// outage.note_running(at(5_400));
+    /// assert!(outage.is_down(at(5_400)));
+    /// ```
+    pub fn note_running(&mut self, now: Time) {
+        self.frozen += self.frozen_since_tick(now);
+        self.last_tick = Some(now);
+    }
+
+    fn frozen_since_tick(&self, now: Time) -> Duration {
+        self.last_tick.map_or(Duration::ZERO, |tick| (now - tick).saturating_sub(MAX_TICK))
+    }
+
+    /// Returns a time that stands still while the process is frozen.
+    fn awake(&self, now: Time) -> Time {
+        let frozen = self.frozen + self.frozen_since_tick(now);
+        Time::ZERO + (now - Time::ZERO).saturating_sub(frozen)
+    }
+
     /// Records that a call was sent that should get a response at once.
     pub fn note_sent(&mut self, now: Time) -> CallId {
+        let now = self.awake(now);
         self.calls += 1;
         self.pending.insert(CallId(self.calls), now);
         CallId(self.calls)
@@ -66,7 +108,7 @@
     /// Records a response of the store to anything but a call that was
     /// [sent](Self::note_sent).
     pub fn note_contact(&mut self, now: Time) {
-        self.last_response = now;
+        self.last_response = self.awake(now);
         self.failures = 0;
         self.is_cut = false;
     }
@@ -101,6 +143,7 @@
 
     /// Whether the store is considered down.
     pub fn is_down(&self, now: Time) -> bool {
+        let now = self.awake(now);
         // Calls sent before the last response may have been lost individually.
         let waits = |sent: &Time| *sent >= self.last_response && now - *sent >= SILENCE_LIMIT;
         let is_failing =
@@ -108,8 +151,8 @@
         is_failing || self.pending.values().any(waits)
     }
 
-    /// Returns the time since the last response and the number of calls failed since.
+    /// Returns the time since the last response, without that for which the process was frozen, and the number of calls failed since.
     pub fn evidence(&self, now: Time) -> (Duration, u32) {
-        (now - self.last_response, self.failures)
+        (self.awake(now) - self.last_response, self.failures)
     }
 }
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -178,7 +178,7 @@
                     owner.accept_item(&event.key, &value, None, event.revision);
                 }
             }
-            Update::KnownUntil(at) => owner.pool.borrow_mut().set_jobs_known_until(at),
+            Update::KnownUntil(at, _) => owner.pool.borrow_mut().set_jobs_known_until(at),
         };
         let prefix = format!("{JOB_PREFIX}{}/", self.name);
         follow(
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -70,6 +70,7 @@
         traffic,
         config: RefCell::default(),
         config_known_at: Cell::new(Time::ZERO),
+        config_revision: Cell::new(0),
         config_news: Notify::new(),
         waves: RefCell::default(),
         table: RefCell::default(),
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -79,3 +79,24 @@
     outage.note_failure(call);
     assert!(outage.is_suspected());
 }
+
+// Guards against a daemon that wakes from a freeze and takes its own silence for the store's: it
+// refused jobs, and relied on the configuration from before.
+#[test]
+fn is_down_not_after_a_freeze() {
+    let mut outage = Outage::default();
+    outage.note_running(at(1_000));
+    outage.note_contact(at(1_000));
+    let first = outage.note_sent(at(1_100));
+    assert!(!outage.is_down(at(9_000)), "it was frozen since");
+    outage.note_running(at(9_000));
+    // Its connections have broken.
+    outage.note_failure(first);
+    let second = outage.note_sent(at(9_010));
+    outage.note_failure(second);
+    assert!(!outage.is_down(at(9_010)));
+    for tick in 1..=4 {
+        outage.note_running(at(9_000 + tick * 100));
+    }
+    assert!(outage.is_down(at(9_400)), "the store doesn't answer now either");
+}
