Note that the process runs apart from the check of duties

The check of duties ends as a daemon stops, from when on no outage of the store would have been noticed while it still answers callers. Found on a second reading; a loop of its own notes it every 100 ms now.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -100,7 +100,6 @@
             node.ownership_doubted_at.set(now);
         }
         node.last_duty_check.set(now);
-        node.store.note_running(now);
         check_duties(&node, now);
         let _ = timeout(CHECK_INTERVAL, node.changed.notified()).await;
     }
--- a/crates/entry/src/outage.rs
+++ b/crates/entry/src/outage.rs
@@ -151,7 +151,8 @@
         is_failing || self.pending.values().any(waits)
     }
 
-    /// Returns the time since the last response, without that for which the process was frozen, and the number of calls failed since.
+    /// Returns the time since the last response, without that for which the process was frozen, and
+    /// the number of calls failed since.
     pub fn evidence(&self, now: Time) -> (Duration, u32) {
         (self.awake(now) - self.last_response, self.failures)
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -106,6 +106,8 @@
     node.store.set_relay(relay::relay(&node));
     let prober = node.clone();
     spawn_local(async move { prober.store.probe().await });
+    let running = node.clone();
+    spawn_local(async move { running.store.note_running().await });
     spawn_local(follow::operators(node.clone()));
     spawn_local(follow::entries(node.clone()));
     spawn_local(follow::workers(node.clone()));
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -91,11 +91,6 @@
         self.outage.borrow().is_down(clock::now())
     }
 
-    /// Records that this process runs; see [`Outage::note_running`].
-    pub fn note_running(&self, now: Time) {
-        self.outage.borrow_mut().note_running(now);
-    }
-
     /// Returns whether the store answers, which is only asked if something failed since its last
     /// response.
     pub async fn is_answering(&self) -> bool {
--- a/crates/entry/src/store/routing.rs
+++ b/crates/entry/src/store/routing.rs
@@ -17,6 +17,8 @@
 pub(super) const PROBE_KEY: &str = "entry/probe";
 /// How long a rejected VM uses its peers before it tries directly again.
 const DIRECT_RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// How often it is noted that this process runs.
+const RUNNING_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Store {
     /// Probes the store while it is down or rejects this VM, so that its return is noticed by one
@@ -36,6 +38,14 @@
         }
     }
 
+    /// Notes continually that this process runs, so that its freezes don't count as outages.
+    pub async fn note_running(&self) {
+        loop {
+            self.outage.borrow_mut().note_running(clock::now());
+            tokio::time::sleep(RUNNING_INTERVAL).await;
+        }
+    }
+
     /// Makes a call for a peer: once, and only directly.
     pub async fn relayed(&self, call: &Call, within: Duration) -> Result<(u16, Bytes), CallError> {
         self.call_once(call, "relayed", within).await
