Log by which proof a task is started again, and what became of its start orders

The log named the events that return a task to the waiting ones (`start refused`, `task vanished`, `task lost`, `worker gone`), and no line said which of them allowed the next start, or whether another copy of a refused start had been sent.

Each way to end a run in the pool now names a `Proof`: an exit, a refused start, a run that is listed no more, a confirmed stop, another instance, a reused address, a restart, a moved VM, no VM, the end of the lease, or a takeover with nothing unseen. It is kept with the task until its next start and logged there as `task restarted`, with the former run and worker, how old the proof is, and how many start orders of the former run were sent and answered. The starts are also counted by proof. Orders that are returned unsent have an answer of their own (`Unsent`), handled as the refusal of an unhealthy worker was.

No decision is changed.

--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -103,6 +103,9 @@
         let notes = self.pool.borrow_mut().take_notes();
         for note in notes {
             self.node.metrics.event(note.event);
+            if let Some(proof) = note.proof {
+                self.node.metrics.event(proof.event());
+            }
             *self.events.borrow_mut().entry(note.event).or_default() += 1;
             let task = note.task.map(wire::format_task);
             if let Some(wait) = &note.wait {
@@ -258,7 +261,7 @@
         let starts = self.lanes.borrow_mut().take_waiting_starts(key);
         let mut pool = self.pool.borrow_mut();
         for start in starts {
-            pool.handle_order_answer(clock::now(), &start, &Answer::Unhealthy);
+            pool.handle_order_answer(clock::now(), &start, &Answer::Unsent);
         }
     }
 
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -30,6 +30,7 @@
 mod preempt;
 mod pressure;
 mod progress;
+pub mod proof;
 mod ranking;
 mod relocate;
 mod reserve;
@@ -79,6 +80,7 @@
 use entry::Entry;
 use owed::Meter;
 use plan::Gate;
+use proof::Proof;
 use ranking::Ranking;
 use share::Shares;
 use symbol::Symbols;
@@ -284,6 +286,8 @@
     pub why: String,
     /// The wait that it is about, if any.
     pub wait: Option<wait::Wait>,
+    /// What proves that the former run of a task that is started again is over.
+    pub proof: Option<Proof>,
 }
 
 impl Pool {
@@ -404,7 +408,7 @@
         why: String,
     ) {
         let worker = worker.and_then(|key| self.workers.get(key)).map(|worker| worker.id.clone());
-        self.notes.push(Note { event, task, worker, why, wait: None });
+        self.notes.push(Note { event, task, worker, why, wait: None, proof: None });
     }
 
     fn entry(&self, id: JobId) -> Option<&Entry> {
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -8,6 +8,7 @@
 use corianderfork_model::Time;
 
 use super::advice::StepAdvice;
+use super::proof::FormerRun;
 use super::ranking::Position;
 use crate::id::JobId;
 use crate::job::{Job, Step};
@@ -128,6 +129,8 @@
     pub stopped: Vec<u64>,
     /// The earliest time of the next start.
     pub not_before: Time,
+    /// The last run that this owner knew of, while the task waits for the next one.
+    pub former_run: Option<Box<FormerRun>>,
 }
 
 /// A start of a task that is suspected of a crash.
@@ -157,6 +160,10 @@
     pub is_start_unconfirmed: bool,
     /// The start orders of this run that were sent and whose answers are due.
     pub starts_in_flight: u32,
+    /// The start orders of this run that were sent, for the log.
+    pub starts_sent: u32,
+    /// Those of them that were answered.
+    pub starts_answered: u32,
     pub percent: u32,
     /// When the percentage last changed.
     pub progressed: Time,
@@ -194,6 +201,7 @@
             has_resumed: false,
             stopped: Vec::new(),
             not_before: Time::ZERO,
+            former_run: None,
         };
         let state = |step: &Step| StepState {
             tasks: vec![new_task.clone(); step.count as usize],
@@ -271,10 +279,16 @@
         }
         if matches!(new, TaskState::Done) {
             step.unfinished -= 1;
+            task.former_run = None;
         }
         task.state = new;
     }
 
+    /// Returns a task to the waiting state. Its former run has to be over; see [`super::proof`].
+    pub fn set_waiting(&mut self, name: task::Name) {
+        self.set_task_state(name, TaskState::Waiting);
+    }
+
     /// Returns the time after which an occurrence is late.
     pub fn deadline(&self, occurrence: &Occurrence) -> Time {
         occurrence.begun + self.time_allowed
--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -6,6 +6,7 @@
 
 use super::Pool;
 use super::entry::{Phase, TaskState};
+use super::proof::Proof;
 use crate::record::State;
 use crate::task::{self, Exit, Outcome};
 use crate::worker::{self, Pending, Stray};
@@ -75,8 +76,10 @@
         }
         let placed_at = placement.since;
         let why = format!("{:?} after {} ms", exit.outcome, worker::millis(now - placement.since));
-        entry.set_task_state(exit.task, TaskState::Waiting);
-        if let Some(task) = entry.task_mut(exit.task) {
+        self.end_run(now, key, exit.task, Proof::Exit(exit.outcome), now);
+        if let Some(task) =
+            self.entry_mut(exit.task.job).and_then(|entry| entry.task_mut(exit.task))
+        {
             task.not_before = now;
         }
         self.note("task ended", Some(exit.task), Some(key), why);
@@ -217,7 +220,7 @@
         let Some(entry) = self.entry_mut(name.job) else { return };
         if entry.is_long_running(name) {
             if was_current {
-                self.requeue(name, now + RETRY_DELAY);
+                self.delay_start(name, now + RETRY_DELAY);
             }
             return;
         }
@@ -238,7 +241,7 @@
             self.entry(name.job).map_or(0, |entry| entry.version)
         } else {
             if was_current {
-                self.requeue(name, now + RETRY_DELAY);
+                self.delay_start(name, now + RETRY_DELAY);
             }
             self.mark_dirty(now, name.job, false)
         };
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -236,13 +236,10 @@
         version
     }
 
-    /// Returns a task without a run to the waiting state.
-    pub(super) fn requeue(&mut self, name: task::Name, not_before: Time) {
-        self.note_proven(not_before, name);
-        let Some(entry) = self.entry_mut(name.job) else { return };
-        entry.set_task_state(name, TaskState::Waiting);
-        if let Some(task) = entry.task_mut(name) {
-            // A task that backs off after a crash does so until the end.
+    /// Delays the next start of a task that waits.
+    pub(super) fn delay_start(&mut self, name: task::Name, not_before: Time) {
+        let task = self.entry_mut(name.job).and_then(|entry| entry.task_mut(name));
+        if let Some(task) = task {
             task.not_before = task.not_before.max(not_before);
         }
     }
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -9,6 +9,7 @@
 
 use super::entry::{Phase, TaskState};
 use super::exits::AVOID_TIME;
+use super::proof::Proof;
 use super::{JobKey, Pool};
 use crate::job::Room;
 use crate::task;
@@ -78,6 +79,8 @@
     Refused,
     /// The worker is unhealthy; nothing was done.
     Unhealthy,
+    /// The request was not sent: the worker left earlier ones unanswered.
+    Unsent,
     /// The address belongs to another worker instance now; this one has ended.
     Gone,
     /// No answer arrived: the request may have been carried out, or may still be.
@@ -95,6 +98,7 @@
             && let Some(placement) = self.current_placement(order)
         {
             placement.starts_in_flight += 1;
+            placement.starts_sent += 1;
         }
     }
 
@@ -103,7 +107,7 @@
         match answer {
             Answer::Fenced => return self.set_deposed(order.worker),
             Answer::Gone => {
-                return self.remove_worker(now, order.worker, "another worker instance answers");
+                return self.remove_worker(now, order.worker, Proof::Replaced);
             }
             Answer::Done(clock) => {
                 let max_lease = self.config.max_lease;
@@ -127,6 +131,7 @@
         let Some(placement) = self.current_placement(order) else { return };
         placement.starts_in_flight = placement.starts_in_flight.saturating_sub(1);
         placement.is_start_unconfirmed |= *answer == Answer::Lost;
+        placement.starts_answered += u32::from(!matches!(answer, Answer::Lost | Answer::Unsent));
         if !matches!(placement.phase, Phase::Starting { .. }) {
             return;
         }
@@ -150,21 +155,25 @@
             Answer::Old => placement.phase = Phase::Running { confirmed: now },
             // Another copy of this order may still be carried out. Stopping the run prevents
             // that; only then may the task start elsewhere.
-            Answer::Full | Answer::Ticket | Answer::Refused | Answer::Unhealthy
+            Answer::Full
+            | Answer::Ticket
+            | Answer::Refused
+            | Answer::Unhealthy
+            | Answer::Unsent
                 if placement.has_unsettled_start() =>
             {
                 placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
             }
-            Answer::Full | Answer::Refused => self.undo_start(now, order, NO_ROOM_DELAY),
+            Answer::Full | Answer::Refused => self.undo_start(now, order, answer, NO_ROOM_DELAY),
             Answer::Ticket => {
                 self.discard_ticket(order.task, order.worker);
-                self.undo_start(now, order, Duration::ZERO);
+                self.undo_start(now, order, answer, Duration::ZERO);
             }
             _ => {
                 if let Some(worker) = self.workers.get_mut(order.worker) {
                     worker.avoid_until = now + AVOID_TIME / 5;
                 }
-                self.undo_start(now, order, Duration::ZERO);
+                self.undo_start(now, order, answer, Duration::ZERO);
             }
         }
     }
@@ -182,12 +191,16 @@
     }
 
     /// Undoes a start that was certainly not carried out.
-    fn undo_start(&mut self, now: Time, order: &Order, pause: Duration) {
+    fn undo_start(&mut self, now: Time, order: &Order, answer: &Answer<u64>, pause: Duration) {
+        let Some(placement) = self.current_placement(order) else { return };
+        let why = format!(
+            "run {}: {answer:?}; its starts sent {}, answered {}",
+            order.run, placement.starts_sent, placement.starts_answered
+        );
         if let Some(worker) = self.workers.get_mut(order.worker) {
             worker.release(order.task, order.run);
         }
-        self.requeue(order.task, now + pause);
-        let why = format!("the worker refused run {}", order.run);
+        self.end_run(now, order.worker, order.task, Proof::NotStarted, now + pause);
         self.note("start refused", Some(order.task), Some(order.worker), why);
     }
 
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -258,5 +258,6 @@
         let action = Action::Start { spec, deadline_ms, saved, ticket };
         orders.extend(self.order(key, name, run, action));
         self.note("task ordered", Some(name), Some(key), why);
+        self.note_proof(now, key, name, run);
     }
 }
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -7,6 +7,7 @@
 
 use super::Pool;
 use super::order::Answer;
+use super::proof::Proof;
 
 use crate::task::{Exit, Run};
 use crate::worker::{self, Worker};
@@ -121,7 +122,7 @@
         match answer {
             Answer::Done(report) => self.handle_report(now, sent, key, report),
             Answer::Fenced => self.set_deposed(key),
-            Answer::Gone => self.remove_worker(now, key, "another worker instance answers"),
+            Answer::Gone => self.remove_worker(now, key, Proof::Replaced),
             _ => {
                 worker.unanswered_polls += 1;
                 if worker.unanswered_polls == worker::SILENT_POLLS {
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -11,6 +11,7 @@
 use super::Pool;
 use super::entry::{Phase, Placement};
 use super::poll::Report;
+use super::proof::Proof;
 use crate::task;
 use crate::worker::{self, Allocation, Stray};
 
@@ -90,7 +91,7 @@
                 }
             }
         }
-        self.requeue_tasks(now, key, lost, "its worker has restarted");
+        self.requeue_tasks(now, key, lost, Proof::Restarted);
         if let Some(mut former) = self.workers.remove(key) {
             former.clear_allocations();
         }
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -5,6 +5,7 @@
 use super::Pool;
 use super::entry::{Entry, Phase, Placement, TaskState};
 use super::poll::Report;
+use super::proof::Proof;
 use crate::record::State;
 use crate::task::{self, Run};
 use crate::worker::{self, Allocation, Stray};
@@ -140,7 +141,8 @@
     ) {
         let placement = self.entry(name.job).and_then(|entry| entry.placement(name));
         let current = placement.filter(|placement| placement.worker == key && placement.run == run);
-        let has_ended = match current.map(|placement| placement.phase) {
+        let phase = current.map(|placement| placement.phase);
+        let has_ended = match phase {
             Some(Phase::Starting { .. }) => false,
             Some(Phase::Running { confirmed }) => confirmed < sent,
             Some(Phase::Stopping { confirmed, .. }) => confirmed.is_some_and(|at| at < sent),
@@ -149,19 +151,20 @@
         if !has_ended {
             return;
         }
-        let is_current = current.is_some();
         if let Some(worker) = self.workers.get_mut(key) {
             worker.release(name, run);
             worker.strays.remove(&name);
         }
-        if is_current {
+        if phase.is_some() {
             let why = self.workers.get(key).map_or_else(String::new, |worker| {
                 format!(
                     "run {run} is not listed; exits handled up to {}, acknowledged up to {}",
                     worker.last_exit, worker.acked
                 )
             });
-            self.requeue(name, now);
+            let is_stopped = matches!(phase, Some(Phase::Stopping { .. }));
+            let proof = if is_stopped { Proof::Stopped } else { Proof::Unlisted };
+            self.end_run(now, key, name, proof, now);
             self.note("task vanished", Some(name), Some(key), why);
         }
     }
@@ -192,6 +195,8 @@
             phase,
             is_start_unconfirmed: false,
             starts_in_flight: 0,
+            starts_sent: 0,
+            starts_answered: 0,
             percent: 0,
             progressed: now,
             saved_at: now,
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -147,7 +147,14 @@
 
     fn note_wait(&mut self, event: &'static str, task: task::Name, wait: Wait) {
         let why = wait.reason.event().to_owned();
-        self.notes.push(Note { event, task: Some(task), worker: None, why, wait: Some(wait) });
+        self.notes.push(Note {
+            event,
+            task: Some(task),
+            worker: None,
+            why,
+            wait: Some(wait),
+            proof: None,
+        });
     }
 
     fn current_waits(&self, now: Time) -> Vec<(task::Name, Wait)> {
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -7,6 +7,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
+use super::proof::Proof;
 use crate::task;
 use crate::worker::{self, Location, Registration, Worker};
 
@@ -54,7 +55,7 @@
         let addresses: HashSet<SocketAddr> = entries.iter().map(|entry| entry.address).collect();
         for (key, address) in missing {
             if addresses.contains(&address) {
-                self.remove_worker(now, key, "another worker instance has its address");
+                self.remove_worker(now, key, Proof::AddressReused);
             }
         }
     }
@@ -170,7 +171,7 @@
         // An expected end isn't counted as a crash.
         worker.draining = true;
         if worker.allocations.is_empty() || worker.missing_since.is_some() {
-            self.remove_worker(now, key, "its VM was moved or maintained");
+            self.remove_worker(now, key, Proof::Maintained);
         } else {
             let why = "its VM was moved or maintained, and it has runs".to_owned();
             self.note("worker end unconfirmed", None, Some(key), why);
@@ -233,16 +234,15 @@
     }
 
     fn remove_ended_instance(&mut self, now: Time, key: worker::Key) {
-        const WHY: &str = "silent, and no VM runs it any more";
         let Some(worker) = self.workers.get(key) else { return };
         let runs = worker.allocations.iter().map(|(name, allocation)| (*name, allocation.run));
         let (pending, settled): (Vec<_>, Vec<_>) =
             runs.partition(|(name, run)| self.may_start_late(key, *name, *run));
         if pending.is_empty() {
-            return self.remove_worker(now, key, WHY);
+            return self.remove_worker(now, key, Proof::NoVm);
         }
         let is_end_expected = worker.is_end_expected(now);
-        let why = format!("{WHY}; starts that may still arrive: {}", pending.len());
+        let why = format!("{}; starts that may still arrive: {}", Proof::NoVm, pending.len());
         self.note("worker ended", None, Some(key), why);
         if !is_end_expected {
             self.count_crash(now, key);
@@ -252,12 +252,15 @@
             worker.strays.retain(|_, stray| stray.is_start_pending);
             settled.iter().for_each(|(name, run)| worker.release(*name, *run));
         }
-        self.requeue_tasks(now, key, settled.into_iter().map(|(name, _)| name).collect(), WHY);
+        let settled = settled.into_iter().map(|(name, _)| name).collect();
+        self.requeue_tasks(now, key, settled, Proof::NoVm);
     }
 
     /// Removes a worker that has ended, with all its runs.
-    pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, why: &str) {
-        self.note("worker gone", None, Some(key), why.to_owned());
+    pub(super) fn remove_worker(&mut self, now: Time, key: worker::Key, proof: Proof) {
+        let is_unlisted = self.workers.get(key).is_some_and(|w| w.missing_since.is_some());
+        let listing = if is_unlisted { "not listed" } else { "listed" };
+        self.note("worker gone", None, Some(key), format!("{proof}; {listing}"));
         let Some(worker) = self.workers.get(key) else { return };
         if !worker.is_end_expected(now) {
             self.count_crash(now, key);
@@ -265,7 +268,7 @@
         let Some(worker) = self.workers.get(key) else { return };
         let names = worker.allocations.keys().copied().collect();
         // Must precede the removal: the "task lost" events need the worker's ID.
-        self.requeue_tasks(now, key, names, why);
+        self.requeue_tasks(now, key, names, proof);
         let Some(mut worker) = self.workers.remove(key) else { return };
         worker.clear_allocations();
         if worker.is_inherited && !worker.fenced {
@@ -284,7 +287,7 @@
         now: Time,
         key: worker::Key,
         names: Vec<task::Name>,
-        why: &str,
+        proof: Proof,
     ) {
         for name in names {
             let Some(entry) = self.entry(name.job) else { continue };
@@ -293,8 +296,8 @@
                 continue;
             };
             let elapsed_ms = worker::millis(now - placement.since);
-            let why = format!("run {}, placed for {elapsed_ms} ms: {why}", placement.run);
-            self.requeue(name, now);
+            let why = format!("run {}, placed for {elapsed_ms} ms: {proof}", placement.run);
+            self.end_run(now, key, name, proof, now);
             self.note("task lost", Some(name), Some(key), why);
         }
     }
@@ -308,12 +311,12 @@
         for key in lapsed {
             let Some(worker) = self.workers.get_mut(key) else { continue };
             if worker.missing_since.is_some() {
-                self.remove_worker(now, key, "silent past its lease and not listed");
+                self.remove_worker(now, key, Proof::LeaseEnded);
                 continue;
             }
             let names: Vec<task::Name> = worker.allocations.keys().copied().collect();
             worker.clear_allocations();
-            self.requeue_tasks(now, key, names, "silent past its lease");
+            self.requeue_tasks(now, key, names, Proof::LeaseEnded);
         }
     }
 
