Take a run as never started only once each copy of its start is settled

Cause: an owner sends a start again 1 s after it was ordered. While the first copy waits for its answer, the second may wait behind it, since two orders are in flight to a worker. If another order to that worker gets no answer, the waiting copy is returned as never sent. The pool kept a number of copies in flight, and took one off for each answer, also for that of a copy that had never been added.

A number that is right if two calls come in order is the wrong thing to keep. Each copy has a number of its own now. It counts as on its way from when it is issued, sent or not, until its own fate is known; `Copies` alone gives the proof that a run has not started, and `undo_start` takes that proof. A copy that a caller forgets to report costs time, and never a second run. A copy that was not sent leaves the run as it is; it stopped the run before.

`handle_order_answer_of_a_copy_while_the_first_is_in_flight` covers a copy that is not sent. Its calls of `note_sent` are gone with that method; what it asserts is unchanged. `plan_while_a_copy_is_not_reported` and `handle_order_answer_of_an_unsent_copy` are new.

--- a/crates/entry/src/lanes.rs
+++ b/crates/entry/src/lanes.rs
@@ -16,7 +16,7 @@
 /// processor time.
 ///
 /// ```
-/// use corianderfork_entry::lanes::Lanes;
+/// use corianderfork_entry::lanes::{Lanes, Turn};
 /// # use corianderfork_jobs::{JobId, pool::{Action, Order}, task::Name, worker};
 /// # let order = |index| Order {
 /// #     worker: worker::Key::default(),
@@ -25,12 +25,13 @@
 /// #     fence: 1,
 /// #     task: Name { job: JobId(1), occurrence: 0, step: 0, index },
 /// #     run: u64::from(index),
+/// #     copy: 0,
 /// #     action: Action::Stop,
 /// # };
 /// let mut lanes = Lanes::default();
-/// assert!(lanes.push(order(1)).is_some());
-/// assert!(lanes.push(order(2)).is_some());
-/// assert_eq!(lanes.push(order(3)), None, "two calls are in flight");
+/// assert_eq!(lanes.push(order(1)), Turn::Now(order(1)));
+/// assert_eq!(lanes.push(order(2)), Turn::Now(order(2)));
+/// assert_eq!(lanes.push(order(3)), Turn::Waits, "two calls are in flight");
 /// assert_eq!(lanes.next(worker::Key::default()), Some(order(3)));
 /// assert_eq!(lanes.next(worker::Key::default()), None);
 /// ```
@@ -39,6 +40,17 @@
     workers: HashMap<worker::Key, Lane>,
 }
 
+/// When an order is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// The order is to be sent now.
+    Now(Order),
+    /// It waits for a call to its worker to end.
+    Waits,
+    /// It waits in place of an earlier copy, which is not sent.
+    Replaces(Order),
+}
+
 #[derive(Debug, Default)]
 struct Lane {
     in_flight: usize,
@@ -46,19 +58,21 @@
 }
 
 impl Lanes {
-    /// Adds an order. Returns it if it is to be sent now; else it waits. An order that waits
-    /// already is replaced by its repetition, whose lease ends later.
-    pub fn push(&mut self, order: Order) -> Option<Order> {
+    /// Adds an order. An order that waits already is replaced by its repetition, whose lease ends
+    /// later.
+    pub fn push(&mut self, order: Order) -> Turn {
         let lane = self.workers.entry(order.worker).or_default();
         if lane.in_flight < MAX_IN_FLIGHT {
             lane.in_flight += 1;
-            return Some(order);
+            return Turn::Now(order);
         }
         match lane.waiting.iter_mut().find(|waiting| is_repetition(waiting, &order)) {
-            Some(waiting) => *waiting = order,
-            None => lane.waiting.push_back(order),
+            Some(waiting) => Turn::Replaces(std::mem::replace(waiting, order)),
+            None => {
+                lane.waiting.push_back(order);
+                Turn::Waits
+            }
         }
-        None
     }
 
     /// Ends a call to a worker. Returns the next order to send there, if any waits.
@@ -74,8 +88,8 @@
         next
     }
 
-    /// Removes the starts that wait for a worker that doesn't answer. They have certainly not been
-    /// carried out; their tasks can start elsewhere.
+    /// Removes the starts that wait for a worker that doesn't answer. These copies have certainly not
+    /// been carried out.
     pub fn take_waiting_starts(&mut self, worker: worker::Key) -> Vec<Order> {
         let Some(lane) = self.workers.get_mut(&worker) else { return Vec::new() };
         let is_start = |order: &Order| matches!(order.action, Action::Start { .. });
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -15,6 +15,7 @@
 use super::{Owner, ms};
 use crate::clock;
 use crate::http::{CallError, Connection};
+use crate::lanes::Turn;
 
 /// How long a worker may take to respond, beyond the time that it is asked to wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -71,9 +72,11 @@
                 self.shortage.notify_one();
             }
             for order in orders {
-                let order = self.lanes.borrow_mut().push(order);
-                if let Some(order) = order {
-                    spawn_local(self.clone().send_orders(order));
+                let turn = self.lanes.borrow_mut().push(order);
+                match turn {
+                    Turn::Now(order) => drop(spawn_local(self.clone().send_orders(order))),
+                    Turn::Replaces(former) => self.pool.borrow_mut().handle_unsent(&former),
+                    Turn::Waits => {}
                 }
             }
         }
@@ -242,7 +245,9 @@
         let key = first.worker;
         let mut next = Some(first);
         while let Some(order) = next {
-            if self.may_send(&order) && self.send(&order).await == Answer::Lost {
+            if !self.may_send(&order) {
+                self.pool.borrow_mut().handle_unsent(&order);
+            } else if self.send(&order).await == Answer::Lost {
                 self.return_waiting_starts(key);
             }
             next = self.lanes.borrow_mut().next(key);
@@ -256,7 +261,7 @@
         !has_ended && self.node.may_order() && self.pool.borrow().is_needed(order)
     }
 
-    /// Returns the starts that wait for a worker that doesn't answer: nothing was sent.
+    /// Returns the starts that wait for a worker that doesn't answer: these copies were not sent.
     fn return_waiting_starts(&self, key: worker::Key) {
         let starts = self.lanes.borrow_mut().take_waiting_starts(key);
         let mut pool = self.pool.borrow_mut();
@@ -268,7 +273,6 @@
     async fn send(&self, order: &Order) -> Answer<u64> {
         let call = wire::order(order);
         let started = clock::now();
-        self.pool.borrow_mut().note_sent(order);
         let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
         self.count("order", started, answer.is_ok());
         let answer = match answer {
--- a/crates/entry/tests/lanes.rs
+++ b/crates/entry/tests/lanes.rs
@@ -1,7 +1,7 @@
 //! Orders to workers that wait for a call.
 #![allow(clippy::expect_used)]
 
-use corianderfork_entry::lanes::Lanes;
+use corianderfork_entry::lanes::{Lanes, Turn};
 use corianderfork_jobs::JobId;
 use corianderfork_jobs::pool::{Action, Order};
 use corianderfork_jobs::task::Name;
@@ -15,6 +15,7 @@
         fence: 1,
         task: Name { job: JobId(1), occurrence: 0, step: 0, index },
         run: u64::from(index),
+        copy: 0,
         action,
     }
 }
@@ -27,10 +28,10 @@
 /// Returns lanes with two orders in flight and the starts 3 and 4 waiting.
 fn busy() -> Lanes {
     let mut lanes = Lanes::default();
-    assert!(lanes.push(start(1, 10)).is_some());
-    assert!(lanes.push(start(2, 10)).is_some());
-    assert_eq!(lanes.push(start(3, 10)), None);
-    assert_eq!(lanes.push(start(4, 10)), None);
+    assert_eq!(lanes.push(start(1, 10)), Turn::Now(start(1, 10)));
+    assert_eq!(lanes.push(start(2, 10)), Turn::Now(start(2, 10)));
+    assert_eq!(lanes.push(start(3, 10)), Turn::Waits);
+    assert_eq!(lanes.push(start(4, 10)), Turn::Waits);
     lanes
 }
 
@@ -42,14 +43,15 @@
     assert_eq!(lanes.next(Key::default()), Some(start(3, 10)));
     assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
     assert_eq!(lanes.next(Key::default()), None);
-    assert!(lanes.push(start(5, 10)).is_some(), "one call has ended");
+    assert_eq!(lanes.push(start(5, 10)), Turn::Now(start(5, 10)), "one call has ended");
 }
 
-// Guards against a start that is sent twice, first with a lease that has ended meanwhile.
+// Guards against a start that is sent twice, first with a lease that has ended meanwhile, and against
+// a copy that counts as on its way for good: the replaced one is reported.
 #[test]
 fn push_of_a_repetition_replaces_the_waiting_order() {
     let mut lanes = busy();
-    assert_eq!(lanes.push(start(3, 99)), None);
+    assert_eq!(lanes.push(start(3, 99)), Turn::Replaces(start(3, 10)));
     assert_eq!(lanes.next(Key::default()), Some(start(3, 99)));
     assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
     assert_eq!(lanes.next(Key::default()), None);
@@ -59,7 +61,7 @@
 #[test]
 fn push_of_a_stop_keeps_the_start() {
     let mut lanes = busy();
-    assert_eq!(lanes.push(order(3, Action::Stop)), None);
+    assert_eq!(lanes.push(order(3, Action::Stop)), Turn::Waits);
     assert_eq!(lanes.next(Key::default()), Some(start(3, 10)));
     assert_eq!(lanes.next(Key::default()), Some(start(4, 10)));
     assert_eq!(lanes.next(Key::default()), Some(order(3, Action::Stop)));
@@ -69,7 +71,7 @@
 #[test]
 fn take_waiting_starts_leaves_stops() {
     let mut lanes = busy();
-    assert_eq!(lanes.push(order(7, Action::Stop)), None);
+    assert_eq!(lanes.push(order(7, Action::Stop)), Turn::Waits);
     assert_eq!(lanes.take_waiting_starts(Key::default()), [start(3, 10), start(4, 10)]);
     assert_eq!(lanes.next(Key::default()), Some(order(7, Action::Stop)));
     assert!(lanes.take_waiting_starts(Key::default()).is_empty());
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod batch;
 mod choose;
+mod copies;
 mod crash;
 mod departed;
 mod destination;
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -8,6 +8,7 @@
 use corianderfork_model::Time;
 
 use super::advice::StepAdvice;
+use super::copies::Copies;
 use super::proof::FormerRun;
 use super::ranking::Position;
 use crate::id::JobId;
@@ -156,14 +157,8 @@
     pub run: u64,
     pub since: Time,
     pub phase: Phase,
-    /// Whether a start order of this run got no answer.
-    pub is_start_unconfirmed: bool,
-    /// The start orders of this run that were sent and whose answers are due.
-    pub starts_in_flight: u32,
-    /// The start orders of this run that were sent, for the log.
-    pub starts_sent: u32,
-    /// Those of them that were answered.
-    pub starts_answered: u32,
+    /// The copies of its start order that this owner issued.
+    pub copies: Copies,
     pub percent: u32,
     /// When the percentage last changed.
     pub progressed: Time,
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -36,6 +36,8 @@
     pub task: task::Name,
     /// The number of the run.
     pub run: u64,
+    /// The number of this copy of a start, from 1; 0 for other actions.
+    pub copy: u32,
     /// The requested action.
     pub action: Action,
 }
@@ -88,17 +90,15 @@
 }
 
 impl Pool {
-    /// Records that an order is being sent. Its answer has to be handled by
-    /// [`Pool::handle_order_answer`], which is all that is needed for an order that isn't sent.
+    /// Records that a copy of a start was not sent. A later plan sends another one if the start is
+    /// still needed.
     ///
-    /// A start may be sent again before the answer to its first copy is due. As long as that copy is
-    /// in flight, the refusal of another one doesn't mean that the task hasn't started.
-    pub fn note_sent(&mut self, order: &Order) {
-        if matches!(order.action, Action::Start { .. })
-            && let Some(placement) = self.current_placement(order)
-        {
-            placement.starts_in_flight += 1;
-            placement.starts_sent += 1;
+    /// Each start that [`Pool::plan`] returns has to be reported here or to
+    /// [`Pool::handle_order_answer`]. One that isn't counts as on its way, so that its task waits
+    /// longer than it has to, and never starts elsewhere too soon.
+    pub fn handle_unsent(&mut self, order: &Order) {
+        if let Some(placement) = self.current_placement(order) {
+            placement.copies.settle(order.copy);
         }
     }
 
@@ -129,9 +129,10 @@
 
     fn handle_start_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
         let Some(placement) = self.current_placement(order) else { return };
-        placement.starts_in_flight = placement.starts_in_flight.saturating_sub(1);
-        placement.is_start_unconfirmed |= *answer == Answer::Lost;
-        placement.starts_answered += u32::from(!matches!(answer, Answer::Lost | Answer::Unsent));
+        match answer {
+            Answer::Lost => placement.copies.lose(order.copy),
+            _ => placement.copies.settle(order.copy),
+        }
         if !matches!(placement.phase, Phase::Starting { .. }) {
             return;
         }
@@ -148,33 +149,20 @@
             // worker again until an answer or a poll settles it, or the lease ends.
             Answer::Lost | Answer::Late => {
                 placement.phase = Phase::Starting { retry_at: now + RESEND_DELAY };
-                placement.is_start_unconfirmed = true;
             }
             // The run has started and ended; the next poll lists its outcome. If it counted as
             // never started, a task that is done would run again.
             Answer::Old => placement.phase = Phase::Running { confirmed: now },
-            // Another copy of this order may still be carried out. Stopping the run prevents
-            // that; only then may the task start elsewhere.
-            Answer::Full
-            | Answer::Ticket
-            | Answer::Refused
-            | Answer::Unhealthy
-            | Answer::Unsent
-                if placement.has_unsettled_start() =>
-            {
-                placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
-            }
-            Answer::Full | Answer::Refused => self.undo_start(now, order, answer, NO_ROOM_DELAY),
-            Answer::Ticket => {
-                self.discard_ticket(order.task, order.worker);
-                self.undo_start(now, order, answer, Duration::ZERO);
-            }
-            _ => {
-                if let Some(worker) = self.workers.get_mut(order.worker) {
-                    worker.avoid_until = now + AVOID_TIME / 5;
+            _ => match placement.copies.not_started() {
+                Some(proof) => self.undo_start(now, order, answer, proof),
+                // The copy on its way may start the run, and this one changes nothing about it.
+                None if *answer == Answer::Unsent => {
+                    placement.phase = Phase::Starting { retry_at: now + RESEND_DELAY };
                 }
-                self.undo_start(now, order, answer, Duration::ZERO);
-            }
+                // A worker that refuses one copy may have started the run on another. Stopping it
+                // settles that; only then may the task start elsewhere.
+                None => placement.phase = Phase::Stopping { retry_at: now, confirmed: None },
+            },
         }
     }
 
@@ -190,20 +178,29 @@
         !is_start || is_starting
     }
 
-    /// Undoes a start that was certainly not carried out.
-    fn undo_start(&mut self, now: Time, order: &Order, answer: &Answer<u64>, pause: Duration) {
+    /// Undoes a start that was certainly not carried out, as `proof` says.
+    fn undo_start(&mut self, now: Time, order: &Order, answer: &Answer<u64>, proof: Proof) {
         let Some(placement) = self.current_placement(order) else { return };
-        let why = format!(
-            "run {}: {answer:?}; its starts sent {}, answered {}",
-            order.run, placement.starts_sent, placement.starts_answered
-        );
+        let why = format!("run {}: {answer:?}; {}", order.run, placement.copies);
+        let mut pause = Duration::ZERO;
+        match answer {
+            Answer::Full | Answer::Refused => pause = NO_ROOM_DELAY,
+            Answer::Ticket => self.discard_ticket(order.task, order.worker),
+            _ => self.avoid_worker(order.worker, now + AVOID_TIME / 5),
+        }
         if let Some(worker) = self.workers.get_mut(order.worker) {
             worker.release(order.task, order.run);
         }
-        self.end_run(now, order.worker, order.task, Proof::NotStarted, now + pause);
+        self.end_run(now, order.worker, order.task, proof, now + pause);
         self.note("start refused", Some(order.task), Some(order.worker), why);
     }
 
+    fn avoid_worker(&mut self, key: worker::Key, until: Time) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.avoid_until = until;
+        }
+    }
+
     fn handle_stop_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
         if let Some(placement) = self.current_placement(order)
             && let Phase::Stopping { retry_at, confirmed } = &mut placement.phase
@@ -251,10 +248,24 @@
             fence,
             task,
             run,
+            copy: 0,
             action,
         })
     }
 
+    /// Issues a copy of the start order of a placed run.
+    pub(super) fn start_order(
+        &mut self,
+        key: worker::Key,
+        task: task::Name,
+        run: u64,
+        action: Action,
+    ) -> Option<Order> {
+        let order = self.order(key, task, run, action)?;
+        let copy = self.entry_mut(task.job)?.placement_mut(task)?.copies.issue();
+        Some(Order { copy, ..order })
+    }
+
     /// Sends unanswered starts and outstanding stops.
     pub(super) fn resend_orders(
         &mut self,
@@ -316,6 +327,6 @@
         let Some(deadline_ms) = worker.grant(now, lease) else { return };
         let ticket = self.ticket(name, key);
         let action = Action::Start { spec, deadline_ms, saved, ticket };
-        orders.extend(self.order(key, name, run, action));
+        orders.extend(self.start_order(key, name, run, action));
     }
 }
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -256,7 +256,7 @@
         self.track_suspect(now, name, key, run);
         let ticket = self.ticket(name, key);
         let action = Action::Start { spec, deadline_ms, saved, ticket };
-        orders.extend(self.order(key, name, run, action));
+        orders.extend(self.start_order(key, name, run, action));
         self.note("task ordered", Some(name), Some(key), why);
         self.note_proof(now, key, name, run);
     }
--- a/crates/jobs/src/pool/proof.rs
+++ b/crates/jobs/src/pool/proof.rs
@@ -8,6 +8,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
+use super::copies::Copies;
 use crate::task::{self, Outcome};
 use crate::worker;
 
@@ -16,7 +17,7 @@
 pub enum Proof {
     /// Its worker listed its end.
     Exit(Outcome),
-    /// Its start was refused, or not sent.
+    /// Each copy of its start was refused, or not sent.
     NotStarted,
     /// Its worker confirmed it and lists it no more.
     Unlisted,
@@ -89,9 +90,7 @@
     worker: String,
     proof: Proof,
     proven: Time,
-    /// The start orders that were sent, and how many of them were answered.
-    starts_sent: u32,
-    starts_answered: u32,
+    copies: Copies,
 }
 
 impl Pool {
@@ -113,8 +112,7 @@
             worker,
             proof,
             proven: now,
-            starts_sent: placement.starts_sent,
-            starts_answered: placement.starts_answered,
+            copies: placement.copies.clone(),
         });
         entry.set_waiting(name);
         if let Some(task) = entry.task_mut(name) {
@@ -148,13 +146,12 @@
 impl FormerRun {
     fn describe(&self, now: Time, run: u64) -> String {
         format!(
-            "run {run} follows run {} on {}: {}, {} ms ago; its starts sent {}, answered {}",
+            "run {run} follows run {} on {}: {}, {} ms ago; {}",
             self.run,
             self.worker,
             self.proof,
             worker::millis(now - self.proven),
-            self.starts_sent,
-            self.starts_answered
+            self.copies
         )
     }
 }
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -169,7 +169,7 @@
             placement.phase = Phase::Running { confirmed: now };
             self.track_suspect(now, name, next_key, allocation.run);
         } else {
-            placement.is_start_unconfirmed = true;
+            placement.copies.lose_all();
             placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
         }
     }
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -3,6 +3,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
+use super::copies::Copies;
 use super::entry::{Entry, Phase, Placement, TaskState};
 use super::poll::Report;
 use super::proof::Proof;
@@ -193,10 +194,7 @@
             run,
             since: now,
             phase,
-            is_start_unconfirmed: false,
-            starts_in_flight: 0,
-            starts_sent: 0,
-            starts_answered: 0,
+            copies: Copies::default(),
             percent: 0,
             progressed: now,
             saved_at: now,
@@ -208,12 +206,7 @@
 
     /// Returns whether a copy of the start may still be carried out.
     pub(super) fn may_start_late(&self) -> bool {
-        self.has_unsettled_start() || matches!(self.phase, Phase::Starting { .. })
-    }
-
-    /// Returns whether a copy of the start was sent that isn't answered.
-    pub(super) fn has_unsettled_start(&self) -> bool {
-        self.is_start_unconfirmed || self.starts_in_flight > 0
+        self.copies.may_arrive() || matches!(self.phase, Phase::Starting { .. })
     }
 
     /// Updates the progress. Returns whether anything else changed: the run is confirmed, or has
--- a/crates/jobs/tests/proof.rs
+++ b/crates/jobs/tests/proof.rs
@@ -21,13 +21,12 @@
     sim.submit(1, vec![step(1, 1_000)]);
     let order = sim.pool.plan(at(sim.now), 0).remove(0);
     assert!(restarts(&mut sim).is_empty(), "it hasn't run before");
-    sim.pool.note_sent(&order);
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unhealthy);
     let next = sim.pool.plan(at(sim.now), 0);
     assert!(matches!(next[0].action, Action::Start { .. }));
     let [note] = &restarts(&mut sim)[..] else { panic!("not one restart") };
     assert_eq!(note.proof, Some(Proof::NotStarted));
-    assert!(note.why.ends_with("its starts sent 1, answered 1"), "{}", note.why);
+    assert!(note.why.ends_with("1 start orders, 0 on their way"), "{}", note.why);
 }
 
 #[test]
--- a/crates/jobs/tests/resend.rs
+++ b/crates/jobs/tests/resend.rs
@@ -23,15 +23,14 @@
 // returned unsent, while the first one was on its way, and the start counted as never carried out.
 #[test]
 fn handle_order_answer_of_a_copy_while_the_first_is_in_flight() {
-    for answer in [Answer::Unhealthy, Answer::Full, Answer::Refused, Answer::Ticket] {
+    for answer in [Answer::Unsent, Answer::Unhealthy, Answer::Full, Answer::Refused, Answer::Ticket]
+    {
         let mut sim = Simulation::new(2);
         sim.task_ms = 2_000;
         let id = sim.submit(1, vec![step(1, 1_000)]);
         let first = sim.pool.plan(at(sim.now), 0).remove(0);
-        sim.pool.note_sent(&first);
         let second = resent(&mut sim);
         assert_eq!((second.run, &second.id), (first.run, &first.id), "it is sent again");
-        sim.pool.note_sent(&second);
         sim.pool.handle_order_answer(at(sim.now), &second, &answer);
         sim.run_for(300);
         let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
@@ -56,9 +55,8 @@
         let mut sim = Simulation::new(2);
         let id = sim.submit(1, vec![step(1, 1_000)]);
         let mut order = sim.pool.plan(at(sim.now), 0).remove(0);
-        if is_sent {
-            sim.pool.note_sent(&order);
-        } else {
+        if !is_sent {
+            sim.pool.handle_unsent(&order);
             order = resent(&mut sim);
         }
         sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unhealthy);
@@ -68,3 +66,34 @@
         assert_eq!(restarted.task, first_task(id));
     }
 }
+
+// Guards against a task that starts elsewhere since the pool wasn't told what became of a copy: one
+// counts as on its way from when it is issued.
+#[test]
+fn plan_while_a_copy_is_not_reported() {
+    let mut sim = Simulation::new(2);
+    sim.submit(1, vec![step(1, 1_000)]);
+    let first = sim.pool.plan(at(sim.now), 0).remove(0);
+    let second = resent(&mut sim);
+    sim.pool.handle_order_answer(at(sim.now), &second, &Answer::Unhealthy);
+    let next = sim.pool.plan(at(sim.now), 0);
+    assert_eq!(next.len(), 1, "{next:?}");
+    assert_eq!((&next[0].id, &next[0].action), (&first.id, &Action::Stop));
+}
+
+// Guards against a run that is stopped for a copy of its start that was never sent: the copy before
+// may have started it, and its answer tells.
+#[test]
+fn handle_order_answer_of_an_unsent_copy() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 2_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    let first = sim.pool.plan(at(sim.now), 0).remove(0);
+    let second = resent(&mut sim);
+    sim.pool.handle_order_answer(at(sim.now), &second, &Answer::Unsent);
+    assert!(sim.pool.plan(at(sim.now), 0).is_empty());
+    sim.send(&first);
+    sim.run_for(4_000);
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+    assert_eq!(sim.pool.take_notes().iter().filter(|note| note.event == "task ordered").count(), 1);
+}
