Don't take an answer that the protocol doesn't name for a refused start

A worker's answer with another status than the protocol's, such as 500, or a 409 whose reason can't be read, counted as a request rejected as malformed: the run had never started, and its task started elsewhere at once. The reason that can't be read may be `old`, which a run that is done is answered with.

Such an answer is `Unclear` now. The order has been handled, so that a report that is requested afterwards tells whether the run has begun; with another copy on its way the run is stopped first.

--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -85,6 +85,9 @@
     Unsent,
     /// The address belongs to another worker instance now; this one has ended.
     Gone,
+    /// The answer is none that the protocol names: the request may have been carried out, and will
+    /// not be any more.
+    Unclear,
     /// No answer arrived: the request may have been carried out, or may still be.
     Lost,
 }
@@ -153,6 +156,14 @@
             // The run has started and ended; the next poll lists its outcome. If it counted as
             // never started, a task that is done would run again.
             Answer::Old => placement.phase = Phase::Running { confirmed: now },
+            // The next poll tells whether the run has begun.
+            Answer::Unclear if !placement.copies.may_arrive() => {
+                placement.phase = Phase::Running { confirmed: now };
+                self.avoid_worker(order.worker, now + AVOID_TIME / 5);
+            }
+            Answer::Unclear => {
+                placement.phase = Phase::Stopping { retry_at: now, confirmed: None };
+            }
             _ => match placement.copies.not_started() {
                 Some(proof) => self.undo_start(now, order, answer, proof),
                 // The copy on its way may start the run, and this one changes nothing about it.
--- a/crates/jobs/tests/resend.rs
+++ b/crates/jobs/tests/resend.rs
@@ -97,3 +97,28 @@
     assert_eq!(sim.pool.state(id), Some(State::Completed));
     assert_eq!(sim.pool.take_notes().iter().filter(|note| note.event == "task ordered").count(), 1);
 }
+
+// Guards against a task that runs twice, or never: an answer that the protocol doesn't name was taken
+// as proof that the run hadn't begun. Whether it has, the next report tells.
+#[test]
+fn handle_order_answer_that_is_unclear() {
+    for is_carried_out in [true, false] {
+        let mut sim = Simulation::new(2);
+        sim.task_ms = 1_000;
+        let id = sim.submit(1, vec![step(1, 1_000)]);
+        let order = sim.pool.plan(at(sim.now), 0).remove(0);
+        if is_carried_out {
+            let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
+            let (now, task_ms) = (sim.now, sim.task_ms);
+            let worker = sim.workers.get_mut(&order.id).expect("a worker");
+            worker.handle_order(now, &order, room, task_ms);
+        }
+        sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unclear);
+        for _ in 0..40 {
+            let running = sim.workers_running(first_task(id));
+            assert!(running.len() <= 1, "it runs on {running:?}");
+            sim.run_for(100);
+        }
+        assert_eq!(sim.pool.state(id), Some(State::Completed), "carried out: {is_carried_out}");
+    }
+}
