Take only a later entry at a worker's address as proof of its end

A worker whose entry is missing counted as ended as soon as any other entry had its address, and its tasks started elsewhere at once. The other entry may be the older one: that of a worker that ended before, which the store hasn't removed yet, while the entry of the one that has the address now has lapsed. Then the tasks run twice.

The entry has to be newer now than what is known of the worker: its own last entry, or the roster in which a former owner named it. Otherwise the worker's answers decide, as a later worker at its address says so with a 421, or its lease.

`set_workers_with_another_entry_at_the_address` was red before: the worker was removed for an older entry.

--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -33,6 +33,14 @@
     workers_ms: u64,
 }
 
+/// The workers of the pool, as a former owner wrote them.
+#[derive(Default)]
+struct Roster {
+    locations: Vec<Location>,
+    /// The store's revision at which they were written.
+    revision: u64,
+}
+
 impl Owner {
     /// Reads the jobs and the workers of the pool. Returns how long each part took.
     pub(super) async fn load(self: &Rc<Self>) -> LoadTimes {
@@ -69,7 +77,7 @@
     }
 
     /// Reads what is stored of the pool.
-    async fn read(&self) -> Result<(Vec<Location>, Vec<Item>, Vec<Item>), Error> {
+    async fn read(&self) -> Result<(Roster, Vec<Item>, Vec<Item>), Error> {
         let store = &self.node.store;
         let at = clock::now();
         let (roster_key, write_key) =
@@ -83,16 +91,19 @@
             self.load_divisions(),
         );
         divisions?;
-        let locations = roster?.and_then(|item| serde_json::from_slice(&item.value).ok());
+        let roster = roster?.map_or_else(Roster::default, |item| Roster {
+            locations: serde_json::from_slice(&item.value).unwrap_or_default(),
+            revision: item.revision,
+        });
         self.write_revision.set(write?.map_or(0, |item| item.revision));
         let (jobs, revision) = jobs?;
         self.jobs_read.set(Some(Start { revision, at }));
         // Runs last: when a job ends, only its owner moves it from one to the other.
         let (runs, _) = store.range_numbers(&run_prefix).await?;
-        Ok((locations.unwrap_or_default(), jobs, runs))
+        Ok((roster, jobs, runs))
     }
 
-    fn apply_snapshot(&self, roster: Vec<Location>, jobs: &[Item], runs: &[Item]) {
+    fn apply_snapshot(&self, roster: Roster, jobs: &[Item], runs: &[Item]) {
         let now = clock::now();
         let mut progress: BTreeMap<String, Progress> = BTreeMap::new();
         for item in runs {
@@ -104,7 +115,7 @@
             }
         }
         let mut pool = self.pool.borrow_mut();
-        pool.set_roster(roster);
+        pool.set_roster(roster.locations, roster.revision);
         if let Some(config) = self.node.config.borrow().as_ref() {
             pool.set_queues(self.node.queues(config));
             pool.set_organisations(organisations_of(config));
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -78,7 +78,7 @@
     /// let now = Time::from_millis(1);
     /// let mut pool = Pool::new(Config::new(7, now));
     /// let address = ([127, 0, 0, 1], 80).into();
-    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }]);
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }], 1);
     /// let key = pool.workers().next().expect("a worker");
     /// let poll = pool.next_poll(now, key, Connection::New).expect("a poll");
     /// assert_eq!((poll.deadline_ms, poll.acked), (None, 0));
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -1,6 +1,6 @@
 //! Workers that join, leave, fall silent or end.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,12 +49,14 @@
             let is_current = self.by_id.get(&worker.id) == Some(&key);
             if !is_current || !listed.contains(worker.id.as_str()) {
                 worker.missing_since.get_or_insert(now);
-                missing.push((key, worker.address));
+                missing.push((key, worker.address, worker.known_at));
             }
         }
-        let addresses: HashSet<SocketAddr> = entries.iter().map(|entry| entry.address).collect();
-        for (key, address) in missing {
-            if addresses.contains(&address) {
+        let listed: HashMap<SocketAddr, u64> =
+            entries.iter().map(|entry| (entry.address, entry.revision)).collect();
+        for (key, address, known_at) in missing {
+            // An older entry may be that of an earlier worker at the address.
+            if listed.get(&address).is_some_and(|revision| *revision > known_at) {
                 self.remove_worker(now, key, Proof::AddressReused);
             }
         }
@@ -73,6 +75,7 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.rostered = is_rostered;
         worker.missing_since = None;
+        worker.known_at = worker.known_at.max(entry.revision);
         // A new instance may be of another kind and size, and no longer drains.
         if !worker::is_same_start(worker.born_ms, entry.born_ms) {
             return;
@@ -114,13 +117,15 @@
     }
 
     /// Adds the workers of the roster that a predecessor wrote, before any of them is polled.
-    pub fn set_roster(&mut self, locations: Vec<Location>) {
+    /// `revision` is the store's revision at which it was written.
+    pub fn set_roster(&mut self, locations: Vec<Location>, revision: u64) {
         for location in &locations {
             if self.find_worker(location).is_none() {
                 let until = self.config.inherited_until;
                 let key = self.add_worker(location.clone(), until);
                 if let Some(worker) = self.workers.get_mut(key) {
                     worker.is_inherited = true;
+                    worker.known_at = revision;
                 }
             }
         }
@@ -203,7 +208,7 @@
     /// let (now, far) = (Time::from_millis(1), Time::from_millis(15_000));
     /// let mut pool = Pool::new(Config::new(7, far));
     /// let address = ([127, 0, 0, 1], 80).into();
-    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }]);
+    /// pool.set_roster(vec![Location { id: "w".to_owned(), address, born_ms: None }], 1);
     /// let key = pool.workers().next().expect("a worker");
     /// for _ in 0..2 {
     ///     pool.next_poll(now, key, Connection::New);
@@ -229,20 +234,22 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
-            self.remove_ended_instance(now, key);
+            self.remove_ended_instance(now, key, Proof::NoVm);
         }
     }
 
-    fn remove_ended_instance(&mut self, now: Time, key: worker::Key) {
+    /// Removes a worker instance that has ended, as `proof` says. It is kept for starts that may still
+    /// reach the next instance under its ID.
+    fn remove_ended_instance(&mut self, now: Time, key: worker::Key, proof: Proof) {
         let Some(worker) = self.workers.get(key) else { return };
         let runs = worker.allocations.iter().map(|(name, allocation)| (*name, allocation.run));
         let (pending, settled): (Vec<_>, Vec<_>) =
             runs.partition(|(name, run)| self.may_start_late(key, *name, *run));
         if pending.is_empty() {
-            return self.remove_worker(now, key, Proof::NoVm);
+            return self.remove_worker(now, key, proof);
         }
         let is_end_expected = worker.is_end_expected(now);
-        let why = format!("{}; starts that may still arrive: {}", Proof::NoVm, pending.len());
+        let why = format!("{proof}; starts that may still arrive: {}", pending.len());
         self.note("worker ended", None, Some(key), why);
         if !is_end_expected {
             self.count_crash(now, key);
@@ -253,7 +260,7 @@
             settled.iter().for_each(|(name, run)| worker.release(*name, *run));
         }
         let settled = settled.into_iter().map(|(name, _)| name).collect();
-        self.requeue_tasks(now, key, settled, Proof::NoVm);
+        self.requeue_tasks(now, key, settled, proof);
     }
 
     /// Removes a worker that has ended, with all its runs.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -150,6 +150,9 @@
     /// The start of the instance that wrote the entry from which labels, rack, room and drain
     /// are taken.
     pub(crate) registered_born_ms: Option<u64>,
+    /// The store's revision at which it was last known to have its address: that of its entry, or
+    /// before it is listed that of the roster.
+    pub(crate) known_at: u64,
     /// The clock of its last report, in milliseconds.
     pub(crate) reported_clock_ms: u64,
     pub(crate) labels: Vec<String>,
@@ -225,6 +228,7 @@
             address: location.address,
             born_ms: location.born_ms,
             registered_born_ms: None,
+            known_at: 0,
             reported_clock_ms: 0,
             labels: Vec::new(),
             rack: String::new(),
@@ -273,6 +277,7 @@
     pub(crate) fn next_instance(&self, born_ms: Option<u64>) -> Self {
         let mut next = Self {
             born_ms,
+            known_at: self.known_at,
             missing_since: self.missing_since,
             rostered: self.rostered,
             vacate_until: self.vacate_until,
--- a/crates/jobs/tests/attempts.rs
+++ b/crates/jobs/tests/attempts.rs
@@ -80,7 +80,7 @@
         let locations = sim.pool.written_roster();
         sim.pool = owner(FENCE + 50, sim.now);
         sim.pool.set_queues(HashMap::new());
-        sim.pool.set_roster(locations);
+        sim.pool.set_roster(locations, 0);
         sim.connections = common::Connections::default();
         sim.list_and_poll();
         let progress = sim.progress.get(&id).expect("written progress").clone();
--- a/crates/jobs/tests/checkpoint.rs
+++ b/crates/jobs/tests/checkpoint.rs
@@ -49,7 +49,7 @@
 
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
--- a/crates/jobs/tests/common/faults.rs
+++ b/crates/jobs/tests/common/faults.rs
@@ -403,7 +403,7 @@
         } else {
             owner(self.fence, self.now)
         };
-        pool.set_roster(self.roster.clone());
+        pool.set_roster(self.roster.clone(), 0);
         for (id, (record, revision)) in &self.records {
             let progress = self.progress.get(id);
             pool.accept(at(self.now), Duration::ZERO, *id, record, progress, *revision);
--- a/crates/jobs/tests/crash.rs
+++ b/crates/jobs/tests/crash.rs
@@ -112,7 +112,7 @@
         let sim = &mut self.sim;
         let locations = sim.pool.written_roster();
         sim.pool = owner(fence, sim.now);
-        sim.pool.set_roster(locations);
+        sim.pool.set_roster(locations, 0);
         for (id, steps) in &sim.steps {
             let job = Job::new("run".to_owned(), steps.clone()).expect("a job");
             let record = Record {
--- a/crates/jobs/tests/exits.rs
+++ b/crates/jobs/tests/exits.rs
@@ -59,7 +59,7 @@
     let (mut sim, job) = ended_and_unwritten();
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.connections = common::Connections::default();
     sim.list_and_poll();
     let lasting = Job::new("run".to_owned(), vec![small_step()]).expect("a job");
--- a/crates/jobs/tests/limit.rs
+++ b/crates/jobs/tests/limit.rs
@@ -157,7 +157,7 @@
     sim.pool = owner(FENCE + 50, sim.now);
     sim.pool.set_organisations(&[club(8_000)]);
     sim.pool.set_part(CLUB, WHOLE);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     submit_at(&mut sim, 1, Some(CLUB), vec![step(6, 1_000)], FENCE + 1);
     sim.list_and_poll();
     submit_at(&mut sim, 2, Some(CLUB), vec![step(8, 1_000)], FENCE + 1_000);
@@ -202,7 +202,7 @@
     sim.pool = owner(FENCE + 50, sim.now);
     sim.pool.set_organisations(&[club(8_000)]);
     sim.pool.set_part(CLUB, WHOLE);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     submit_at(&mut sim, 1, Some(CLUB), vec![step(6, 1_000)], FENCE + 1);
     sim.list_and_poll();
     assert!(sim.pool.demand(at(sim.now), CLUB).used >= WHOLE * 6 / 8);
--- a/crates/jobs/tests/long_running.rs
+++ b/crates/jobs/tests/long_running.rs
@@ -82,7 +82,7 @@
     sim.run_for(1_000);
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
--- a/crates/jobs/tests/pool.rs
+++ b/crates/jobs/tests/pool.rs
@@ -192,7 +192,7 @@
     let progress = batch.updates[0].progress.clone();
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     let record = Record {
         queue: "q".to_owned(),
         accepted_ms: 0,
--- a/crates/jobs/tests/preempt.rs
+++ b/crates/jobs/tests/preempt.rs
@@ -296,7 +296,7 @@
     let roster = sim.pool.written_roster();
     sim.pool = contended_owner(FENCE + 100, sim.now, settings(true));
     sim.connections = common::Connections::default();
-    sim.pool.set_roster(roster);
+    sim.pool.set_roster(roster, 0);
     for (job, queue) in [(low, "low"), (urgent, "q")] {
         let job_of = Job::new("run".to_owned(), sim.steps[&job].clone()).expect("a job");
         let queue = queue.to_owned();
--- a/crates/jobs/tests/relocate.rs
+++ b/crates/jobs/tests/relocate.rs
@@ -308,7 +308,7 @@
     let roster = sim.pool.written_roster();
     sim.pool = contended_owner(fence, sim.now, settings(true));
     sim.connections = common::Connections::default();
-    sim.pool.set_roster(roster);
+    sim.pool.set_roster(roster, 0);
     for (job, steps) in jobs {
         let (record, progress) = (record(steps.clone()), sim.progress.get(job));
         sim.pool.accept(at(sim.now), Duration::ZERO, *job, &record, progress, FENCE);
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -132,6 +132,33 @@
     }
 }
 
+// Guards against a task that runs on two workers: its worker was cut off from the store, and an
+// entry that was written at its address before it started was taken for that of a later worker.
+#[test]
+fn set_workers_with_another_entry_at_the_address() {
+    for is_later in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.task_ms = 2_500;
+        let id = sim.submit(1, vec![step(1, 1_000)]);
+        sim.run_for(300);
+        let place = sim.workers_running(first_task(id))[0].to_owned();
+        let at_address = sim.registrations.iter_mut().find(|entry| entry.id == place);
+        let entry = at_address.expect("an entry");
+        entry.id = "other".to_owned();
+        let mut other = common::Worker::default();
+        other.silent = true;
+        sim.workers.insert(entry.id.clone(), other);
+        entry.revision = if is_later { entry.revision + 1 } else { entry.revision - 2 };
+        sim.list_workers();
+        assert_eq!(sim.pool.worker(&place).is_none(), is_later);
+        if !is_later {
+            run_and_check_single(&mut sim, 3_000, first_task(id));
+            assert_eq!(sim.pool.state(id), Some(State::Completed));
+            assert_eq!(started_runs(&sim), 1, "it was started again");
+        }
+    }
+}
+
 // Guards against a task that runs on two workers: its worker had started again under its ID and
 // answered, then a connection broke, and the list still lacked it.
 #[test]
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -32,7 +32,7 @@
     sim.plan();
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.pool.set_workers(at(sim.now), &sim.registrations);
     let record = Record {
         queue: "q".to_owned(),
@@ -63,7 +63,7 @@
     sim.workers.get_mut(&holder).expect("a worker").silent = true;
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.registrations.retain(|entry| entry.id != holder);
     sim.list_and_poll();
     let record = Record {
@@ -94,7 +94,7 @@
     sim.workers.get_mut(&holder).expect("a worker").silent = true;
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.list_and_poll();
     let record = Record {
         queue: "q".to_owned(),
@@ -191,7 +191,7 @@
     let mut sim = Simulation::new(2);
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.pool.set_workers(at(sim.now), &sim.registrations);
     sim.poll(sim.key("w0"));
     sim.submit(1, vec![step(1, 1_000)]);
@@ -229,7 +229,7 @@
     let grants_end = at(sim.now + 60_000);
     sim.pool = Pool::new(Config::new(FENCE + 50, grants_end));
     sim.pool.set_queues(common::queues());
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.list_and_poll();
     let record = Record {
         queue: "q".to_owned(),
--- a/crates/jobs/tests/unloaded_owner.rs
+++ b/crates/jobs/tests/unloaded_owner.rs
@@ -31,7 +31,7 @@
 
     let grants = owner(FENCE + 1, sim.now).granted_leases(at(sim.now));
     let mut third = owner(FENCE + 2, sim.now);
-    third.set_roster(locations);
+    third.set_roster(locations, 0);
     if let Some(grants) = grants {
         third.set_inherited_leases(at(sim.now), &grants);
     }
--- a/crates/jobs/tests/unrelated_crash.rs
+++ b/crates/jobs/tests/unrelated_crash.rs
@@ -63,7 +63,7 @@
     run(&mut sim, 1_000);
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     let job_steps = sim.steps[&job].clone();
     let record = Record {
         queue: "q".to_owned(),
@@ -128,7 +128,7 @@
     let locations = sim.pool.written_roster();
     sim.steps.insert(job, record.job.steps.clone());
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.pool.accept(at(sim.now), Duration::ZERO, job, &record, Some(&progress), FENCE + 1);
     (sim, job)
 }
--- a/crates/jobs/tests/wait.rs
+++ b/crates/jobs/tests/wait.rs
@@ -25,7 +25,7 @@
     sim.workers.get_mut(&holder).expect("a worker").silent = true;
     let locations = sim.pool.written_roster();
     sim.pool = owner(FENCE + 50, sim.now);
-    sim.pool.set_roster(locations);
+    sim.pool.set_roster(locations, 0);
     sim.registrations.retain(|entry| entry.id != holder);
     sim.list_and_poll();
     let job_of_one = Job::new("lasts".to_owned(), vec![lasting()]).expect("a job");
