Keep starts that may reach the next instance of a maintained worker

A worker whose VM was moved or maintained was removed with all its runs, also those with a copy of their start on its way. After maintenance a worker may start again under its ID and address, carry the copy out, and run a task that was started elsewhere meanwhile. Workers that no VM runs any more were handled rightly: such runs wait until the next instance confirms a stop, or the lease ends. Maintained ones are handled so too now.

`remove_gone_worker_while_a_start_may_reach_the_next_instance` was red before: the task ran on w0 and w1 1.4 s after the start.

--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -176,7 +176,7 @@
         // An expected end isn't counted as a crash.
         worker.draining = true;
         if worker.allocations.is_empty() || worker.missing_since.is_some() {
-            self.remove_worker(now, key, Proof::Maintained);
+            self.remove_ended_instance(now, key, Proof::Maintained);
         } else {
             let why = "its VM was moved or maintained, and it has runs".to_owned();
             self.note("worker end unconfirmed", None, Some(key), why);
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -132,6 +132,29 @@
     }
 }
 
+// Guards against the same where the VM of the worker was maintained.
+#[test]
+fn remove_gone_worker_while_a_start_may_reach_the_next_instance() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    let id = sim.submit(1, vec![step(1, 1_000)]);
+    let orders = sim.pool.plan(at(sim.now), 0);
+    let place = orders[0].id.clone();
+    sim.pool.handle_order_answer(at(sim.now), &orders[0], &Answer::Lost);
+    let all = sim.registrations.clone();
+    sim.registrations.retain(|entry| entry.id != place);
+    sim.workers.get_mut(&place).expect("a worker").silent = true;
+    sim.list_workers();
+    sim.pool.remove_gone_worker(at(sim.now), &place);
+    sim.run_for(300);
+    sim.registrations = all;
+    restart(&mut sim, &place);
+    carry_out_unanswered(&mut sim, &orders[0]);
+    sim.list_and_poll();
+    run_and_check_single(&mut sim, 12_000, first_task(id));
+    assert_eq!(sim.pool.state(id), Some(State::Completed));
+}
+
 // Guards against a task that runs on two workers: its worker was cut off from the store, and an
 // entry that was written at its address before it started was taken for that of a later worker.
 #[test]
