Release a run only by a report that was requested after it was known

A run whose task is done elsewhere was released by the next report that doesn't list it, also by one whose poll had been sent before the run started. The worker's room was given away while the run was on, and no stop was sent: over the room of a worker that doesn't guard it (LIMIT). Such a run is released now only by a report that was requested after it had become one.

`handle_poll_answer_sent_before_the_start_of_a_stray` was red before: 2 runs on a worker that has room for one.

--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -138,7 +138,7 @@
         (placement.worker == key && placement.run == run).then_some(placement)
     }
 
-    fn stray(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Stray> {
+    pub(super) fn stray(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Stray> {
         self.workers.get(key)?.strays.get(&name).filter(|stray| stray.run == run)
     }
 
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -147,7 +147,8 @@
             Some(Phase::Starting { .. }) => false,
             Some(Phase::Running { confirmed }) => confirmed < sent,
             Some(Phase::Stopping { confirmed, .. }) => confirmed.is_some_and(|at| at < sent),
-            None => true,
+            // A report that was requested before the run became a stray may be older than its start.
+            None => self.stray(key, name, run).is_none_or(|stray| stray.since < sent),
         };
         if !has_ended {
             return;
