Tell the writes of an owner from those of a former one of its process

A write carries a token, so that an owner whose answer was lost knows its write again. The token had no fence, and the count in it begins anew with each ownership: a process that owned a pool twice used tokens twice. A write that was refused, as a third process had taken the pool, was taken for carried out if the former owner's last token was the same. Workers were allowed to forget ends that nobody had written, and the next owner started done tasks again.

The fence is part of the token.

--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -44,7 +44,9 @@
         }
         let number = self.last_write_number.get() + 1;
         self.last_write_number.set(number);
-        let token = format!("{}.{}.{number}", self.node.settings.name, self.node.boot);
+        // One process may own the pool several times, each time with another fence.
+        let (name, boot, fence) = (&self.node.settings.name, self.node.boot, self.fence());
+        let token = format!("{name}.{boot}.{fence}.{number}");
         let txn = self.build_txn(&batch, roster.as_ref(), &token);
         let started = clock::now();
         let is_written = self.commit(&txn, &token).await;
