Don't take a record that can't be read for none

A successor read a job's progress that it couldn't parse as no progress, and started tasks that were done; and a roster that it couldn't parse as an empty one, so that it didn't wait for a worker that had lost its entry. Both run tasks twice. A newer version's record during a rolling update, or a damaged one, is enough.

A job with such progress is known and held: nothing is started or written of it, and the log names the record. Without a roster all leases of former owners are waited for before tasks that they may have started.

The orders and progress of waves are read in the same manner by the planner and are not changed.

--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -1,11 +1,12 @@
 //! Loading of the jobs that an owner starts with, and of those accepted later.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use corianderfork_adapter::store::Item;
 use corianderfork_jobs::JobId;
+use corianderfork_jobs::pool::Hold;
 use corianderfork_jobs::record::{Progress, Record};
 use corianderfork_jobs::worker::Location;
 use serde::Serialize;
@@ -34,9 +35,9 @@
 }
 
 /// The workers of the pool, as a former owner wrote them.
-#[derive(Default)]
 struct Roster {
-    locations: Vec<Location>,
+    /// `None` if the record can't be read.
+    locations: Option<Vec<Location>>,
     /// The store's revision at which they were written.
     revision: u64,
 }
@@ -91,9 +92,8 @@
             self.load_divisions(),
         );
         divisions?;
-        let roster = roster?.map_or_else(Roster::default, |item| Roster {
-            locations: serde_json::from_slice(&item.value).unwrap_or_default(),
-            revision: item.revision,
+        let roster = roster?.map_or(Roster { locations: Some(Vec::new()), revision: 0 }, |item| {
+            Roster { locations: serde_json::from_slice(&item.value).ok(), revision: item.revision }
         });
         self.write_revision.set(write?.map_or(0, |item| item.revision));
         let (jobs, revision) = jobs?;
@@ -106,16 +106,24 @@
     fn apply_snapshot(&self, roster: Roster, jobs: &[Item], runs: &[Item]) {
         let now = clock::now();
         let mut progress: BTreeMap<String, Progress> = BTreeMap::new();
+        let mut unreadable: BTreeSet<&str> = BTreeSet::new();
         for item in runs {
             match serde_json::from_slice(&item.value) {
                 Ok(job_progress) => {
                     drop(progress.insert(id_of(&item.key).to_owned(), job_progress))
                 }
-                Err(error) => self.log_unreadable(&item.key, &error.to_string()),
+                Err(error) => {
+                    unreadable.insert(id_of(&item.key));
+                    self.log_unreadable(&item.key, &error.to_string());
+                }
             }
         }
         let mut pool = self.pool.borrow_mut();
-        pool.set_roster(roster.locations, roster.revision);
+        if roster.locations.is_none() {
+            self.log_unreadable(ROSTER_PREFIX, "its workers are unknown");
+            pool.set_unreadable_roster();
+        }
+        pool.set_roster(roster.locations.unwrap_or_default(), roster.revision);
         if let Some(config) = self.node.config.borrow().as_ref() {
             pool.set_queues(self.node.queues(config));
             pool.set_organisations(organisations_of(config));
@@ -125,6 +133,10 @@
         for item in jobs {
             let known = progress.remove(id_of(&item.key));
             self.accept_item(&item.key, &item.value, known.as_ref(), item.revision);
+            let held = id_of(&item.key);
+            if let Some(id) = unreadable.get(held).and_then(|id| id.parse().ok()) {
+                self.pool.borrow_mut().hold(id, Hold::Progress);
+            }
         }
         for (id, job_progress) in progress {
             if let Ok(id) = id.parse() {
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -18,6 +18,7 @@
 mod explain;
 mod gang;
 mod held;
+mod hold;
 mod incoming;
 mod jobs;
 mod load;
@@ -60,6 +61,7 @@
 pub use advice::{Advice, Query};
 pub use batch::{Batch, Update};
 pub use explain::{Explanation, StepExplanation};
+pub use hold::Hold;
 pub use load::Load;
 pub use order::{Action, Answer, Order};
 pub use plan::Effort;
@@ -231,6 +233,10 @@
     dirty: BTreeSet<(Time, JobId)>,
     start_count: u64,
     deposed: bool,
+    /// The jobs that were held since ownership was last confirmed.
+    held_jobs: BTreeSet<JobId>,
+    /// Until when workers that no roster names may run tasks of former owners.
+    unnamed_until: Time,
     /// When this owner first planned evacuations.
     first_planned: Option<Time>,
     written_roster: BTreeSet<worker::Location>,
@@ -321,6 +327,8 @@
             dirty: BTreeSet::new(),
             start_count: 0,
             deposed: false,
+            held_jobs: BTreeSet::new(),
+            unnamed_until: Time::ZERO,
             first_planned: None,
             written_roster: BTreeSet::new(),
             is_roster_outdated: false,
@@ -454,6 +462,7 @@
     /// this owner can't reach, or have ended on one that has more exits than it lists. Until then, tasks that a predecessor may have started are not
     /// started.
     pub fn is_recovering(&self, now: Time) -> bool {
-        self.workers.values().any(|worker| worker.hides_runs(now))
+        let is_hiding = |worker: &Worker| worker.hides_runs(now);
+        self.has_unnamed_workers(now) || self.workers.values().any(is_hiding)
     }
 }
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -9,6 +9,7 @@
 
 use super::advice::StepAdvice;
 use super::copies::Copies;
+use super::hold::Hold;
 use super::proof::FormerRun;
 use super::ranking::Position;
 use crate::id::JobId;
@@ -45,6 +46,8 @@
     pub long_running: bool,
     /// Whether it is within what its organisation is owed.
     pub is_owed: bool,
+    /// Why its tasks may not be started, if they may not.
+    pub hold: Option<Hold>,
     pub state: State,
     /// Store revision at which the job was accepted.
     pub revision: u64,
@@ -405,6 +408,7 @@
         occurrence_count: job.occurrences(),
         long_running: job.is_long_running(),
         is_owed: true,
+        hold: None,
         state: State::Queued,
         revision,
         accepted: Time::ZERO,
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -6,6 +6,7 @@
 use corianderfork_model::Time;
 
 use super::entry::{Entry, Phase, TaskState, new_entry};
+use super::hold::Hold;
 use super::{JobKey, Pool};
 use crate::id::JobId;
 use crate::job::{Job, Step, chain_ms};
@@ -224,6 +225,10 @@
         let Some(entry) = self.entry_mut(id) else { return 0 };
         entry.version += 1;
         let version = entry.version;
+        // Writing it would hide which tasks were done before.
+        if entry.hold == Some(Hold::Progress) {
+            return version;
+        }
         let due = if urgent { Time::ZERO } else { now + super::batch::WRITE_DELAY };
         let before = entry.write_due;
         if before.is_none_or(|before| due < before) {
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -231,7 +231,7 @@
     /// Returns whether tasks of a job may be started: a run that a predecessor may have started
     /// may still be alive where this owner can't see it.
     pub(super) fn is_safe_to_start(&self, is_recovering: bool, entry: &Entry) -> bool {
-        !is_recovering || entry.revision > self.config.fence
+        entry.hold.is_none() && (!is_recovering || entry.revision > self.config.fence)
     }
 
     /// Updates the positions of a job's steps. Returns when they change by themselves.
