Start no job of which an owner learned when it may have been replaced

A successor doesn't wait for workers that it can't reach before it starts jobs that were accepted after it took over: no former owner can have started them. But a former owner may go on: it gives orders while the store doesn't answer it, and right after a freeze until the change of the duty reaches it. An entry VM with an older view, or its own caller, could tell it of a job by then, and both owners started the job's tasks.

An owner now holds a job that it learned of while its lease in the store was not certain or its ownership in doubt, until both are settled. A job that it learned of before is older than any successor, which waits for it. Calm owners hold nothing.

That a daemon in doubt holds a job is by reading: no test brings the doubt about.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -139,6 +139,12 @@
         is_store_silent && since < OUTAGE_GRACE
     }
 
+    /// Whether this daemon's lease in the store certainly holds.
+    pub fn has_lease(&self) -> bool {
+        let now = clock::now();
+        !self.was_frozen(now) && now - self.lease_renewed_at.get() < LEASE_TTL
+    }
+
     /// Whether so much time has passed since the last duty check that the process must have
     /// been frozen.
     pub fn was_frozen(&self, now: Time) -> bool {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -379,6 +379,13 @@
         self.node.is_sure_of(&self.name, self.fence())
     }
 
+    /// Whether no other process can have taken the pool over by now, so that a successor finds what
+    /// this owner knows among the jobs that were accepted before it. An owner goes on without the
+    /// store for a while, and isn't certain then.
+    fn is_certain(&self) -> bool {
+        self.node.has_lease() && (self.is_sure() || !self.loaded.get())
+    }
+
     /// Returns the state of a job. A job whose end is decided but not known to be written
     /// is reported as ending: another entry VM may have read that end in the store and
     /// reported it, and the caller would see a completed job run again.
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -169,9 +169,13 @@
         // The wall clock may have jumped since; a job's age is capped at 30 s.
         let age = age.min(Duration::from_secs(30));
         let now = clock::now();
+        let is_certain = self.is_certain();
         let mut pool = self.pool.borrow_mut();
         if pool.state(id).is_none() {
             pool.accept(now, age, id, record, progress, revision);
+            if !is_certain {
+                pool.hold(id, Hold::Ownership);
+            }
             if self.loaded.get() {
                 pool.count_accepted(id);
             }
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -64,6 +64,9 @@
         }
         self.start_polls();
         self.ask_advice();
+        if self.is_certain() {
+            self.pool.borrow_mut().confirm_ownership();
+        }
         if self.node.may_order() {
             let started = Instant::now();
             let orders = self.pool.borrow_mut().plan(now, clock::wall_ms());
