Test reports that were made before what the pool knows by then

The simulated workers of the pool's tests answer a poll in the instant in which it is requested, so that no test had an outdated report.

`handle_order_answer_that_is_unclear` plans before the first report, as it was green without its mechanism.

--- a/crates/jobs/tests/resend.rs
+++ b/crates/jobs/tests/resend.rs
@@ -114,6 +114,7 @@
             worker.handle_order(now, &order, room, task_ms);
         }
         sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unclear);
+        assert!(sim.pool.plan(at(sim.now), 0).is_empty(), "no report has told whether it runs");
         for _ in 0..40 {
             let running = sim.workers_running(first_task(id));
             assert!(running.len() <= 1, "it runs on {running:?}");
--- a/crates/jobs/tests/restart.rs
+++ b/crates/jobs/tests/restart.rs
@@ -8,6 +8,7 @@
 use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::{Action, Answer, Connection, Order};
 use corianderfork_jobs::record::State;
+use corianderfork_jobs::worker::Location;
 
 /// Returns the number of runs that were started of all tasks of the jobs so far.
 fn started_runs(sim: &Simulation) -> usize {
@@ -182,6 +183,22 @@
     }
 }
 
+// Guards against the same for a worker that only the roster of a former owner names.
+#[test]
+fn set_workers_with_an_entry_older_than_the_roster() {
+    let location = registration("w0", 9_000, "r0");
+    let inherited = Location { id: location.id, address: location.address, born_ms: None };
+    let mut pool = common::owner(common::FENCE, 0);
+    pool.set_roster(vec![inherited], 5);
+    let mut other = registration("other", 9_000, "r0");
+    other.revision = 5;
+    pool.set_workers(at(0), std::slice::from_ref(&other));
+    assert!(pool.worker("w0").is_some(), "the other entry may be older");
+    other.revision = 6;
+    pool.set_workers(at(0), &[other]);
+    assert!(pool.worker("w0").is_none());
+}
+
 // Guards against a task that runs on two workers: its worker had started again under its ID and
 // answered, then a connection broke, and the list still lacked it.
 #[test]
