Find a waiting order by its run instead of comparing all that wait

Cause: each order that has to wait for a worker was compared with all that wait there, and each repetition again. Thousands of starts to one worker took time with their square.

Change: waiting orders are kept by place, and found by task, run and action.

--- a/crates/entry/src/lanes.rs
+++ b/crates/entry/src/lanes.rs
@@ -1,9 +1,10 @@
 //! Order of the calls that carry orders to workers: few at a time to each worker.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
+use std::mem::Discriminant;
 
 use corianderfork_jobs::pool::{Action, Order};
-use corianderfork_jobs::worker;
+use corianderfork_jobs::{task, worker};
 
 /// How many orders to one worker are in flight at once. Each needs a connection of its own, and a
 /// worker that joins a busy pool is sent as many orders at once as it has room for tasks.
@@ -51,10 +52,33 @@
     Replaces(Order),
 }
 
+/// What makes an order a repetition of another one.
+type Identity = (task::Name, u64, Discriminant<Action>);
+
 #[derive(Debug, Default)]
 struct Lane {
     in_flight: usize,
-    waiting: VecDeque<Order>,
+    /// The waiting orders in the order in which they came.
+    waiting: BTreeMap<u64, Order>,
+    /// The places of the waiting orders: a large job has thousands, and each may be repeated.
+    places: HashMap<Identity, u64>,
+    last_place: u64,
+}
+
+impl Lane {
+    /// Adds an order, or puts it in the place of an earlier copy, which it returns.
+    fn wait(&mut self, order: Order) -> Option<Order> {
+        let next = self.last_place + 1;
+        let place = *self.places.entry(identity(&order)).or_insert(next);
+        self.last_place = self.last_place.max(place);
+        self.waiting.insert(place, order)
+    }
+
+    fn pop(&mut self) -> Option<Order> {
+        let (_, order) = self.waiting.pop_first()?;
+        self.places.remove(&identity(&order));
+        Some(order)
+    }
 }
 
 impl Lanes {
@@ -66,19 +90,13 @@
             lane.in_flight += 1;
             return Turn::Now(order);
         }
-        match lane.waiting.iter_mut().find(|waiting| is_repetition(waiting, &order)) {
-            Some(waiting) => Turn::Replaces(std::mem::replace(waiting, order)),
-            None => {
-                lane.waiting.push_back(order);
-                Turn::Waits
-            }
-        }
+        lane.wait(order).map_or(Turn::Waits, Turn::Replaces)
     }
 
     /// Ends a call to a worker. Returns the next order to send there, if any waits.
     pub fn next(&mut self, worker: worker::Key) -> Option<Order> {
         let lane = self.workers.get_mut(&worker)?;
-        let next = lane.waiting.pop_front();
+        let next = lane.pop();
         if next.is_none() {
             lane.in_flight = lane.in_flight.saturating_sub(1);
             if lane.in_flight == 0 {
@@ -92,16 +110,15 @@
     /// been carried out.
     pub fn take_waiting_starts(&mut self, worker: worker::Key) -> Vec<Order> {
         let Some(lane) = self.workers.get_mut(&worker) else { return Vec::new() };
-        let is_start = |order: &Order| matches!(order.action, Action::Start { .. });
-        let (starts, others): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut lane.waiting).into_iter().partition(is_start);
-        lane.waiting = others.into();
+        let is_start = |_: &u64, order: &mut Order| matches!(order.action, Action::Start { .. });
+        let starts: Vec<Order> = lane.waiting.extract_if(.., is_start).map(|(_, o)| o).collect();
+        for start in &starts {
+            lane.places.remove(&identity(start));
+        }
         starts
     }
 }
 
-fn is_repetition(first: &Order, second: &Order) -> bool {
-    let is_same_action =
-        std::mem::discriminant(&first.action) == std::mem::discriminant(&second.action);
-    (first.task, first.run) == (second.task, second.run) && is_same_action
+fn identity(order: &Order) -> Identity {
+    (order.task, order.run, std::mem::discriminant(&order.action))
 }
--- a/crates/entry/tests/lanes.rs
+++ b/crates/entry/tests/lanes.rs
@@ -76,3 +76,22 @@
     assert_eq!(lanes.next(Key::default()), Some(order(7, Action::Stop)));
     assert!(lanes.take_waiting_starts(Key::default()).is_empty());
 }
+
+// Guards against orders whose time grows with the square of those that wait for a worker: the starts
+// of 10,000 tasks, and their repetitions, took the time of leases and polls.
+#[test]
+fn push_of_many_orders_and_their_repetitions() {
+    const ORDERS: u32 = 60_000;
+    let started = std::time::Instant::now();
+    let mut lanes = busy();
+    for index in 5..ORDERS {
+        assert_eq!(lanes.push(start(index, 10)), Turn::Waits);
+    }
+    for index in 5..ORDERS {
+        assert_eq!(lanes.push(start(index, 99)), Turn::Replaces(start(index, 10)));
+    }
+    let starts = lanes.take_waiting_starts(Key::default());
+    assert_eq!(starts.len(), ORDERS as usize - 3);
+    // The square takes over 20 s in a debug build.
+    assert!(started.elapsed() < std::time::Duration::from_secs(5), "{:?}", started.elapsed());
+}
