Look for a worker's runs in a sorted list

Cause: to find the runs that a report doesn't list, each known run was compared with all listed ones, a square of the runs on a worker.

Change: a binary search. No test is red without it.

--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -117,9 +117,9 @@
                 stray.is_start_pending && stray.stop_confirmed.is_none_or(|at| at >= sent)
             })
         };
-        let is_listed = |name: &task::Name, run: u64| {
-            report.running.iter().any(|r| r.task == *name && r.run == run)
-        };
+        let mut listed: Vec<_> = report.running.iter().map(|r| (r.task, r.run)).collect();
+        listed.sort_unstable();
+        let is_listed = |name: &task::Name, run: u64| listed.binary_search(&(*name, run)).is_ok();
         let unlisted: Vec<(task::Name, Allocation)> = worker
             .allocations
             .iter()
