Keep back the longest run for a VM of a wave that isn't chosen yet

Cause: a wave may wait while the time left exceeds its rounds, the time to empty a VM and 6 s. That time is measured on VMs that are chosen because they are empty soon. In the known case the last VM took a run of 7.4 s with 10.25 s left: with its maintenance and two looks that is 0.25 s too long.

Change: the longest predicted time until empty of each look, over all VMs that were asked, is recorded; the largest of the last minute and two looks are kept back where that is more than before. The simulation of the test passes these reports on as the planner does; its bound is unchanged.

--- a/crates/entry/src/planner/cheap.rs
+++ b/crates/entry/src/planner/cheap.rs
@@ -65,6 +65,9 @@
     pub fn begin_tick(&mut self, now: Time, remaining: BTreeSet<String>) {
         self.vacating.retain(|vm, _| remaining.contains(vm));
         self.busy.retain(|_, (at, _)| now - *at <= REPORT_VALIDITY);
+        if let Some(longest) = self.busy.values().map(|(_, busy)| *busy).max() {
+            self.rounds.record_longest(longest);
+        }
         self.remaining = remaining;
         self.reserved_orders = 0;
     }
@@ -251,7 +254,7 @@
                 "left_ms": ms(state.left), "needed_ms": ms(choice.time_needed),
                 "remaining": state.remaining, "away": state.away.len(),
                 "vacate": choice.vacate.len(), "vacating": cheap.vacating.len(),
-                "slot_ms": ms(cheap.rounds.slot()), "emptying_ms": ms(cheap.rounds.emptying()),
+                "slot_ms": ms(cheap.rounds.slot()), "emptying_ms": ms(cheap.rounds.emptying()), "longest_ms": ms(cheap.rounds.longest()),
                 "orders": state.orders, "orders_per_s": state.orders_per_s,
                 "loads_ms_ago": needs_ms, "busy_ms_ago": busy_ms })
         });
--- a/crates/jobs/src/maintenance.rs
+++ b/crates/jobs/src/maintenance.rs
@@ -23,6 +23,8 @@
 const MIN_SAMPLES: usize = 4;
 /// Number of measurements that are kept.
 const MAX_SAMPLES: usize = 64;
+/// Number of looks at the VMs whose longest times until empty are kept: a minute of them.
+const MAX_LOOKS: usize = 240;
 /// The measurements that are exceeded by one in this number are planned with.
 const EXCEEDED_BY_ONE_IN: usize = 20;
 /// How often waves are looked at: a VM that is empty earlier would wait this long for its order.
@@ -36,6 +38,8 @@
 pub struct Rounds {
     slots: VecDeque<Duration>,
     emptying: VecDeque<Duration>,
+    /// The longest predicted time until a VM is empty, at each of the last looks.
+    longest: VecDeque<Duration>,
     /// VMs whose maintenance was ordered, and whether they were seen under it.
     ordered: BTreeMap<String, bool>,
 }
@@ -74,6 +78,29 @@
         push(&mut self.emptying, duration);
     }
 
+    /// Records the longest predicted time until one of the VMs is empty, at one look at them.
+    ///
+    /// VMs are chosen because they are empty soon, so [`Rounds::record_emptying`] doesn't tell how
+    /// long one takes on which the longest run has just started.
+    pub fn record_longest(&mut self, duration: Duration) {
+        if self.longest.len() >= MAX_LOOKS {
+            self.longest.pop_front();
+        }
+        self.longest.push_back(duration);
+    }
+
+    /// Returns how long a VM may take to become empty on which a run starts just before it is
+    /// chosen.
+    pub fn longest(&self) -> Duration {
+        self.longest.iter().max().copied().unwrap_or_default()
+    }
+
+    /// Returns the time kept for a VM that is chosen last, until its maintenance begins.
+    fn tail(&self) -> Duration {
+        // The run starts after one look, and its end is seen at another one.
+        (self.emptying() + RESERVE).max(self.longest() + 2 * INTERVAL)
+    }
+
     /// Returns how long a VM is expected to be away at most.
     pub fn slot(&self) -> Duration {
         upper(&self.slots, EXCEEDED_BY_ONE_IN).unwrap_or(FIRST_SLOT)
@@ -101,7 +128,7 @@
         let ordering = wave.orders as f64 / wave.orders_per_s.max(0.1);
         // An order follows up to an interval after its place became free.
         let maintaining = (self.slot() + INTERVAL).saturating_mul(rounds);
-        maintaining.max(Duration::from_secs_f64(ordering)) + self.emptying() + RESERVE
+        maintaining.max(Duration::from_secs_f64(ordering)) + self.tail()
     }
 }
 
@@ -203,8 +230,7 @@
     places.extend(wave.away.iter().map(|since| rounds.usual_slot().saturating_sub(*since)));
     places.sort_unstable();
     // In the last round a place that is still taken is no reason to empty a VM later.
-    let is_last_round =
-        wave.remaining <= wave.max_concurrent && wave.left < slot + rounds.emptying() + RESERVE;
+    let is_last_round = wave.remaining <= wave.max_concurrent && wave.left < slot + rounds.tail();
     let mut places = places.into_iter();
     let mut is_full = false;
     let mut stocks = stocks.clone();
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -114,6 +114,9 @@
                 is_vacating: emptying.contains_key(vm),
             };
             let candidates: Vec<Candidate> = remaining.iter().map(&mut candidate).collect();
+            if let Some(longest) = candidates.iter().filter_map(|c| c.empty_in).max() {
+                rounds.record_longest(longest);
+            }
             let dispensable = if is_scarce { 0 } else { self.vms };
             let stock = Stock { present: self.vms, dispensable, away: away.len() };
             let wave = Wave {
@@ -277,6 +280,22 @@
     assert!(choose(&Wave { remaining: 20, ..wave.clone() }).is_empty(), "other rounds follow");
 }
 
+#[test]
+fn time_needed_for_a_vm_that_was_not_chosen() {
+    // Guards against a late wave whose last VM takes its longest run just before it is chosen: the
+    // VMs that were emptied had been chosen because they were empty soon.
+    let wave = Wave { remaining: 1, ..urgent(1) };
+    let mut rounds = Rounds::default();
+    (0..8).for_each(|_| rounds.record_slot(ms(2_800)));
+    (0..8).for_each(|_| rounds.record_emptying(ms(250)));
+    let before = rounds.time_needed(&wave);
+    rounds.record_longest(ms(900));
+    assert_eq!(rounds.time_needed(&wave), before, "the reserve covers it");
+    rounds.record_longest(ms(7_400));
+    let looks = 2 * ms(TICK);
+    assert!(rounds.time_needed(&wave) >= ms(7_400) + ms(2_800) + looks);
+}
+
 #[test]
 fn time_needed_while_orders_are_limited() {
     // Guards against a late wave where the fleet service accepts fewer orders a second than the
