Count what waiting steps require, not the steps, in the minimum of a pool

Cause: whenever none of a pool's workers answers, or the only one is full of long-running tasks or refused by advice, each step that has waited for 2.5 s counts as one that no worker may run and asks for a worker of its own. The VMs move in turns.

Change: one worker is asked for by each different requirement (label, room) that no stricter one includes. Room for the work itself is counted as before.

Measured: load_while_no_worker_answers fails before (25 instead of 2). Tests of corianderfork-jobs passed.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -45,6 +45,7 @@
 mod tally;
 mod turn;
 mod unmet;
+mod unrunnable;
 pub(crate) mod usage;
 mod victim;
 pub mod wait;
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -6,9 +6,10 @@
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 
+use super::Pool;
 use super::entry::{Entry, Occurrence, name};
 use super::held::HeldTasks;
-use super::{Pool, advice, evacuate};
+use super::unrunnable::Unrunnable;
 use crate::job::{Room, Step, chain_ms};
 use crate::organisation::Key;
 use crate::work::Work;
@@ -50,13 +51,13 @@
     pub in_time: Option<Room>,
     /// Random variation of `needed` from one second to the next.
     pub noise: Room,
-    /// Number of long-running tasks that have waited for a worker for a while, plus steps that
-    /// no worker of the pool may run. No single worker has what they need, whatever the total
-    /// room.
+    /// Number of long-running tasks that have waited for a worker for a while, plus different
+    /// requirements of steps that no worker of the pool may run. No single worker has what they
+    /// need, whatever the total room.
     pub unfit: u32,
-    /// Number of steps among these that the advice service allows on none of the pool's
-    /// workers. It decides about worker instances, so another instance of the same VM may be
-    /// allowed.
+    /// Number of requirements among these whose steps the advice service allows on none of the
+    /// pool's workers. It decides about worker instances, so another instance of the same VM may
+    /// be allowed.
     #[serde(default)]
     pub refused: u32,
 }
@@ -95,14 +96,14 @@
         }
         let held = self.held_tasks();
         let (mut workload, mut largest) = (Workload::new(&held), Work::default());
+        let mut unrunnable = Unrunnable::default();
         for (key, entry) in self.active.iter().filter_map(|key| Some((*key, self.jobs.get(*key)?)))
         {
             entry.add_waiting(&mut load.waiting, |step| held.count((key, step)));
             let held_in = |step| held.count((key, step));
-            let (unrunnable, refused) = self.unrunnable(now, entry, held_in);
+            unrunnable.add(self, now, entry, held_in);
             let held_count: u32 = entry.positions.iter().map(|p| held_in(p.step())).sum();
-            load.unfit += entry.unplaced_tasks(now).saturating_sub(held_count) + unrunnable;
-            load.refused += refused;
+            load.unfit += entry.unplaced_tasks(now).saturating_sub(held_count);
             if entry.long_running {
                 load.lasting.add(&entry.long_running_room(held_in));
             }
@@ -112,6 +113,8 @@
                 largest = largest.max(&entry.largest_gang(occurrence, held));
             }
         }
+        load.unfit += unrunnable.count();
+        load.refused = unrunnable.refused_count();
         let flow = self.flow.rate_without(now, &workload.held);
         load.noise = self.flow.noise(now).to_room();
         load.needed = workload.needed(&flow).max(&largest).to_room();
@@ -182,44 +185,6 @@
         self.worker(id).is_some_and(|(_, worker)| worker.is_healthy())
     }
 
-    /// Returns the number of steps of a job that none of the pool's workers may run, and how
-    /// many of them only because of advice.
-    ///
-    /// All workers lack a label, are too small, are refused by advice, or have no room beside
-    /// their long-running tasks. Another worker may be able to run the step; without one the
-    /// job would wait forever.
-    fn unrunnable(
-        &self,
-        now: Time,
-        entry: &Entry,
-        held: impl Fn((u32, usize)) -> u32,
-    ) -> (u32, u32) {
-        let (mut unrunnable, mut refused) = (0, 0);
-        let steps = entry.occurrences.iter().flat_map(|(number, occurrence)| {
-            let steps = entry.steps.iter().zip(&occurrence.steps).enumerate();
-            steps.map(|(index, (step, state))| ((*number, index), step, state))
-        });
-        for (step_key, step, state) in steps {
-            let is_blocked =
-                state.waiting_since.is_some_and(|since| now - since > evacuate::BLOCKED_AFTER);
-            if step.long_running || state.waiting <= held(step_key) || !is_blocked {
-                continue;
-            }
-            let could_run = |worker: &Worker| {
-                worker.is_usable_or_surplus(now) && advice::meets_requirements(worker, step)
-            };
-            let can_run = |(key, worker): (worker::Key, &Worker)| {
-                let has_room = worker.room.fits(&self.long_running_room(worker), &step.room());
-                could_run(worker) && !state.advice.is_refused(key) && has_room
-            };
-            if !self.workers.iter().any(can_run) {
-                unrunnable += 1;
-                refused += u32::from(self.workers.values().any(could_run));
-            }
-        }
-        (unrunnable, refused)
-    }
-
     /// Returns the room that long-running tasks use on a worker or have reserved. It doesn't
     /// become free by itself.
     pub(super) fn long_running_room(&self, worker: &Worker) -> Room {
--- a/crates/jobs/tests/feature.rs
+++ b/crates/jobs/tests/feature.rs
@@ -157,6 +157,25 @@
     assert_eq!(sim.pool.load(at(sim.now)).unfit, 1, "one is enough for a step");
 }
 
+// Guards against two pools that take all VMs from each other in turns: whenever none of a pool's
+// workers answered, each waiting job asked for a worker of its own, beyond what its work needs.
+#[test]
+fn load_while_no_worker_answers() {
+    let mut sim = Simulation::new(3);
+    sim.task_ms = 60_000;
+    for id in 1..=40 {
+        sim.submit(id, vec![step(1, 1_000 + id % 3 * 500)]);
+    }
+    sim.submit(41, vec![labelled(1, 500)]);
+    sim.run_for(3_000);
+    assert_eq!(sim.pool.load(at(sim.now)).unfit, 1, "one for the label");
+    sim.workers.values_mut().for_each(|worker| worker.silent = true);
+    sim.run_for(1_500);
+    let load = sim.pool.load(at(sim.now));
+    assert_eq!((load.workers, load.unfit), (0, 2), "one for the label, one for all others");
+    assert!(load.waiting.cpu >= 30_000 && load.needed.cpu > 0, "its work is told: {load:?}");
+}
+
 // Guards against a job that is never completed: the only worker with the label that its second
 // step needs is idle until then, and the pool releases its least busy worker.
 #[test]
