Tell what an owner at its limit spends its time on, and what waits for its writes

usage had no figure that told a full processor from a slow store: cpu_percent follows the wall clock where the process's clock does, and only decisions were timed. It has now the share of time in which the event loop is busy, the time by activity, the ends that wait for their write and since when, and how many ends and state requests are repetitions.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -99,9 +99,9 @@
             match node.store.watch(&prefix, after, WATCH_WAIT).await {
                 Ok(store::Update::Events(events, revision)) => {
                     let has_changes = !events.is_empty();
-                    for event in events {
-                        apply(Update::Change(event));
-                    }
+                    node.effort.measure("watched changes", || {
+                        events.into_iter().for_each(|event| apply(Update::Change(event)));
+                    });
                     after = after.max(revision);
                     apply(Update::KnownUntil(started, after));
                     if has_changes {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod away;
 pub mod division;
 pub mod duty;
+pub mod effort;
 pub mod ended;
 pub mod exchange;
 pub mod job_counters;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,7 @@
     plans: HistogramVec,
     calls: IntGaugeVec,
     call_bytes: IntGaugeVec,
+    effort: IntGaugeVec,
     events: IntCounterVec,
     gauges: IntGaugeVec,
     organisations: IntGaugeVec,
@@ -59,6 +60,11 @@
                 "Bytes of calls since the start, by kind",
                 &["kind", "direction"],
             ),
+            effort: all.gauge(
+                "effort_ms",
+                "Time spent in activities since the start",
+                &["activity"],
+            ),
             events: all.counter("events", "Decisions and beliefs, by kind", &["event"]),
             gauges: all.gauge("state", "What is held", &["what"]),
             organisations: all.gauge(
@@ -105,6 +111,14 @@
         }
     }
 
+    /// Sets the time that activities have taken.
+    pub fn set_effort(&self, totals: &BTreeMap<&'static str, Duration>) {
+        for (activity, total) in totals {
+            let millis = i64::try_from(total.as_millis()).unwrap_or(i64::MAX);
+            self.effort.with_label_values(&[activity]).set(millis);
+        }
+    }
+
     /// Counts an event.
     pub fn event(&self, event: &str) {
         self.events.with_label_values(&[event]).inc();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 use crate::attempts::Attempts;
 use crate::clock;
 use crate::duty::{FormerHolder, Holder, Table};
+use crate::effort::Effort;
 use crate::http::{CallError, Client};
 use crate::metrics::Metrics;
 use crate::owner::{Owner, ms};
@@ -67,6 +68,8 @@
     pub metrics: Metrics,
     /// Counts of calls and bytes.
     pub traffic: Traffic,
+    /// The time that activities take.
+    pub effort: Effort,
     /// The configuration in force.
     pub config: RefCell<Option<Rc<Config>>>,
     /// All configurations that were accepted before this time are known.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -73,6 +73,20 @@
     pub workers: usize,
 }
 
+/// What an owner was told or asked although it knew it or had decided it already, during some time.
+/// It grows while ends wait for their write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Repeats {
+    /// The number of ends that polls listed.
+    pub ends_listed: usize,
+    /// Those of them that an earlier poll had listed.
+    pub ends_known: usize,
+    /// The number of requests for the state of a job.
+    pub states_asked: usize,
+    /// Those of them about a job whose end wasn't written yet.
+    pub states_ending: usize,
+}
+
 /// Owns the work of a pool.
 pub struct Owner {
     node: Rc<Node>,
@@ -117,6 +131,8 @@
     jobs_read: Cell<Option<Start>>,
     /// The decisions since the last report.
     decisions: Cell<Decisions>,
+    /// What was repeated since the last report.
+    repeats: Cell<Repeats>,
     /// The events of the pool since the last report, by name.
     events: RefCell<BTreeMap<&'static str, u32>>,
 }
@@ -167,6 +183,7 @@
             accepted_count: Cell::new(0),
             jobs_read: Cell::new(None),
             decisions: Cell::default(),
+            repeats: Cell::default(),
             events: RefCell::default(),
         });
         spawn_local(owner.clone().run());
@@ -190,6 +207,17 @@
         Decisions { active_jobs: pool.active_count(), workers: pool.workers().count(), ..decisions }
     }
 
+    /// Returns what was repeated since the last call.
+    pub fn take_repeats(&self) -> Repeats {
+        self.repeats.take()
+    }
+
+    fn count_repeats(&self, count: impl FnOnce(&mut Repeats)) {
+        let mut repeats = self.repeats.get();
+        count(&mut repeats);
+        self.repeats.set(repeats);
+    }
+
     /// Returns how often each event of the pool occurred since the last call. They are counted also
     /// where the log leaves out their lines.
     pub fn take_events(&self) -> BTreeMap<&'static str, u32> {
@@ -253,7 +281,9 @@
         match message {
             Message::Accepted { id, record, revision, wants_pressure, known_pressure, .. } => {
                 if let Ok(id) = id.parse() {
-                    self.accept(id, &record, None, revision);
+                    self.node.effort.measure("accepted jobs", || {
+                        self.accept(id, &record, None, revision);
+                    });
                 }
                 if wants_pressure {
                     let report = self.pressure(&record.queue);
@@ -267,7 +297,13 @@
                 Reply::Done
             }
             Message::State { id, identity, wants_pressure, question, .. } => {
-                match (self.state(&id, &identity), wants_pressure) {
+                let reply =
+                    self.node.effort.measure("state requests", || self.state(&id, &identity));
+                self.count_repeats(|repeats| {
+                    repeats.states_asked += 1;
+                    repeats.states_ending += usize::from(matches!(reply, Reply::Ending));
+                });
+                match (reply, wants_pressure) {
                     (Reply::Unknown { .. }, Some(queue)) => {
                         self.answer_refusal(&queue, &identity, question.as_ref())
                     }
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -93,6 +93,7 @@
 
     fn note_decision(&self, took: Duration, orders: usize) {
         self.node.metrics.plan(&self.name, took);
+        self.node.effort.add("plans", took);
         let effort = self.pool.borrow().effort();
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
         let mut decisions = self.decisions.get();
@@ -172,7 +173,9 @@
             if self.retired.get() || self.halted.get() {
                 break;
             }
-            self.pool.borrow_mut().handle_poll_answer(clock::now(), sent, key, &answer);
+            self.node.effort.measure("poll answers", || {
+                self.pool.borrow_mut().handle_poll_answer(clock::now(), sent, key, &answer);
+            });
             self.wake.notify_one();
             match &answer {
                 Answer::Done(report) if report.exits.is_empty() => {
@@ -184,6 +187,10 @@
                 Answer::Done(report) => {
                     let known = report.exits.iter().filter(|e| Some(e.number) <= newest).count();
                     let is_new = known < report.exits.len();
+                    self.count_repeats(|repeats| {
+                        repeats.ends_listed += report.exits.len();
+                        repeats.ends_known += known;
+                    });
                     newest = newest.max(report.exits.iter().map(|ended| ended.number).max());
                     let worker_count =
                         u32::try_from(self.polled_workers.borrow().len()).unwrap_or(u32::MAX);
@@ -235,7 +242,8 @@
         self.count("look", started, answer.is_ok());
         match answer {
             Ok((status, body, connection)) => {
-                let answer = wire::parse_poll(status, &body).unwrap_or(Answer::Lost);
+                let parse = || wire::parse_poll(status, &body).unwrap_or(Answer::Lost);
+                let answer = self.node.effort.measure("poll answers", parse);
                 let is_report = matches!(answer, Answer::Done(_));
                 (answer, is_report.then_some(connection))
             }
@@ -274,7 +282,7 @@
     }
 
     async fn send(&self, order: &Order) -> Answer<u64> {
-        let call = wire::order(order);
+        let call = self.node.effort.measure("orders", || wire::order(order));
         let started = clock::now();
         let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
         self.count("order", started, answer.is_ok());
@@ -288,7 +296,9 @@
                     "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) })
             });
         }
-        self.pool.borrow_mut().handle_order_answer(clock::now(), order, &answer);
+        self.node.effort.measure("orders", || {
+            self.pool.borrow_mut().handle_order_answer(clock::now(), order, &answer);
+        });
         self.wake.notify_one();
         answer
     }
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -37,7 +37,8 @@
         let ahead = if self.flushing.get() { FLUSH_AHEAD } else { Duration::ZERO };
         let now = clock::now() + ahead;
         let max_rows = MAX_ROWS - FIXED_ROWS;
-        let batch = self.pool.borrow_mut().next_batch(now, clock::wall_ms(), max_rows);
+        let next = || self.pool.borrow_mut().next_batch(now, clock::wall_ms(), max_rows);
+        let batch = self.node.effort.measure("writes", next);
         let roster = self.pool.borrow().roster_update();
         if batch.is_empty() && roster.is_none() {
             return false;
@@ -47,12 +48,13 @@
         // One process may own the pool several times, each time with another fence.
         let (name, boot, fence) = (&self.node.settings.name, self.node.boot, self.fence());
         let token = format!("{name}.{boot}.{fence}.{number}");
-        let txn = self.build_txn(&batch, roster.as_ref(), &token);
+        let build = || self.build_txn(&batch, roster.as_ref(), &token);
+        let txn = self.node.effort.measure("writes", build);
         let started = clock::now();
         let is_written = self.commit(&txn, &token).await;
         if is_written {
             self.log_ends(&batch, clock::now() - started);
-            self.pool.borrow_mut().confirm_batch(&batch);
+            self.node.effort.measure("writes", || self.pool.borrow_mut().confirm_batch(&batch));
             if let Some(locations) = roster {
                 self.pool.borrow_mut().confirm_roster(locations);
             }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::effort::Effort;
 use crate::http::Client;
 use crate::listen::Gauges;
 use crate::metrics::Metrics;
@@ -68,6 +69,7 @@
         trace,
         metrics,
         traffic,
+        effort: Effort::default(),
         config: RefCell::default(),
         config_known_at: Cell::new(Time::ZERO),
         config_revision: Cell::new(0),
--- a/crates/entry/src/usage.rs
+++ b/crates/entry/src/usage.rs
@@ -1,22 +1,23 @@
 //! What a daemon uses of its VM, next to the limits.
 //!
 //! An owner that is at a limit answers late, whatever the limit is. The report tells them apart:
-//! the processor (`cpu_percent`), the event loop (`loop_late_ms`), the link (`out_kb` and `in_kb`
-//! by kind of call), and descriptors (`connections`).
+//! the processor (`cpu_percent`), the event loop (`loop_busy_percent`, `loop_late_ms`, and `effort_us` by
+//! activity), the link (`out_kb` and `in_kb` by kind of call), and descriptors (`connections`).
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_jobs::pool::Load;
+use corianderfork_jobs::pool::{Load, Unwritten};
 use rustix::time::{ClockId, clock_gettime};
 use serde::Serialize;
 use serde_json::json;
+use tokio::runtime::Handle;
 
 use crate::clock;
 use crate::listen::Gauges;
 use crate::node::Node;
-use crate::owner::{Decisions, Owner, ms};
+use crate::owner::{Decisions, Owner, Repeats, ms};
 use crate::traffic::Tally;
 
 /// How often usage is reported.
@@ -43,11 +44,21 @@
 struct Activity {
     events: BTreeMap<&'static str, u32>,
     load: Load,
+    /// What waits for the owner's writes, at the end.
+    unwritten: Unwritten,
+    /// What was reported or asked again because it wasn't written yet.
+    repeats: Repeats,
 }
 
 impl Activity {
     fn take(owner: &Owner) -> Self {
-        Self { events: owner.take_events(), load: owner.pool.borrow().load(clock::now()) }
+        let (now, pool) = (clock::now(), owner.pool.borrow());
+        Self {
+            events: owner.take_events(),
+            load: pool.load(now),
+            unwritten: pool.unwritten(now),
+            repeats: owner.take_repeats(),
+        }
     }
 }
 
@@ -56,12 +67,18 @@
 pub async fn report(node: Rc<Node>, gauges: Gauges) {
     let mut cpu = processor_time();
     let mut tallies = node.traffic.tallies();
+    let (mut busy, mut efforts) = (busy_time(), node.effort.totals());
     loop {
         let late = measure_delay().await;
         let (cpu_before, tallies_before) = (cpu, tallies);
         cpu = processor_time();
         tallies = node.traffic.tallies();
         node.metrics.set_traffic(&tallies);
+        let busy_before = std::mem::replace(&mut busy, busy_time());
+        let efforts_before = std::mem::replace(&mut efforts, node.effort.totals());
+        let busy_percent = percent(busy.saturating_sub(busy_before), INTERVAL + late);
+        node.metrics.set("loop busy percent", usize::try_from(busy_percent).unwrap_or(usize::MAX));
+        node.metrics.set_effort(&efforts);
         node.metrics.set("loop late ms", usize::try_from(ms(late)).unwrap_or(usize::MAX));
         let owners: Vec<_> = node.owners.borrow().values().cloned().collect();
         owners.iter().for_each(|owner| owner.collect_tally());
@@ -80,7 +97,9 @@
             json!({
                 "cpu_percent": percent(cpu_used, INTERVAL + late),
                 "cpu_limit_percent": node.settings.cpu_percent,
+                "loop_busy_percent": busy_percent,
                 "loop_late_ms": ms(late),
+                "effort_us": efforts_between(&efforts_before, &efforts),
                 "link_mbps": node.settings.network_mbps,
                 "memory_mb": resident_bytes() >> 20,
                 "connections": { "workers and store": node.client.open_connections(),
@@ -124,6 +143,26 @@
     after.iter().filter_map(share).collect()
 }
 
+/// Returns the microseconds of each activity between two totals.
+fn efforts_between(
+    before: &BTreeMap<&'static str, Duration>,
+    after: &BTreeMap<&'static str, Duration>,
+) -> BTreeMap<&'static str, u64> {
+    let spent = |(activity, total): (&&'static str, &Duration)| {
+        let spent = total.saturating_sub(before.get(activity).copied().unwrap_or_default());
+        (*activity, u64::try_from(spent.as_micros()).unwrap_or(u64::MAX))
+    };
+    after.iter().map(spent).filter(|(_, micros)| *micros > 0).collect()
+}
+
+/// Returns how long the event loop has been busy since the start.
+///
+/// The process's processor time doesn't tell a loop at its limit from an idle one where it is charged
+/// differently from what the loop waits for.
+fn busy_time() -> Duration {
+    Handle::current().metrics().worker_total_busy_duration(0)
+}
+
 fn percent(part: Duration, whole: Duration) -> u64 {
     u64::try_from(part.as_millis() * 100 / whole.as_millis().max(1)).unwrap_or(u64::MAX)
 }
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -60,7 +60,7 @@
 
 pub use account::{Shortage, Use};
 pub use advice::{Advice, Query};
-pub use batch::{Batch, Update};
+pub use batch::{Batch, Unwritten, Update};
 pub use explain::{Explanation, StepExplanation};
 pub use hold::Hold;
 pub use load::Load;
--- a/crates/jobs/src/pool/batch.rs
+++ b/crates/jobs/src/pool/batch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use corianderfork_model::Time;
+use serde::Serialize;
 
 use super::Pool;
 use crate::id::JobId;
@@ -41,7 +42,38 @@
     }
 }
 
+/// The changes that are not known to be written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Unwritten {
+    /// The number of changed jobs.
+    pub jobs: usize,
+    /// The number of those that have ended.
+    pub ended: usize,
+    /// How long ago the first of these ended, in milliseconds.
+    pub oldest_end_ms: u64,
+}
+
 impl Pool {
+    /// Returns what is not known to be written.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::{Config, Pool, Unwritten};
+    /// use corianderfork_model::Time;
+    ///
+    /// let pool = Pool::new(Config::new(7, Time::ZERO));
+    /// assert_eq!(pool.unwritten(Time::ZERO), Unwritten::default());
+    /// ```
+    pub fn unwritten(&self, now: Time) -> Unwritten {
+        let changed = self.dirty.iter().filter_map(|(_, id)| self.entry(*id));
+        let ends = changed.filter_map(|entry| entry.ended);
+        let oldest = ends.clone().min().unwrap_or(now);
+        Unwritten {
+            jobs: self.dirty.len(),
+            ended: ends.count(),
+            oldest_end_ms: worker::millis(now - oldest),
+        }
+    }
+
     /// Returns the changes to write now, at most `max_keys` keys. `wall_ms` is the time of day,
     /// which is stored as the end of jobs.
     pub fn next_batch(&mut self, now: Time, wall_ms: u64, max_keys: usize) -> Batch {
