Write several batches of an owner at once

An owner wrote one batch of 28 keys after the other. Its answer takes several turns of the event loop, so an owner at its processor limit wrote three batches a second, 42 ends of 200, whatever the store could do.

Up to eight batches are under way at once, each with a key of its own for the number of its last write; a job is in one of them at a time, so they may be carried out in any order. A second one starts only if it is full, so an owner that keeps up writes as before.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod settings;
 pub mod traffic;
 pub mod wave_ages;
+pub mod write_slots;
 
 mod clock;
 mod explain;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -34,11 +34,10 @@
 use crate::node::{Node, RetiredGrants};
 use crate::peer::{Message, Reply};
 use crate::predecessor::Tracker;
+use crate::write_slots::Slots;
 
 /// The key prefix of the roster of a pool's workers.
 const ROSTER_PREFIX: &str = "roster/";
-/// The key prefix of the number of an owner's last write.
-const WRITE_PREFIX: &str = "write/";
 
 /// The length of a lease on a worker: longer than a takeover, so that running tasks
 /// survive the death of an owner, and no longer, since the tasks of a worker that stops
@@ -123,8 +122,10 @@
     shortage: Notify,
     /// The parts of the rates that organisations are owed.
     division: RefCell<division::Held>,
-    /// The store's revision of the record of the last write's number.
-    write_revision: Cell<u64>,
+    /// The writes under way.
+    write_slots: RefCell<Slots>,
+    /// Whether a write of the roster is under way.
+    is_roster_being_written: Cell<bool>,
     last_write_number: Cell<u64>,
     accepted_count: Cell<usize>,
     /// The read of the accepted jobs from which they are followed.
@@ -178,7 +179,8 @@
             giving: Mutex::default(),
             shortage: Notify::new(),
             division: RefCell::default(),
-            write_revision: Cell::new(0),
+            write_slots: RefCell::new(Slots::new(name)),
+            is_roster_being_written: Cell::new(false),
             last_write_number: Cell::new(0),
             accepted_count: Cell::new(0),
             jobs_read: Cell::new(None),
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -12,12 +12,13 @@
 use serde::Serialize;
 use serde_json::json;
 
-use super::{Owner, ROSTER_PREFIX, WRITE_PREFIX, ms};
+use super::{Owner, ROSTER_PREFIX, ms};
 use crate::clock;
 use crate::follow::{Recovery, Start, Update, follow};
 use crate::lookup::{JOB_PREFIX, RUN_PREFIX};
 use crate::node::organisations_of;
 use crate::store::Error;
+use crate::write_slots::Slots;
 
 /// How long changes of accepted jobs are batched. The entry VM that accepted a job notifies
 /// the owner itself; the watch only covers lost notifications.
@@ -81,8 +82,9 @@
     async fn read(&self) -> Result<(Roster, Vec<Item>, Vec<Item>), Error> {
         let store = &self.node.store;
         let at = clock::now();
-        let (roster_key, write_key) =
-            (format!("{ROSTER_PREFIX}{}", self.name), format!("{WRITE_PREFIX}{}", self.name));
+        let first_slot = Slots::first();
+        let roster_key = format!("{ROSTER_PREFIX}{}", self.name);
+        let write_key = self.write_slots.borrow().key(first_slot);
         let (job_prefix, run_prefix) =
             (format!("{JOB_PREFIX}{}/", self.name), format!("{RUN_PREFIX}{}/", self.name));
         let (roster, write, jobs, divisions) = tokio::join!(
@@ -95,7 +97,9 @@
         let roster = roster?.map_or(Roster { locations: Some(Vec::new()), revision: 0 }, |item| {
             Roster { locations: serde_json::from_slice(&item.value).ok(), revision: item.revision }
         });
-        self.write_revision.set(write?.map_or(0, |item| item.revision));
+        // The other slots learn theirs from their first write.
+        let write_revision = write?.map_or(0, |item| item.revision);
+        self.write_slots.borrow_mut().set_revision(first_slot, write_revision);
         let (jobs, revision) = jobs?;
         self.jobs_read.set(Some(Start { revision, at }));
         // Runs last: when a job ends, only its owner moves it from one to the other.
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -7,85 +7,121 @@
 use corianderfork_jobs::Batch;
 use corianderfork_jobs::worker::Location;
 use serde_json::json;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::{Owner, ROSTER_PREFIX, WRITE_PREFIX, ms};
+use super::{Owner, ROSTER_PREFIX, ms};
 use crate::clock;
 use crate::duty::DUTY_PREFIX;
 use crate::lookup::{job_key, run_key};
+use crate::write_slots::Slot;
 
 /// Rows of a write besides those of the batch: the duty, the write's number twice, and
 /// the roster.
 const FIXED_ROWS: usize = 4;
+/// How often writes are started without any event.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// The pause before a write is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(80);
 /// How far ahead of their due time changes are written at a planned stop.
 const FLUSH_AHEAD: Duration = Duration::from_secs(2);
 /// How often, and how many times, a planned stop checks whether everything is written.
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 const FLUSH_CHECKS: u32 = 40;
 
+/// How a write ended that the store didn't confirm at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Resolution {
+    /// It was carried out before.
+    Written,
+    /// It was not, and won't be with the revision that it expected; a newer one is known.
+    Outdated,
+    /// Another holder has the duty.
+    Deposed,
+}
+
 impl Owner {
     pub(super) async fn write_loop(self: Rc<Self>) {
         while !self.retired.get() {
-            if !self.write_once().await {
-                let _ = timeout(Duration::from_millis(200), self.write_wake.notified()).await;
-            }
+            while self.begin_write() {}
+            let _ = timeout(WRITE_INTERVAL, self.write_wake.notified()).await;
         }
     }
 
-    /// Writes what is due. Returns whether there may be more.
-    async fn write_once(&self) -> bool {
+    /// Starts to write what is due, if another write may be under way. Returns whether there may be
+    /// more.
+    fn begin_write(self: &Rc<Self>) -> bool {
+        let Some(slot) = self.write_slots.borrow_mut().take() else { return false };
         let ahead = if self.flushing.get() { FLUSH_AHEAD } else { Duration::ZERO };
         let now = clock::now() + ahead;
         let max_rows = MAX_ROWS - FIXED_ROWS;
         let next = || self.pool.borrow_mut().next_batch(now, clock::wall_ms(), max_rows);
         let batch = self.node.effort.measure("writes", next);
-        let roster = self.pool.borrow().roster_update();
+        let may_write_roster = !self.is_roster_being_written.get();
+        let roster = self.pool.borrow().roster_update().filter(|_| may_write_roster);
         if batch.is_empty() && roster.is_none() {
+            self.write_slots.borrow_mut().free(slot);
             return false;
         }
+        self.is_roster_being_written.set(!may_write_roster || roster.is_some());
+        spawn_local(self.clone().write(slot, batch, roster));
+        true
+    }
+
+    async fn write(self: Rc<Self>, slot: Slot, batch: Batch, roster: Option<Vec<Location>>) {
         let number = self.last_write_number.get() + 1;
         self.last_write_number.set(number);
         // One process may own the pool several times, each time with another fence.
         let (name, boot, fence) = (&self.node.settings.name, self.node.boot, self.fence());
         let token = format!("{name}.{boot}.{fence}.{number}");
-        let build = || self.build_txn(&batch, roster.as_ref(), &token);
-        let txn = self.node.effort.measure("writes", build);
         let started = clock::now();
-        let is_written = self.commit(&txn, &token).await;
+        let is_written = self.commit(slot, &batch, roster.as_ref(), &token).await;
+        if roster.is_some() {
+            self.is_roster_being_written.set(false);
+        }
         if is_written {
-            self.log_ends(&batch, clock::now() - started);
+            self.log_ends(slot, &batch, clock::now() - started);
             self.node.effort.measure("writes", || self.pool.borrow_mut().confirm_batch(&batch));
             if let Some(locations) = roster {
                 self.pool.borrow_mut().confirm_roster(locations);
             }
             self.confirm_cancellations();
             self.wake.notify_one();
+        } else {
+            self.pool.borrow_mut().return_batch(&batch);
         }
-        is_written
+        self.write_slots.borrow_mut().free(slot);
+        self.write_wake.notify_one();
     }
 
     /// Logs the store's revision at which jobs ended, to compare with reads of the store
-    /// that found no such job. It is one line per write, with one write at a time, so it
+    /// that found no such job. It is one line per write, with few writes at a time, so it
     /// bypasses the rate limit that a busy owner's other lines exceed.
-    fn log_ends(&self, batch: &Batch, took: Duration) {
+    fn log_ends(&self, slot: Slot, batch: &Batch, took: Duration) {
         let ended = batch.updates.iter().filter(|update| update.progress.state.is_final());
         let jobs: Vec<String> = ended.map(|update| update.id.to_string()).collect();
         if !jobs.is_empty() {
             self.node.trace.unlimited(
                 "job ends written",
                 json!({ "duty": self.name, "fence": self.fence(),
-                    "revision": self.write_revision.get(), "jobs": jobs, "took_ms": ms(took) }),
+                    "revision": self.write_slots.borrow().revision(slot), "jobs": jobs, "took_ms": ms(took) }),
             );
         }
     }
 
-    fn build_txn(&self, batch: &Batch, roster: Option<&Vec<Location>>, token: &str) -> Txn {
-        let write_key = format!("{WRITE_PREFIX}{}", self.name);
+    fn build_txn(
+        &self,
+        slot: Slot,
+        batch: &Batch,
+        roster: Option<&Vec<Location>>,
+        token: &str,
+    ) -> Txn {
+        let slots = self.write_slots.borrow();
+        let write_key = slots.key(slot);
         let mut txn = Txn::default();
         txn.expect.push((format!("{DUTY_PREFIX}{}", self.name), self.fence()));
-        // A write without a response may be applied seconds later. Each write expects the
-        // revision of the previous one's number, so that it can't undo a newer one.
-        txn.expect.push((write_key.clone(), self.write_revision.get()));
+        // See `write_slots`.
+        txn.expect.push((write_key.clone(), slots.revision(slot)));
         txn.set.push((write_key, token.as_bytes().to_vec(), 0));
         if let Some(locations) = roster {
             let value = serde_json::to_vec(locations).unwrap_or_default();
@@ -104,15 +140,34 @@
     }
 
     /// Retries a write until it is confirmed or another holder has the duty.
-    async fn commit(&self, txn: &Txn, token: &str) -> bool {
-        let mut failures = 0;
+    async fn commit(
+        &self,
+        slot: Slot,
+        batch: &Batch,
+        roster: Option<&Vec<Location>>,
+        token: &str,
+    ) -> bool {
+        let build = || self.build_txn(slot, batch, roster, token);
+        let mut txn = self.node.effort.measure("writes", build);
+        let (mut failures, mut conflicts) = (0, 0);
         while !self.retired.get() {
-            match self.node.store.txn(txn).await {
+            match self.node.store.txn(&txn).await {
                 Ok(Outcome::Written(revision)) => {
-                    self.write_revision.set(revision);
+                    self.write_slots.borrow_mut().set_revision(slot, revision);
                     return true;
                 }
-                Ok(Outcome::Conflict(items)) => return self.resolve(&items, token),
+                Ok(Outcome::Conflict(items)) => match self.resolve(slot, &items, token) {
+                    Resolution::Written => return true,
+                    Resolution::Deposed => return false,
+                    Resolution::Outdated => {
+                        conflicts += 1;
+                        // The first one is expected of a slot's first write.
+                        if conflicts > 1 {
+                            tokio::time::sleep(RETRY_PAUSE).await;
+                        }
+                        txn = build();
+                    }
+                },
                 Ok(Outcome::NoLease) | Err(_) => {
                     failures += 1;
                     if failures == 1 {
@@ -121,7 +176,7 @@
                             || json!({ "duty": self.name, "write": token }),
                         );
                     }
-                    tokio::time::sleep(Duration::from_millis(80)).await;
+                    tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
         }
@@ -129,22 +184,26 @@
     }
 
     /// Handles a failed condition: either this very write was applied before, or another
-    /// holder has the duty.
-    fn resolve(&self, items: &[Item], token: &str) -> bool {
-        let key = format!("{WRITE_PREFIX}{}", self.name);
+    /// holder has the duty, or the slot's revision is another one.
+    fn resolve(&self, slot: Slot, items: &[Item], token: &str) -> Resolution {
+        let mut slots = self.write_slots.borrow_mut();
+        let key = slots.key(slot);
         let duty = format!("{DUTY_PREFIX}{}", self.name);
         let is_own_write = |item: &&Item| item.key == key && item.value == token.as_bytes();
         if let Some(item) = items.iter().find(is_own_write) {
-            self.write_revision.set(item.revision);
-            return true;
+            slots.set_revision(slot, item.revision);
+            return Resolution::Written;
         }
         if items.iter().any(|item| item.key == duty && item.revision != self.fence()) {
+            drop(slots);
             self.retire("the store names another holder");
-        } else if let Some(item) = items.iter().find(|item| item.key == key) {
-            // A late write of the previous holder: continue after its revision.
-            self.write_revision.set(item.revision);
+            return Resolution::Deposed;
         }
-        false
+        // A previous holder used the slot, or wrote late: continue after its revision. A key that
+        // isn't there was removed.
+        let revision = items.iter().find(|item| item.key == key).map_or(0, |item| item.revision);
+        slots.set_revision(slot, revision);
+        Resolution::Outdated
     }
 
     fn confirm_cancellations(&self) {
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -230,8 +230,13 @@
     effort: Effort,
     /// Every job that was accepted before this time is known.
     jobs_known_until: Time,
-    /// Jobs with unwritten changes, by the time at which the write is due.
+    /// Jobs with unwritten changes that no write under way includes, by the time at which the
+    /// write is due.
     dirty: BTreeSet<(Time, JobId)>,
+    /// Jobs whose write is under way.
+    being_written: BTreeSet<JobId>,
+    /// Whether a deletion of old jobs is under way.
+    is_deleting: bool,
     start_count: u64,
     deposed: bool,
     /// The jobs that were held since ownership was last confirmed.
@@ -326,6 +331,8 @@
             effort: Effort::default(),
             jobs_known_until: Time::ZERO,
             dirty: BTreeSet::new(),
+            being_written: BTreeSet::new(),
+            is_deleting: false,
             start_count: 0,
             deposed: false,
             held_jobs: BTreeSet::new(),
--- a/crates/jobs/src/pool/batch.rs
+++ b/crates/jobs/src/pool/batch.rs
@@ -64,11 +64,12 @@
     /// assert_eq!(pool.unwritten(Time::ZERO), Unwritten::default());
     /// ```
     pub fn unwritten(&self, now: Time) -> Unwritten {
-        let changed = self.dirty.iter().filter_map(|(_, id)| self.entry(*id));
+        let ids = self.dirty.iter().map(|(_, id)| id).chain(&self.being_written);
+        let changed = ids.filter_map(|id| self.entry(*id));
         let ends = changed.filter_map(|entry| entry.ended);
         let oldest = ends.clone().min().unwrap_or(now);
         Unwritten {
-            jobs: self.dirty.len(),
+            jobs: self.dirty.len() + self.being_written.len(),
             ended: ends.count(),
             oldest_end_ms: worker::millis(now - oldest),
         }
@@ -76,37 +77,85 @@
 
     /// Returns the changes to write now, at most `max_keys` keys. `wall_ms` is the time of day,
     /// which is stored as the end of jobs.
+    ///
+    /// The batch is under way until [`Pool::confirm_batch`] or [`Pool::return_batch`]. Others may be
+    /// under way at the same time: a job is in one of them at most, so that they may be carried out
+    /// in any order. Beside another batch only a full one is returned, since what is left goes with
+    /// the next one at no extra cost.
     pub fn next_batch(&mut self, now: Time, wall_ms: u64, max_keys: usize) -> Batch {
         let mut batch = Batch::default();
-        let mut keys = 0;
-        let due: Vec<JobId> =
-            self.dirty.iter().take_while(|(at, _)| *at <= now).map(|(_, id)| *id).collect();
-        if due.is_empty() {
+        let is_due = self.dirty.first().is_some_and(|(at, _)| *at <= now);
+        if !is_due {
             self.delete_old(now, max_keys, &mut batch);
             return batch;
         }
         // Once one write is due, later ones are included at no extra cost.
-        let all: Vec<JobId> = self.dirty.iter().map(|(_, id)| *id).collect();
-        for id in all {
-            let Some(entry) = self.entry_mut_unmarked(id) else { continue };
-            if entry.state.is_final() && entry.ended_ms == 0 {
-                entry.ended_ms = wall_ms;
-            }
-            keys += if entry.state.is_final() { 2 } else { 1 };
-            if keys > max_keys {
+        let mut keys = 0;
+        let mut ids = Vec::new();
+        for (_, id) in &self.dirty {
+            let Some(entry) = self.entry(*id) else { continue };
+            let needed = if entry.state.is_final() { 2 } else { 1 };
+            if keys + needed > max_keys {
                 break;
             }
-            batch.updates.push(Update { id, progress: entry.progress(), version: entry.version });
+            keys += needed;
+            ids.push(*id);
+        }
+        let is_full = ids.len() < self.dirty.len();
+        if !is_full && !self.being_written.is_empty() {
+            return batch;
         }
+        batch.updates = ids.into_iter().filter_map(|id| self.begin_write(id, wall_ms)).collect();
         batch
     }
 
+    fn begin_write(&mut self, id: JobId, wall_ms: u64) -> Option<Update> {
+        let entry = self.entry_mut_unmarked(id)?;
+        if entry.state.is_final() && entry.ended_ms == 0 {
+            entry.ended_ms = wall_ms;
+        }
+        entry.is_being_written = true;
+        let due = entry.write_due.take();
+        let update = Update { id, progress: entry.progress(), version: entry.version };
+        if let Some(due) = due {
+            self.dirty.remove(&(due, id));
+        }
+        self.being_written.insert(id);
+        Some(update)
+    }
+
     /// Returns whether all changes are written.
     pub fn is_all_written(&self) -> bool {
-        self.dirty.is_empty()
+        self.dirty.is_empty() && self.being_written.is_empty()
+    }
+
+    /// Returns a batch that was certainly not written, and won't be. Its changes are due again.
+    pub fn return_batch(&mut self, batch: &Batch) {
+        for update in &batch.updates {
+            self.end_write(update, false);
+        }
+        self.is_deleting &= batch.deletions.is_empty();
+    }
+
+    /// Ends the write of a job, and schedules the next one if changes are left.
+    fn end_write(&mut self, update: &Update, is_written: bool) {
+        self.being_written.remove(&update.id);
+        let Some(entry) = self.entry_mut_unmarked(update.id) else { return };
+        entry.is_being_written = false;
+        if is_written {
+            entry.written_version = entry.written_version.max(update.version);
+        } else {
+            entry.write_due = Some(Time::ZERO);
+        }
+        if let Some(due) = entry.write_due {
+            self.dirty.insert((due, update.id));
+        }
     }
 
     fn delete_old(&mut self, now: Time, max_keys: usize, batch: &mut Batch) {
+        if self.is_deleting {
+            return;
+        }
         let remember = self.config.remember;
         let old = self.ended.iter().take_while(|(at, _)| now - *at > remember).map(|(_, id)| *id);
         let written = old.filter(|id| self.is_written(*id));
@@ -115,29 +164,21 @@
         if batch.deletions.len() < max_keys / 4 {
             batch.deletions.clear();
         }
+        self.is_deleting = !batch.deletions.is_empty();
     }
 
     /// Records that a batch was written.
     pub fn confirm_batch(&mut self, batch: &Batch) {
         for update in &batch.updates {
-            self.confirm_update(update);
+            self.end_write(update, true);
         }
         for id in &batch.deletions {
             self.remove_job(*id);
         }
+        self.is_deleting &= batch.deletions.is_empty();
         let keys: Vec<worker::Key> = self.workers.keys().collect();
         for key in keys {
             self.advance_ack(key);
         }
     }
-
-    fn confirm_update(&mut self, update: &Update) {
-        let Some(entry) = self.entry_mut_unmarked(update.id) else { return };
-        entry.written_version = entry.written_version.max(update.version);
-        if entry.written_version == entry.version
-            && let Some(due) = entry.write_due.take()
-        {
-            self.dirty.remove(&(due, update.id));
-        }
-    }
 }
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -67,8 +67,10 @@
     /// Increases with each change that has to be written.
     pub version: u64,
     pub written_version: u64,
-    /// When the write of its changes is due, if it has any.
+    /// When the write of its changes is due, if it has any that no write under way includes.
     pub write_due: Option<Time>,
+    /// Whether a write of it is under way.
+    pub is_being_written: bool,
     /// Whether it is marked as changed.
     pub is_changed: bool,
     /// When the next plan has to look at it, unless it changes before.
@@ -422,6 +424,7 @@
         version: 0,
         written_version: 0,
         write_due: None,
+        is_being_written: false,
         is_changed: false,
         due_at: None,
         positions: Vec::new(),
--- a/crates/jobs/src/pool/jobs.rs
+++ b/crates/jobs/src/pool/jobs.rs
@@ -233,6 +233,10 @@
         let before = entry.write_due;
         if before.is_none_or(|before| due < before) {
             entry.write_due = Some(due);
+            // The answer to the write under way adds it to those that are due.
+            if entry.is_being_written {
+                return version;
+            }
             if let Some(before) = before {
                 self.dirty.remove(&(before, id));
             }
