Answer for a job that has ended once that is written, instead of at once

The later its writes, the more it was asked.

The reply to such a request waits for the write, up to 400 ms, unless the store is down or 256 wait already; then it is as before.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -239,6 +239,7 @@
                 identity,
                 wants_pressure: None,
                 question: None,
+                awaits_end: false,
             };
             match self.node.send_to_owner(&pool, message, peer::SHORT_TIMEOUT).await {
                 Ok(Reply::State { .. } | Reply::Ending | Reply::Known) => return Ownership::Own,
--- a/crates/entry/src/gateway/refuse.rs
+++ b/crates/entry/src/gateway/refuse.rs
@@ -191,6 +191,7 @@
                 identity: identity.clone(),
                 wants_pressure: (pool == route.pool).then(|| route.name.clone()),
                 question: (pool == route.pool).then(|| question.clone()),
+                awaits_end: false,
             };
             match self.node.send_to_owner(&pool, message, CHECK_TIMEOUT).await {
                 Ok(Reply::State { .. } | Reply::Ending | Reply::Known) => return Earlier::Own,
--- a/crates/entry/src/gateway/state.rs
+++ b/crates/entry/src/gateway/state.rs
@@ -51,9 +51,11 @@
                 identity: asker,
                 wants_pressure: None,
                 question: None,
+                awaits_end: true,
             };
             let started = clock::now();
-            let reply = self.node.send_to_owner(&pool, message, peer::RESPONSE_TIMEOUT).await;
+            let within = peer::RESPONSE_TIMEOUT + peer::END_WAIT;
+            let reply = self.node.send_to_owner(&pool, message, within).await;
             let mut lookup_log = PoolLookup::new(&pool, started, &reply);
             let has_started = matches!(reply, Ok(Reply::Ending));
             match reply {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod traffic;
 pub mod wave_ages;
 pub mod write_slots;
+pub mod write_waiters;
 
 mod clock;
 mod explain;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -19,7 +19,7 @@
 use corianderfork_model::Time;
 use serde::Serialize;
 use serde_json::json;
-use tokio::sync::{Mutex, Notify, oneshot};
+use tokio::sync::{Mutex, Notify};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -32,9 +32,10 @@
 use crate::lanes::Lanes;
 use crate::lookup::{job_key, run_key};
 use crate::node::{Node, RetiredGrants};
-use crate::peer::{Message, Reply};
+use crate::peer::{self, Message, Reply};
 use crate::predecessor::Tracker;
 use crate::write_slots::Slots;
+use crate::write_waiters::WriteWaiters;
 
 /// The key prefix of the roster of a pool's workers.
 const ROSTER_PREFIX: &str = "roster/";
@@ -84,6 +85,8 @@
     pub states_asked: usize,
     /// Those of them about a job whose end wasn't written yet.
     pub states_ending: usize,
+    /// The number of requests that waited for the write of an end.
+    pub states_waited: usize,
 }
 
 /// Owns the work of a pool.
@@ -113,7 +116,7 @@
     busy_advisers: RefCell<HashSet<advise::Adviser>>,
     /// Advisers whose last request failed, and until when they are avoided.
     failed_advisers: RefCell<HashMap<advise::Adviser, Time>>,
-    cancel_waiters: RefCell<Vec<(JobId, oneshot::Sender<()>)>>,
+    write_waiters: RefCell<WriteWaiters>,
     /// The divisions of organisations' limits.
     book: RefCell<Book>,
     /// Held while parts of limits are given away.
@@ -174,7 +177,7 @@
             lanes: RefCell::default(),
             busy_advisers: RefCell::default(),
             failed_advisers: RefCell::default(),
-            cancel_waiters: RefCell::default(),
+            write_waiters: RefCell::default(),
             book: RefCell::new(Book::new(name).asks_largest(node.settings.contention.limits)),
             giving: Mutex::default(),
             shortage: Notify::new(),
@@ -298,7 +301,10 @@
                 }
                 Reply::Done
             }
-            Message::State { id, identity, wants_pressure, question, .. } => {
+            Message::State { id, identity, wants_pressure, question, awaits_end, .. } => {
+                if awaits_end {
+                    self.await_end(&id).await;
+                }
                 let reply =
                     self.node.effort.measure("state requests", || self.state(&id, &identity));
                 self.count_repeats(|repeats| {
@@ -443,6 +449,20 @@
         }
     }
 
+    /// Waits a little for the write of a job that has ended. The caller would ask again until it is
+    /// written, and an owner at its limit would answer more requests the later its writes are.
+    async fn await_end(&self, id: &str) {
+        let Ok(id) = id.parse() else { return };
+        let may_wait = self.write_waiters.borrow().has_room() && !self.node.store.is_down();
+        if !may_wait || !self.pool.borrow().is_ending(id) {
+            return;
+        }
+        self.count_repeats(|repeats| repeats.states_waited += 1);
+        let written = self.write_waiters.borrow_mut().wait(id);
+        // The state is told as it is then.
+        let _ = timeout(peer::END_WAIT, written).await;
+    }
+
     async fn cancel(&self, text: &str, identity: &Identity) -> Reply {
         let Ok(id) = text.parse::<JobId>() else { return Reply::UNKNOWN };
         if self.pool.borrow().state(id).is_none() {
@@ -463,11 +483,10 @@
             return Reply::Foreign;
         }
         self.pool.borrow_mut().cancel(clock::now(), id);
-        let (confirmation, written) = oneshot::channel();
         if self.pool.borrow().is_written(id) {
             return Reply::Done;
         }
-        self.cancel_waiters.borrow_mut().push((id, confirmation));
+        let written = self.write_waiters.borrow_mut().wait(id);
         self.wake.notify_one();
         self.write_wake.notify_one();
         // Running tasks are stopped anyway; the caller retries for the confirmation.
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -85,7 +85,7 @@
             if let Some(locations) = roster {
                 self.pool.borrow_mut().confirm_roster(locations);
             }
-            self.confirm_cancellations();
+            self.wake_waiters(&batch);
             self.wake.notify_one();
         } else {
             self.pool.borrow_mut().return_batch(&batch);
@@ -206,17 +206,12 @@
         Resolution::Outdated
     }
 
-    fn confirm_cancellations(&self) {
-        let cancel_waiters = std::mem::take(&mut *self.cancel_waiters.borrow_mut());
+    /// Wakes the requests that wait for the write of a job of the batch.
+    fn wake_waiters(&self, batch: &Batch) {
         let pool = self.pool.borrow();
-        for (id, confirmation) in cancel_waiters {
-            if pool.is_written(id) {
-                // The receiver may have stopped waiting.
-                let _ = confirmation.send(());
-            } else {
-                self.cancel_waiters.borrow_mut().push((id, confirmation));
-            }
-        }
+        let mut waiters = self.write_waiters.borrow_mut();
+        let written = batch.updates.iter().filter(|update| pool.is_written(update.id));
+        written.for_each(|update| waiters.wake(update.id));
     }
 
     /// Writes everything that is left, for a planned stop.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -28,6 +28,9 @@
 /// and the next request follows soon.
 pub const SHORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long the reply to [`Message::State`] may wait for the write of the job's end.
+pub const END_WAIT: Duration = Duration::from_millis(400);
+
 /// The kind of calls to peers, in counts.
 const KIND: &str = "peer";
 
@@ -68,6 +71,10 @@
         /// a report.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         question: Option<pressure::Question>,
+        /// Whether the reply may wait for the write of the job's end, up to [`END_WAIT`]. Earlier
+        /// versions neither send nor read it.
+        #[serde(default, skip_serializing_if = "is_false")]
+        awaits_end: bool,
     },
     /// Asks the owner of a pool to cancel a job.
     Cancel {
--- a/crates/entry/tests/message_bytes.rs
+++ b/crates/entry/tests/message_bytes.rs
@@ -132,6 +132,7 @@
         identity: Default::default(),
         wants_pressure: Some("q".to_owned()),
         question,
+        awaits_end: false,
     };
     let unknown =
         |pressure, lack, is_known| Reply::Unknown { pressure, exceeds_owed: false, lack, is_known };
