Let idle peers deliver an owner's orders while its event loop is late

A pool's owner at its processor limit spends a third of it on the transport of orders: a busy time asks for some 3,500 starts a second, at 90 us each. So it can't catch up, however idle the 140 other entry VMs are, and tasks hold their room while their ends aren't noticed.

While a turn of its event loop is 15 ms late, the orders of one turn go together, up to 64 in one request, to six members without duties, which send them and return the answers. The more is due, the less each order costs; at 5 ms it sends them by itself again. An order without an outcome counts as lost, as on a link of its own: it may have been carried out, or may still be. What a peer doesn't take, as one of an earlier version, the owner sends. The setting [delivery] by_peers switches it on or off; auto is the default.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod arrivals;
 pub mod attempts;
 pub mod away;
+pub mod couriers;
+pub mod delivery;
 pub mod division;
 pub mod duty;
 pub mod effort;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -6,6 +6,7 @@
 use corianderfork_adapter::caller;
 use tokio::task::spawn_local;
 
+use crate::delivery;
 use crate::gateway::Gateway;
 use crate::node::Node;
 use crate::peer::{Message, Reply};
@@ -185,6 +186,9 @@
         Message::Store { method, target, body, within_ms } => {
             relay::relayed(node, &method, target, body, within_ms).await
         }
+        Message::Deliver { deliveries, within_ms } => {
+            delivery::deliver(node, deliveries, Duration::from_millis(within_ms)).await
+        }
         Message::Advise { job, occurrence, step, workers, within_ms } => {
             let within = Duration::from_millis(within_ms);
             node.advise_peer((&job, occurrence, step), &workers, within).await
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -3,6 +3,7 @@
 mod advise;
 mod allowance;
 mod contention;
+mod dispatch;
 mod load;
 mod predecessors;
 mod workers;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 
 use corianderfork_jobs::JobId;
-use corianderfork_jobs::pool::{Config, Pool};
+use corianderfork_jobs::pool::{Config, Order, Pool};
 use corianderfork_jobs::{pressure, worker};
 use corianderfork_model::Time;
 use serde::Serialize;
@@ -26,6 +27,7 @@
 use crate::access::Identity;
 use crate::allowance::Book;
 use crate::clock;
+use crate::couriers::Couriers;
 use crate::division::{self, Arrivals};
 use crate::duty::HolderHistory;
 use crate::follow::Start;
@@ -112,6 +114,10 @@
     /// [`Pool::joined_workers`] when polls were last started.
     joined_workers: Cell<u64>,
     lanes: RefCell<Lanes>,
+    /// Orders that are sent with the next plan.
+    outbox: RefCell<Vec<Order>>,
+    /// The peers that deliver orders.
+    couriers: RefCell<Couriers>,
     /// Advisers with a request in flight.
     busy_advisers: RefCell<HashSet<advise::Adviser>>,
     /// Advisers whose last request failed, and until when they are avoided.
@@ -175,6 +181,8 @@
             polled_workers: RefCell::default(),
             joined_workers: Cell::new(0),
             lanes: RefCell::default(),
+            outbox: RefCell::default(),
+            couriers: RefCell::default(),
             busy_advisers: RefCell::default(),
             failed_advisers: RefCell::default(),
             write_waiters: RefCell::default(),
@@ -388,6 +396,7 @@
             | Message::Advise { .. }
             | Message::Unsure { .. }
             | Message::Tried { .. }
+            | Message::Deliver { .. }
             | Message::Store { .. } => Reply::NotOwner,
         }
     }
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -5,7 +5,7 @@
 
 use corianderfork_adapter::worker as wire;
 use corianderfork_jobs::pool::wait::{self, Wait};
-use corianderfork_jobs::pool::{self, Answer, Order, Poll};
+use corianderfork_jobs::pool::{self, Answer, Poll};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
 use serde_json::json;
@@ -14,7 +14,7 @@
 
 use super::{Owner, ms};
 use crate::clock;
-use crate::http::{CallError, Connection};
+use crate::http::Connection;
 use crate::lanes::Turn;
 
 /// How long a worker may take to respond, beyond the time that it is asked to wait.
@@ -46,7 +46,9 @@
     pub(super) async fn plan_loop(self: Rc<Self>) {
         while !self.retired.get() && !self.halted.get() {
             self.plan();
+            let due = Instant::now() + MIN_PLAN_GAP;
             tokio::time::sleep(MIN_PLAN_GAP).await;
+            self.couriers.borrow_mut().note_delay(due.elapsed());
             // Without an event, the pool is planned after PLAN_INTERVAL.
             let _ = timeout(PLAN_INTERVAL, self.wake.notified()).await;
         }
@@ -74,15 +76,18 @@
             if self.pool.borrow().has_shortage() {
                 self.shortage.notify_one();
             }
+            let mut due = Vec::new();
             for order in orders {
                 let turn = self.lanes.borrow_mut().push(order);
                 match turn {
-                    Turn::Now(order) => drop(spawn_local(self.clone().send_orders(order))),
+                    Turn::Now(order) => due.push(order),
                     Turn::Replaces(former) => self.pool.borrow_mut().handle_unsent(&former),
                     Turn::Waits => {}
                 }
             }
+            self.dispatch(due);
         }
+        self.empty_outbox();
         self.log_notes();
         let is_deposed = self.pool.borrow().is_deposed();
         if is_deposed {
@@ -251,58 +256,6 @@
         }
     }
 
-    /// Sends an order to a worker, then those that wait for it.
-    async fn send_orders(self: Rc<Self>, first: Order) {
-        let key = first.worker;
-        let mut next = Some(first);
-        while let Some(order) = next {
-            if !self.may_send(&order) {
-                self.pool.borrow_mut().handle_unsent(&order);
-            } else if self.send(&order).await == Answer::Lost {
-                self.return_waiting_starts(key);
-            }
-            next = self.lanes.borrow_mut().next(key);
-        }
-    }
-
-    /// Returns whether an order that may have waited is still to be sent. One that isn't is
-    /// repeated by a later plan if it is still needed.
-    fn may_send(&self, order: &Order) -> bool {
-        let has_ended = self.retired.get() || self.halted.get();
-        !has_ended && self.node.may_order() && self.pool.borrow().is_needed(order)
-    }
-
-    /// Returns the starts that wait for a worker that doesn't answer: these copies were not sent.
-    fn return_waiting_starts(&self, key: worker::Key) {
-        let starts = self.lanes.borrow_mut().take_waiting_starts(key);
-        let mut pool = self.pool.borrow_mut();
-        for start in starts {
-            pool.handle_order_answer(clock::now(), &start, &Answer::Unsent);
-        }
-    }
-
-    async fn send(&self, order: &Order) -> Answer<u64> {
-        let call = self.node.effort.measure("orders", || wire::order(order));
-        let started = clock::now();
-        let answer = self.node.client.call("order", order.address, &call, RESPONSE_TIMEOUT).await;
-        self.count("order", started, answer.is_ok());
-        let answer = match answer {
-            Ok((status, body)) => wire::parse_order(status, &body).unwrap_or(Answer::Lost),
-            Err(CallError::Unsent | CallError::Lost) => Answer::Lost,
-        };
-        if !matches!(answer, Answer::Done(_)) {
-            self.node.trace.line("order not confirmed", || {
-                json!({ "task": wire::format_task(order.task), "run": order.run, "worker": order.id,
-                    "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) })
-            });
-        }
-        self.node.effort.measure("orders", || {
-            self.pool.borrow_mut().handle_order_answer(clock::now(), order, &answer);
-        });
-        self.wake.notify_one();
-        answer
-    }
-
     pub(super) fn count(&self, kind: &str, started: Time, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
         self.node.metrics.worker(kind, outcome, clock::now() - started);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -18,6 +18,7 @@
 
 use crate::access::Identity;
 use crate::allowance;
+use crate::delivery::{Delivery, Outcome};
 use crate::division;
 use crate::duty::FormerHolder;
 use crate::http::{CallError, Client};
@@ -192,6 +193,13 @@
         /// The job's id.
         id: String,
     },
+    /// Asks a peer to deliver orders to workers. Earlier versions don't know it.
+    Deliver {
+        /// The orders.
+        deliveries: Vec<Delivery>,
+        /// How long a worker may take to answer, in milliseconds.
+        within_ms: u64,
+    },
     /// Asks a peer to call the store, which rejects the sender.
     Store {
         /// The method.
@@ -222,6 +230,7 @@
             | Self::Advise { .. }
             | Self::Unsure { .. }
             | Self::Tried { .. }
+            | Self::Deliver { .. }
             | Self::Store { .. } => "",
         }
     }
@@ -345,6 +354,11 @@
         /// Whether it may be.
         is_unsure: bool,
     },
+    /// What became of the orders, in their order.
+    Delivered {
+        /// The outcomes.
+        outcomes: Vec<Outcome>,
+    },
     /// The store's response.
     Store {
         /// The status; 0 for no response.
@@ -407,8 +421,11 @@
 }
 
 fn parse_reply((status, body): (u16, Bytes)) -> Result<Reply, CallError> {
-    if status != 200 {
-        return Err(CallError::Lost);
+    match status {
+        200 => {}
+        // A peer of another version, which doesn't know the request.
+        400 => return Err(CallError::Unsent),
+        _ => return Err(CallError::Lost),
     }
     serde_json::from_slice(&body).map_err(|_| CallError::Lost)
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -59,6 +59,8 @@
     pub job_retention: Duration,
     /// The minimum time between two holders' orders for a VM.
     pub order_gap: Duration,
+    /// Whether peers deliver an owner's orders; `auto` is while it is behind.
+    pub delivery_by_peers: Switch,
     /// The decisions that are made while more work waits than fits.
     pub contention: contention::Settings,
 }
@@ -123,6 +125,7 @@
             remote_factor: file.get_or("bounds", "remote_factor", 1.0_f64),
             job_retention: seconds(file.get_or("bounds", "remember_s", 120.0)),
             order_gap: file.millis("bounds", "order_gap_ms", Duration::from_secs(3), 0..=600_000),
+            delivery_by_peers: file.get_or("delivery", "by_peers", Switch::Auto),
             contention: contention_settings(&mut file),
         };
         file.finish()?;
