Log how certain an owner is that nobody has taken its pool over

A restart now names its proof, whether ownership was certain, and how long ago the lease was renewed; an owner logs when it begins and ceases to be certain, and a lost lease how long ago it was renewed. Nothing is decided by it.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::duty::{DUTY_PREFIX, FLEET, Holder, HolderHistory, MEMBER_PREFIX, Member, Record};
 use crate::node::{LEASE_TTL, Node};
-use crate::owner::Owner;
+use crate::owner::{Owner, ms};
 use crate::placement::QueueRecord;
 use crate::planner;
 use crate::store::Error;
@@ -50,7 +50,10 @@
 
 async fn renew(node: &Rc<Node>, lease: u64) -> Result<Option<u64>, Error> {
     if !node.store.keep(lease).await? {
-        node.trace.unlimited("lease lost", json!({ "lease": lease }));
+        node.trace.unlimited(
+            "lease lost",
+            json!({ "lease": lease, "renewed_ms_ago": ms(node.since_renewal()) }),
+        );
         node.ownership_doubted_at.set(clock::now());
         return Ok(None);
     }
@@ -92,10 +95,8 @@
         if node.was_frozen(now) {
             // While the process was frozen or suspended others may have taken over. No order
             // is sent until the lease has been renewed again.
-            node.trace.unlimited(
-                "was away",
-                json!({ "for_ms": crate::owner::ms(now - node.last_duty_check.get()) }),
-            );
+            node.trace
+                .unlimited("was away", json!({ "for_ms": ms(now - node.last_duty_check.get()) }));
             node.lease_renewed_at.set(Time::ZERO);
             node.ownership_doubted_at.set(now);
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -142,6 +142,11 @@
         is_store_silent && since < OUTAGE_GRACE
     }
 
+    /// Returns the time since the last successful renewal of the member's lease was sent.
+    pub fn since_renewal(&self) -> Duration {
+        clock::now() - self.lease_renewed_at.get()
+    }
+
     /// Whether this daemon's lease in the store certainly holds.
     pub fn has_lease(&self) -> bool {
         let now = clock::now();
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -110,6 +110,8 @@
     flushing: Cell<bool>,
     loaded: Cell<bool>,
     retired: Cell<bool>,
+    /// Whether ownership was certain at the last plan.
+    was_certain: Cell<bool>,
     polled_workers: RefCell<HashSet<worker::Key>>,
     /// [`Pool::joined_workers`] when polls were last started.
     joined_workers: Cell<u64>,
@@ -178,6 +180,7 @@
             flushing: Cell::new(false),
             loaded: Cell::new(false),
             retired: Cell::new(false),
+            was_certain: Cell::new(true),
             polled_workers: RefCell::default(),
             joined_workers: Cell::new(0),
             lanes: RefCell::default(),
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -66,7 +66,9 @@
         }
         self.start_polls();
         self.ask_advice();
-        if self.is_certain() {
+        let is_certain = self.is_certain();
+        self.note_certainty(is_certain);
+        if is_certain {
             self.pool.borrow_mut().confirm_ownership();
         }
         if self.node.may_order() {
@@ -96,6 +98,20 @@
         self.write_wake.notify_one();
     }
 
+    /// Logs when this owner begins or ceases to be certain that no other one has taken the pool over.
+    fn note_certainty(&self, is_certain: bool) {
+        if self.was_certain.replace(is_certain) == is_certain {
+            return;
+        }
+        let event = if is_certain { "ownership certain" } else { "ownership uncertain" };
+        self.node.metrics.event(event);
+        self.node.trace.unlimited(
+            event,
+            json!({ "duty": self.name, "fence": self.fence(),
+                "renewed_ms_ago": ms(self.node.since_renewal()), "may_order": self.node.may_order() }),
+        );
+    }
+
     fn note_decision(&self, took: Duration, orders: usize) {
         self.node.metrics.plan(&self.name, took);
         self.node.effort.add("plans", took);
@@ -124,10 +140,14 @@
                 self.log_wait(note.event, task, wait);
                 continue;
             }
-            self.node.trace.line(
-                note.event,
-                || json!({ "task": task, "worker": note.worker, "why": note.why, "fence": self.fence() }),
-            );
+            let (is_certain, renewed_ms) = (self.is_certain(), ms(self.node.since_renewal()));
+            let ownership = note
+                .proof
+                .map(|proof| json!({ "proof": proof.event(), "certain": is_certain, "renewed_ms_ago": renewed_ms }));
+            self.node.trace.line(note.event, || {
+                json!({ "task": task, "worker": note.worker, "why": note.why, "fence": self.fence(),
+                    "ownership": ownership })
+            });
         }
     }
 
