Let an entry daemon open its connections from a set address

On a host with several addresses the system chooses the source of a connection. Whoever shapes or filters traffic by it, as the tests' fault proxies do, can't tell daemons apart that share a host. [process] connect_from names the address; 0.0.0.0, the default, leaves the choice to the system. Test: parse_connect_from.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -2,7 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, header};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -95,6 +96,8 @@
     truncated_responses: Cell<usize>,
     traffic: Traffic,
     open: Rc<Cell<usize>>,
+    /// The address from which connections are opened; the system chooses one if it is unspecified.
+    source: IpAddr,
 }
 
 impl Client {
@@ -106,9 +109,17 @@
             truncated_responses: Cell::new(0),
             traffic,
             open: Rc::default(),
+            source: IpAddr::V4(Ipv4Addr::UNSPECIFIED),
         }
     }
 
+    /// Sets the address from which connections are opened, on a host that has several.
+    #[must_use]
+    pub fn with_source(mut self, source: IpAddr) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Sets the number of unused connections that are kept for each address.
     #[must_use]
     pub fn with_max_idle(mut self, max_idle: usize) -> Self {
@@ -256,7 +267,7 @@
     }
 
     async fn connect(&self, address: SocketAddr, within: Duration) -> Result<Sender, CallError> {
-        let stream = timeout(within, TcpStream::connect(address)).await;
+        let stream = timeout(within, self.open_stream(address)).await;
         let stream = stream.map_err(|_| CallError::Unsent)?.map_err(|_| CallError::Unsent)?;
         // Small requests must not wait for the response to the previous one.
         let _ = stream.set_nodelay(true);
@@ -272,6 +283,15 @@
         Ok(sender)
     }
 
+    async fn open_stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        if self.source.is_unspecified() {
+            return TcpStream::connect(address).await;
+        }
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(self.source, 0))?;
+        socket.connect(address).await
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -57,8 +57,9 @@
         trace.unlimited("metrics left out", json!({ "why": metrics.jobs.failures() }));
     }
     let traffic = Traffic::default();
-    let client = Rc::new(Client::new(traffic.clone()));
-    let peers = Rc::new(Client::new(traffic.clone()).with_max_idle(MAX_IDLE_PER_PEER));
+    let new_client = || Client::new(traffic.clone()).with_source(settings.connect_from);
+    let client = Rc::new(new_client());
+    let peers = Rc::new(new_client().with_max_idle(MAX_IDLE_PER_PEER));
     let store = Store::new(settings.store, client.clone(), trace.clone(), metrics.clone());
     Rc::new(Node {
         settings,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -29,6 +29,8 @@
     pub peers: SocketAddr,
     /// The address for metrics.
     pub metrics: SocketAddr,
+    /// The address from which connections are opened; unspecified if the system chooses one.
+    pub connect_from: IpAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The address of the service that moves and maintains VMs, if any.
@@ -99,6 +101,7 @@
             readiness: file.address("listen", "readiness"),
             peers: port(file.number("listen", "peers_port", 0, 0..=65_535)),
             metrics: port(file.number("listen", "metrics_port", 9_464, 0..=65_535)),
+            connect_from: file.get_or("process", "connect_from", IpAddr::V4(Ipv4Addr::UNSPECIFIED)),
             store: file.address("store", "address"),
             fleet: fleet.parse().ok(),
             advice: advice.parse().ok(),
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -46,6 +46,14 @@
     assert!(error.contains("`cpu_shares`"), "{error}");
 }
 
+#[test]
+fn parse_connect_from() {
+    let text = GOOD.replace("[process]\n", "[process]\nconnect_from = 127.0.0.9\n");
+    let source = |text| Settings::parse(text).unwrap().connect_from;
+    assert_eq!(source(&text), std::net::IpAddr::from([127, 0, 0, 9]));
+    assert!(source(GOOD).is_unspecified(), "the system chooses");
+}
+
 // Guards against decisions under contention on a deployment that doesn't call for them.
 #[test]
 fn parse_contention_is_off_unless_called_for() {
