--- a/crates/standins/tests/processes.rs
+++ b/crates/standins/tests/processes.rs
@@ -113,6 +113,23 @@
     assert_eq!(findings.lost, ["never-sent"]);
 }
 
+#[test]
+fn fault_of_one_caller() {
+    let (_process, _, to) = backend(&[]);
+    let fault = start("standin-fault", &["--to", &to]);
+    let switches = Http::new(fault.address(1));
+    let set = |body| assert_eq!(switches.post("/_fault", body).unwrap().0, 200);
+    let target = fault.address(0).to_string();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut outcome = || client(&target, LONG, 1).lookup("transfer", &mut rng).outcome;
+    set(r#"{"from":"127.0.0.9","cut":true}"#);
+    assert_eq!(outcome(), Outcome::Answered, "the fault is another caller's");
+    set(r#"{"from":"127.0.0.1","cut":true}"#);
+    assert_eq!(outcome(), Outcome::Unknown);
+    set(r#"{"from":"127.0.0.1","cut":false}"#);
+    assert_eq!(outcome(), Outcome::Answered);
+}
+
 #[test]
 fn fault_each_switch() {
     // Faults between two healthy ends: one direction freezes, open connections fall
