Order nothing under a new lease before it is known who owns the pools

Callers could see a task run twice: an owner that was frozen, or cut off, for longer than a successor waits for it finds its lease lost, takes a new one, and was allowed to order at once, though it reads only after that who owns its pools. The rule asked for a valid lease, and a new one proves nothing of the time before.

What a process knows of its hold on duties is now pure code (tenure.rs). Renewals count as confirmation only while the lease is the same, or once the duties' records were read after a loss; until then an owner goes on no longer than the time for which a successor waits.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -11,9 +11,9 @@
 use corianderfork_model::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::node::{LEASE_TTL, OUTAGE_GRACE};
 use crate::placement::QueueRecord;
 use crate::rendezvous::score;
+use crate::tenure::{LEASE_TTL, OUTAGE_GRACE};
 
 /// The key prefix of members' records; the name follows.
 pub const MEMBER_PREFIX: &str = "entry/member/";
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -214,7 +214,9 @@
                     || json!({ "key": event.key, "revision": event.revision, "there": value.is_some() }),
                 );
             }
-            Update::KnownUntil(at, _) => return target.duties_known_at.set(at),
+            Update::KnownUntil(at, _) => {
+                return target.update_tenure(|tenure| tenure.note_known(at));
+            }
         }
         target.changed.notify_waiters();
     };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod relays;
 pub mod rendezvous;
 pub mod settings;
+pub mod tenure;
 pub mod traffic;
 pub mod wave_ages;
 pub mod write_slots;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -11,11 +11,12 @@
 
 use crate::clock;
 use crate::duty::{DUTY_PREFIX, FLEET, Holder, HolderHistory, MEMBER_PREFIX, Member, Record};
-use crate::node::{LEASE_TTL, Node};
+use crate::node::Node;
 use crate::owner::{Owner, ms};
 use crate::placement::QueueRecord;
 use crate::planner;
 use crate::store::Error;
+use crate::tenure::LEASE_TTL;
 
 /// How often the lease is renewed: four times in its length.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
@@ -36,7 +37,7 @@
         match renewal {
             Ok(Some(number)) => {
                 lease = Some(number);
-                node.lease_renewed_at.set(sent);
+                node.update_tenure(|tenure| tenure.renew(sent));
                 tokio::time::sleep(RENEW_INTERVAL).await;
             }
             Ok(None) => lease = None,
@@ -52,9 +53,9 @@
     if !node.store.keep(lease).await? {
         node.trace.unlimited(
             "lease lost",
-            json!({ "lease": lease, "renewed_ms_ago": ms(node.since_renewal()) }),
+            json!({ "lease": lease, "renewed_ms_ago": node.since_renewal() }),
         );
-        node.ownership_doubted_at.set(clock::now());
+        node.update_tenure(|tenure| tenure.lose_lease(clock::now()));
         return Ok(None);
     }
     // The record may be missing although the lease is alive.
@@ -89,18 +90,11 @@
 
 /// Takes vacant duties and leaves those that another member holds.
 pub async fn maintain_duties(node: Rc<Node>) {
-    node.last_duty_check.set(clock::now());
     while !node.stopping.get() {
         let now = clock::now();
-        if node.was_frozen(now) {
-            // While the process was frozen or suspended others may have taken over. No order
-            // is sent until the lease has been renewed again.
-            node.trace
-                .unlimited("was away", json!({ "for_ms": ms(now - node.last_duty_check.get()) }));
-            node.lease_renewed_at.set(Time::ZERO);
-            node.ownership_doubted_at.set(now);
+        if let Some(away) = node.update_tenure(|tenure| tenure.check(now)) {
+            node.trace.unlimited("was away", json!({ "for_ms": ms(away) }));
         }
-        node.last_duty_check.set(now);
         check_duties(&node, now);
         let _ = timeout(CHECK_INTERVAL, node.changed.notified()).await;
     }
@@ -130,7 +124,7 @@
 
 fn check_duties(node: &Rc<Node>, now: Time) {
     leave_lost_duties(node);
-    if now - node.lease_renewed_at.get() >= LEASE_TTL {
+    if !node.tenure.get().has_lease(now) {
         return;
     }
     let duties = known_duties(node);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -27,19 +27,10 @@
 use crate::relays::Relays;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::tenure::Tenure;
 use crate::trace::Trace;
 use crate::traffic::Traffic;
 
-/// The length of a member's lease. A holder that died is replaced when it expires;
-/// several renewals with their round trips must fit into it.
-pub const LEASE_TTL: Duration = Duration::from_millis(2_500);
-/// How long a holder continues without a renewal while the store doesn't respond at all: during
-/// such an outage no other member can take over either.
-pub const OUTAGE_GRACE: Duration = Duration::from_millis(8_000);
-
-/// A pause between two duty checks that only a freeze of the process explains.
-pub const FREEZE_THRESHOLD: Duration = Duration::from_millis(900);
-
 /// The grants of an owner that has retired.
 pub struct RetiredGrants {
     /// The owner's fence.
@@ -98,16 +89,8 @@
     pub workers_loaded: Cell<bool>,
     /// Until when workers are expected to register for a pool that this daemon owns.
     pub workers_expected_until: Cell<Time>,
-    /// When the last successful renewal of the member's lease was sent.
-    pub lease_renewed_at: Cell<Time>,
-    /// When duties were last checked. This happens continually unless the process is
-    /// frozen.
-    pub last_duty_check: Cell<Time>,
-    /// When something last happened that may have cost this daemon its duties: a freeze or
-    /// the loss of its lease.
-    pub ownership_doubted_at: Cell<Time>,
-    /// All changes of duties before this time are known.
-    pub duties_known_at: Cell<Time>,
+    /// How certain it is that duties recorded as this daemon's are.
+    pub tenure: Cell<Tenure>,
     /// Whether the daemon is shutting down.
     pub stopping: Cell<bool>,
     /// Notified when members, duties or the configuration change.
@@ -123,40 +106,28 @@
 }
 
 impl Node {
-    /// Whether orders may be sent: this daemon's lease is valid, or the store doesn't respond at
-    /// all and this process wasn't frozen.
-    ///
-    /// Right after a freeze, the silence of the store looks like an outage. Orders sent then
-    /// would contradict what another holder did meanwhile: a job that it completed would be
-    /// reported as queued.
+    /// Changes what is known of the hold on duties.
+    pub fn update_tenure<T>(&self, update: impl FnOnce(&mut Tenure) -> T) -> T {
+        let mut tenure = self.tenure.get();
+        let result = update(&mut tenure);
+        self.tenure.set(tenure);
+        result
+    }
+
+    /// Whether orders may be sent; see [`Tenure::may_order`].
     pub fn may_order(&self) -> bool {
-        let now = clock::now();
-        if self.was_frozen(now) {
-            return false;
-        }
-        let since = now - self.lease_renewed_at.get();
-        if since < LEASE_TTL {
-            return true;
-        }
-        let is_store_silent = self.store.last_response() <= self.lease_renewed_at.get() + LEASE_TTL;
-        is_store_silent && since < OUTAGE_GRACE
+        self.tenure.get().may_order(clock::now(), self.store.last_response())
     }
 
-    /// Returns the time since the last successful renewal of the member's lease was sent.
-    pub fn since_renewal(&self) -> Duration {
-        clock::now() - self.lease_renewed_at.get()
+    /// Returns the time since the last successful renewal of the member's lease was sent, in
+    /// milliseconds; `None` if there was none since the start or the last freeze.
+    pub fn since_renewal(&self) -> Option<u64> {
+        self.tenure.get().renewed_at().map(|at| ms(clock::now() - at))
     }
 
     /// Whether this daemon's lease in the store certainly holds.
     pub fn has_lease(&self) -> bool {
-        let now = clock::now();
-        !self.was_frozen(now) && now - self.lease_renewed_at.get() < LEASE_TTL
-    }
-
-    /// Whether so much time has passed since the last duty check that the process must have
-    /// been frozen.
-    pub fn was_frozen(&self, now: Time) -> bool {
-        now - self.last_duty_check.get() > FREEZE_THRESHOLD
+        self.tenure.get().has_lease(clock::now())
     }
 
     /// Whether a duty taken with `fence` is still this daemon's as far as it knows, and
@@ -166,9 +137,7 @@
     /// taken them, and the change of the duty may be reported only after the lease.
     pub fn is_sure_of(&self, duty: &str, fence: u64) -> bool {
         let is_named = self.table.borrow().duties.get(duty).is_some_and(|r| r.revision == fence);
-        is_named
-            && self.may_order()
-            && self.duties_known_at.get() >= self.ownership_doubted_at.get()
+        is_named && self.may_order() && self.tenure.get().is_known()
     }
 
     /// Returns the record by which this daemon holds duties.
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -108,7 +108,7 @@
         self.node.trace.unlimited(
             event,
             json!({ "duty": self.name, "fence": self.fence(),
-                "renewed_ms_ago": ms(self.node.since_renewal()), "may_order": self.node.may_order() }),
+                "renewed_ms_ago": self.node.since_renewal(), "may_order": self.node.may_order() }),
         );
     }
 
@@ -140,7 +140,7 @@
                 self.log_wait(note.event, task, wait);
                 continue;
             }
-            let (is_certain, renewed_ms) = (self.is_certain(), ms(self.node.since_renewal()));
+            let (is_certain, renewed_ms) = (self.is_certain(), self.node.since_renewal());
             let ownership = note
                 .proof
                 .map(|proof| json!({ "proof": proof.event(), "certain": is_certain, "renewed_ms_ago": renewed_ms }));
