Take a duty only from a holder whose member record is gone in the store

A member that hears of changes late may count a holder as gone that has registered again. It took the duty nevertheless, as only the duty's record was compared, while the holder renewed its lease and relied on it: two owners, both certain. The takeover now expects the holder's member record to be as known, in the same transaction, so that a lease that was renewed proves that no duty was taken until then.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -210,6 +210,33 @@
         holder.all().filter(may_be_alive).take(MAX_FORMER_HOLDERS).collect()
     }
 
+    /// Returns what a takeover of a duty expects of the store, as rows of keys and revisions: that its
+    /// record and its holder's member record are as known here.
+    ///
+    /// A holder relies on its member record: while that is there, nobody takes its duties. A member that
+    /// hears of changes late may still count a holder as gone that has registered again.
+    ///
+    /// ```
+    /// use corianderfork_entry::duty::{Holder, Record, Table};
+    /// use corianderfork_model::Time;
+    ///
+    /// let holder = Holder { name: "e0".to_owned(), boot: 1, ..Holder::default() };
+    /// let mut table = Table::default();
+    /// table.put_duty(Time::ZERO, "pool", Record { holder, revision: 7 });
+    /// let expected = [("entry/duty/pool".to_owned(), 7), ("entry/member/e0".to_owned(), 0)];
+    /// assert_eq!(table.takeover_conditions("pool"), expected);
+    /// ```
+    pub fn takeover_conditions(&self, duty: &str) -> Vec<(String, u64)> {
+        let record = self.duties.get(duty).cloned().unwrap_or_default();
+        let mut rows = vec![(format!("{DUTY_PREFIX}{duty}"), record.revision)];
+        let name = record.holder.name;
+        if !name.is_empty() {
+            let revision = self.members.get(&name).map_or(0, |member| member.revision);
+            rows.push((format!("{MEMBER_PREFIX}{name}"), revision));
+        }
+        rows
+    }
+
     /// Whether the holder of a record is known to be alive.
     pub fn is_live(&self, holder: &Holder) -> bool {
         self.members.get(&holder.name).is_some_and(|member| member.boot == holder.boot)
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -185,11 +185,8 @@
     let holder = Holder { before: node.table.borrow().former_holders(&duty), ..node.holder() };
     let history = node.table.borrow().history(clock::now(), &duty);
     let value = serde_json::to_vec(&holder).unwrap_or_default();
-    let txn = Txn {
-        expect: vec![(key.clone(), record.revision)],
-        set: vec![(key, value, 0)],
-        remove: Vec::new(),
-    };
+    let expect = node.table.borrow().takeover_conditions(&duty);
+    let txn = Txn { expect, set: vec![(key, value, 0)], remove: Vec::new() };
     let outcome = node.store.txn(&txn).await;
     node.trace.unlimited(
         "duty takeover attempted",
--- a/crates/entry/tests/duty.rs
+++ b/crates/entry/tests/duty.rs
@@ -153,3 +153,24 @@
     fresh.put_duty(at(60_000), "a", record);
     assert!(fresh.may_grant(at(60_100), "a") > Duration::from_millis(8_000));
 }
+
+// Guards against two holders of one duty that both rely on the store: a member that hears late of a
+// holder's return takes its duty.
+#[test]
+fn takeover_conditions_of_a_holder_that_was_gone() {
+    let mut table = table(&[250, 250]);
+    table.put_duty(at(0), "a", Record { holder: holder("e0", 1), revision: 5 });
+    table.members.remove("e0");
+    let duty = ("entry/duty/a".to_owned(), 5);
+    assert_eq!(table.takeover_conditions("a"), [duty.clone(), ("entry/member/e0".to_owned(), 0)]);
+    table.members.insert("e0".to_owned(), member(0, 2, 250));
+    assert_eq!(table.takeover_conditions("a"), [duty, ("entry/member/e0".to_owned(), 20)]);
+}
+
+#[test]
+fn takeover_conditions_of_a_duty_without_a_holder() {
+    let mut table = table(&[250]);
+    assert_eq!(table.takeover_conditions("a"), [("entry/duty/a".to_owned(), 0)]);
+    table.put_duty(at(0), "a", Record { holder: holder("", 1), revision: 5 });
+    assert_eq!(table.takeover_conditions("a"), [("entry/duty/a".to_owned(), 5)]);
+}
