Conclude from silence only while no other owner can have the pool

Cause: an owner goes on for up to 8 s without the store. It took the leases of a silent worker as ended after the longest that it had granted, and started the tasks on its side; its successor had renewed these leases, or noted the ends. The worker that the owner still reached had not seen the higher fence. The same holds for each proof by which a run is over that its worker didn't give itself: another instance, another worker at the address, a restart, a run that is listed no more, a VM that is maintained or gone. They tell that a run is over, not that nobody noted its end as done before.

The pool is now told until when no other owner can have taken it over: the end of the lease that was last renewed, if the duties' records have been read since it was last in doubt. Until that is confirmed again only what a worker lists itself, or a start that was never carried out, ends a run; all else waits. A worker that lists an end to this owner has not seen a higher fence, so no successor noted it before.

Of the 11 tests of tenure.rs the nine that wait are red if ownership always counts as confirmed; the other two guard against waiting without need. No time bound is changed.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -382,6 +382,7 @@
                 Reply::Load { load, counted, arrivals, arrival_changes, holds_parts, silent }
             }
             Message::Shrink { keep, missing, .. } => {
+                self.confirm();
                 let now = clock::now();
                 let mut pool = self.pool.borrow_mut();
                 let workers = pool.shrink_for_others(now, keep, missing, VACATE_TTL);
@@ -389,6 +390,7 @@
                 Reply::Spare { workers }
             }
             Message::Gone { workers, .. } => {
+                self.confirm();
                 for worker in &workers {
                     self.pool.borrow_mut().remove_gone_worker(clock::now(), worker);
                 }
@@ -406,6 +408,7 @@
 
     /// Vacates `workers`, and reports when they and `candidates` are expected to be empty.
     fn vacate(&self, workers: Vec<String>, candidates: Vec<String>) -> Reply {
+        self.confirm();
         let now = clock::now();
         let mut pool = self.pool.borrow_mut();
         let mut busy_ms = BTreeMap::new();
@@ -421,6 +424,7 @@
 
     /// Removes workers that no VM runs any more.
     fn remove_ended_workers(&self, ended: &[String]) {
+        self.confirm();
         let mut pool = self.pool.borrow_mut();
         for id in ended {
             pool.remove_ended_worker(clock::now(), id);
@@ -435,6 +439,13 @@
         self.node.is_sure_of(&self.name, self.fence())
     }
 
+    /// Tells the pool until when no other process can have taken it over.
+    fn confirm(&self) {
+        let until =
+            if self.is_certain() { self.node.tenure.get().confirmed_until() } else { Time::ZERO };
+        self.pool.borrow_mut().confirm_until(until);
+    }
+
     /// Whether no other process can have taken the pool over by now, so that a successor finds what
     /// this owner knows among the jobs that were accepted before it. An owner goes on without the
     /// store for a while, and isn't certain then.
--- a/crates/entry/src/owner/dispatch.rs
+++ b/crates/entry/src/owner/dispatch.rs
@@ -179,6 +179,7 @@
                     "answer": format!("{answer:?}"), "took_ms": ms(clock::now() - started) })
             });
         }
+        self.confirm();
         self.node.effort.measure("orders", || {
             self.pool.borrow_mut().handle_order_answer(clock::now(), order, answer);
         });
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -56,6 +56,7 @@
 
     fn plan(self: &Rc<Self>) {
         let now = clock::now();
+        self.confirm();
         if self.list_changed.replace(false) {
             let entries = self.node.workers_of(&self.name);
             self.pool.borrow_mut().set_workers(now, &entries);
@@ -103,6 +104,8 @@
         if self.was_certain.replace(is_certain) == is_certain {
             return;
         }
+        // What the list told meanwhile counts now.
+        self.list_changed.set(true);
         let event = if is_certain { "ownership certain" } else { "ownership uncertain" };
         self.node.metrics.event(event);
         self.node.trace.unlimited(
@@ -198,6 +201,7 @@
             if self.retired.get() || self.halted.get() {
                 break;
             }
+            self.confirm();
             self.node.effort.measure("poll answers", || {
                 self.pool.borrow_mut().handle_poll_answer(clock::now(), sent, key, &answer);
             });
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -43,6 +43,7 @@
 mod space;
 pub(crate) mod symbol;
 mod tally;
+mod tenure;
 mod turn;
 mod unmet;
 mod unrunnable;
@@ -51,7 +52,7 @@
 pub mod wait;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -239,6 +240,10 @@
     is_deleting: bool,
     start_count: u64,
     deposed: bool,
+    /// Until when no other owner can have taken the pool over; `None` if none is expected.
+    confirmed_until: Option<Time>,
+    /// The workers whose runs were not given up since another owner may have the pool.
+    withheld: HashSet<worker::Key>,
     /// The jobs that were held since ownership was last confirmed.
     held_jobs: BTreeSet<JobId>,
     /// Until when workers that no roster names may run tasks of former owners.
@@ -335,6 +340,8 @@
             is_deleting: false,
             start_count: 0,
             deposed: false,
+            confirmed_until: None,
+            withheld: HashSet::new(),
             held_jobs: BTreeSet::new(),
             unnamed_until: Time::ZERO,
             first_planned: None,
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -107,6 +107,9 @@
 
     /// Handles the answer to an order.
     pub fn handle_order_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
+        if *answer == Answer::Gone && !self.may_conclude(now, order.worker, Proof::Replaced) {
+            return self.handle_order_answer(now, order, &Answer::Lost);
+        }
         match answer {
             Answer::Fenced => return self.set_deposed(order.worker),
             Answer::Gone => {
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -119,10 +119,20 @@
     ) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.is_polled = true;
+        let ended = match answer {
+            Answer::Gone => Some(Proof::Replaced),
+            Answer::Done(report) if worker.has_restarted(report.born_ms, report.clock_ms) => {
+                Some(Proof::Restarted)
+            }
+            _ => None,
+        };
+        // What another instance answers says nothing about this one.
+        let is_conclusive = ended.is_none_or(|proof| self.may_conclude(now, key, proof));
+        let Some(worker) = self.workers.get_mut(key) else { return };
         match answer {
-            Answer::Done(report) => self.handle_report(now, sent, key, report),
+            Answer::Done(report) if is_conclusive => self.handle_report(now, sent, key, report),
             Answer::Fenced => self.set_deposed(key),
-            Answer::Gone => self.remove_worker(now, key, Proof::Replaced),
+            Answer::Gone if is_conclusive => self.remove_worker(now, key, Proof::Replaced),
             _ => {
                 worker.unanswered_polls += 1;
                 if worker.unanswered_polls == worker::SILENT_POLLS {
--- a/crates/jobs/src/pool/proof.rs
+++ b/crates/jobs/src/pool/proof.rs
@@ -40,6 +40,23 @@
 }
 
 impl Proof {
+    /// Returns whether it holds whatever other owners do: the worker itself said so, under this
+    /// owner's fence, or this owner never sent the start.
+    ///
+    /// Any other proof tells that a run is over, and not that no other owner renewed its lease or noted
+    /// its end before.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::proof::Proof;
+    /// use corianderfork_jobs::task::Outcome;
+    ///
+    /// assert!(Proof::Exit(Outcome::Failed).is_firsthand());
+    /// assert!(!Proof::LeaseEnded.is_firsthand());
+    /// ```
+    pub fn is_firsthand(self) -> bool {
+        matches!(self, Self::Exit(_) | Self::NotStarted)
+    }
+
     /// Returns the name of the event by which starts with this proof are counted.
     ///
     /// ```
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -150,7 +150,9 @@
             // A report that was requested before the run became a stray may be older than its start.
             None => self.stray(key, name, run).is_none_or(|stray| stray.since < sent),
         };
-        if !has_ended {
+        let is_stopped = matches!(phase, Some(Phase::Stopping { .. }));
+        let proof = if is_stopped { Proof::Stopped } else { Proof::Unlisted };
+        if !has_ended || phase.is_some() && !self.may_conclude(now, key, proof) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(key) {
@@ -164,8 +166,6 @@
                     worker.last_exit, worker.acked
                 )
             });
-            let is_stopped = matches!(phase, Some(Phase::Stopping { .. }));
-            let proof = if is_stopped { Proof::Stopped } else { Proof::Unlisted };
             self.end_run(now, key, name, proof, now);
             self.note("task vanished", Some(name), Some(key), why);
         }
--- /dev/null
+++ b/crates/jobs/src/pool/tenure.rs
@@ -0,0 +1,62 @@
+//! What an owner may decide while another one may have taken its pool over.
+//!
+//! An owner that can't reach the store goes on for a while, and its successor may be at work on the
+//! other side of a partition. Neither hears of the other, and each reaches some workers only. A worker
+//! rejects the lower fence once it has heard of the higher one, so what a worker tells an owner, or
+//! accepts from it, happened before that worker's successor came. All else may have been contradicted
+//! there: leases renewed, ends noted, runs started.
+//!
+//! | decision | while another owner may be at work |
+//! |---|---|
+//! | a run has ended: its worker lists the end | as ever |
+//! | a run never began: each copy of its start was refused or not sent | as ever |
+//! | a run has ended, by anything else ([`Proof`]) | waits |
+//! | a start of a job that was learned of meanwhile ([`Hold::Ownership`](super::Hold)) | waits |
+//! | a stop of a cancelled job, of a run that belongs to no task, of one without room | as ever |
+
+use corianderfork_model::Time;
+
+use super::Pool;
+use super::proof::Proof;
+use crate::worker;
+
+impl Pool {
+    /// Sets until when no other owner can have taken the pool over, as far as is known. Without such a
+    /// time no other owner is expected at all.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::{Config, Pool};
+    /// use corianderfork_model::Time;
+    ///
+    /// let at = Time::from_millis;
+    /// let mut pool = Pool::new(Config::new(7, Time::ZERO));
+    /// assert!(pool.is_confirmed(at(1_000)));
+    /// pool.confirm_until(at(500));
+    /// assert!(pool.is_confirmed(at(499)));
+    /// assert!(!pool.is_confirmed(at(500)));
+    /// ```
+    pub fn confirm_until(&mut self, until: Time) {
+        if self.confirmed_until.is_some_and(|before| before < until) {
+            self.withheld.clear();
+        }
+        self.confirmed_until = Some(until);
+    }
+
+    /// Returns whether no other owner can have taken the pool over.
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        self.confirmed_until.is_none_or(|until| now < until)
+    }
+
+    /// Returns whether `proof` shows that the runs on a worker are over. If not, that is logged once.
+    pub(super) fn may_conclude(&mut self, now: Time, key: worker::Key, proof: Proof) -> bool {
+        if proof.is_firsthand() || self.is_confirmed(now) {
+            return true;
+        }
+        let runs = self.workers.get(key).map_or(0, |worker| worker.allocations.len());
+        if runs > 0 && self.withheld.insert(key) {
+            let why = format!("{proof}, but another owner may have the pool; runs there: {runs}");
+            self.note("runs not given up", None, Some(key), why);
+        }
+        false
+    }
+}
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -56,7 +56,8 @@
             entries.iter().map(|entry| (entry.address, entry.revision)).collect();
         for (key, address, known_at) in missing {
             // An older entry may be that of an earlier worker at the address.
-            if listed.get(&address).is_some_and(|revision| *revision > known_at) {
+            let is_reused = listed.get(&address).is_some_and(|revision| *revision > known_at);
+            if is_reused && self.may_conclude(now, key, Proof::AddressReused) {
                 self.remove_worker(now, key, Proof::AddressReused);
             }
         }
@@ -175,7 +176,8 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         // An expected end isn't counted as a crash.
         worker.draining = true;
-        if worker.allocations.is_empty() || worker.missing_since.is_some() {
+        let has_ended = worker.allocations.is_empty() || worker.missing_since.is_some();
+        if has_ended && self.may_conclude(now, key, Proof::Maintained) {
             self.remove_ended_instance(now, key, Proof::Maintained);
         } else {
             let why = "its VM was moved or maintained, and it has runs".to_owned();
@@ -234,7 +236,9 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
-            self.remove_ended_instance(now, key, Proof::NoVm);
+            if self.may_conclude(now, key, Proof::NoVm) {
+                self.remove_ended_instance(now, key, Proof::NoVm);
+            }
         }
     }
 
@@ -316,6 +320,9 @@
         let lapsed: Vec<worker::Key> =
             self.workers.iter().filter(|(_, w)| has_lapsed(w)).map(|(key, _)| key).collect();
         for key in lapsed {
+            if !self.may_conclude(now, key, Proof::LeaseEnded) {
+                continue;
+            }
             let Some(worker) = self.workers.get_mut(key) else { continue };
             if worker.missing_since.is_some() {
                 self.remove_worker(now, key, Proof::LeaseEnded);
--- /dev/null
+++ b/crates/jobs/tests/tenure.rs
@@ -0,0 +1,175 @@
+//! What an owner decides while another one may have taken its pool over. Each decision is a row of
+//! the table in `pool::tenure`.
+
+mod common;
+
+use common::{MAX_LEASE_MS, Simulation, at, step};
+use corianderfork_jobs::pool::{Action, Answer, Order, Report};
+use corianderfork_jobs::task::{Exit, Outcome};
+
+/// When no other owner is expected.
+const FOREVER: u64 = 1_000_000_000;
+
+fn is_start(order: &Order) -> bool {
+    matches!(order.action, Action::Start { .. })
+}
+
+/// Returns the number of different runs that were ordered.
+fn run_count(sim: &Simulation) -> usize {
+    let mut runs: Vec<u64> =
+        sim.orders.iter().filter(|order| is_start(order)).map(|order| order.run).collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs.len()
+}
+
+/// Returns a pool of two workers, the only run of its only task, and that run's worker, as another
+/// owner may have taken the pool over.
+fn doubtful() -> (Simulation, Order, String) {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 600_000;
+    sim.submit(1, vec![step(1, 1_000)]);
+    sim.run_for(300);
+    let order = sim.orders.iter().find(|order| is_start(order)).expect("a start").clone();
+    sim.pool.confirm_until(at(sim.now));
+    let id = order.id.clone();
+    (sim, order, id)
+}
+
+/// Asserts that the task doesn't start again before ownership is confirmed, and does then.
+fn assert_restarts_once_confirmed(mut sim: Simulation, mut observe: impl FnMut(&mut Simulation)) {
+    observe(&mut sim);
+    sim.run_for(MAX_LEASE_MS + 2_000);
+    assert_eq!(run_count(&sim), 1, "another owner may have renewed its lease or noted its end");
+    sim.pool.confirm_until(at(FOREVER));
+    observe(&mut sim);
+    sim.run_for(500);
+    assert_eq!(run_count(&sim), 2);
+}
+
+fn silence(sim: &mut Simulation, id: &str) {
+    sim.workers.get_mut(id).expect("a worker").silent = true;
+}
+
+/// Lets a worker answer a poll with `answer`.
+fn answer_poll(sim: &mut Simulation, id: &str, answer: &Answer<Report>) {
+    let Some((key, _)) = sim.pool.worker(id) else { return };
+    sim.pool.handle_poll_answer(at(sim.now), at(sim.now), key, answer);
+}
+
+// Guards against a task that runs on both sides of a partition: its owner takes the lease on a silent
+// worker for ended, which a successor has renewed.
+#[test]
+fn plan_after_the_end_of_a_lease() {
+    let (mut sim, _, id) = doubtful();
+    silence(&mut sim, &id);
+    assert_restarts_once_confirmed(sim, |_| ());
+}
+
+// Guards against the same as another instance answers, after a successor noted the end of the run.
+#[test]
+fn handle_poll_answer_of_another_instance() {
+    let (mut sim, _, id) = doubtful();
+    silence(&mut sim, &id);
+    assert_restarts_once_confirmed(sim, |sim| answer_poll(sim, &id, &Answer::Gone));
+}
+
+// Guards against the same as the worker answers that has started again under its ID.
+#[test]
+fn handle_poll_answer_after_a_restart() {
+    let (mut sim, _, id) = doubtful();
+    let now = sim.now;
+    sim.workers.get_mut(&id).expect("a worker").restart(now);
+    sim.connections = common::Connections::default();
+    assert_restarts_once_confirmed(sim, |_| ());
+}
+
+// Guards against the same as a worker lists a confirmed run no more: a successor noted its end.
+#[test]
+fn handle_poll_answer_without_a_confirmed_run() {
+    let (mut sim, order, id) = doubtful();
+    sim.workers.get_mut(&id).expect("a worker").running.remove(&order.task);
+    assert_restarts_once_confirmed(sim, |_| ());
+}
+
+// Guards against the same as a worker confirms a stop and lists no end.
+#[test]
+fn handle_poll_answer_without_a_stopped_run() {
+    let (mut sim, order, id) = doubtful();
+    let task = sim.workers.get_mut(&id).expect("a worker").running.remove(&order.task);
+    assert!(task.is_some());
+    let key = sim.key(&id);
+    let stop = Order { action: Action::Stop, ..order.clone() };
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unclear);
+    sim.pool.handle_order_answer(at(sim.now), &stop, &Answer::Done(sim.now));
+    assert_eq!(sim.key(&id), key);
+    assert_restarts_once_confirmed(sim, |_| ());
+}
+
+// Guards against the same as an order reaches another instance.
+#[test]
+fn handle_order_answer_of_another_instance() {
+    let (mut sim, order, id) = doubtful();
+    silence(&mut sim, &id);
+    assert_restarts_once_confirmed(sim, |sim| {
+        sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Gone);
+    });
+}
+
+// Guards against the same as another worker is listed at the address.
+#[test]
+fn set_workers_with_a_reused_address() {
+    let (mut sim, _, id) = doubtful();
+    silence(&mut sim, &id);
+    let registration = sim.registrations.iter_mut().find(|listed| listed.id == id);
+    registration.expect("an entry").id = "next".to_owned();
+    sim.workers.insert("next".to_owned(), common::Worker::default());
+    assert_restarts_once_confirmed(sim, Simulation::list_workers);
+}
+
+// Guards against the same as the VM of the worker was moved or maintained.
+#[test]
+fn remove_gone_worker_with_a_run() {
+    let (mut sim, _, id) = doubtful();
+    silence(&mut sim, &id);
+    sim.registrations.retain(|listed| listed.id != id);
+    sim.list_workers();
+    assert_restarts_once_confirmed(sim, |sim| sim.pool.remove_gone_worker(at(sim.now), &id));
+}
+
+// Guards against the same as no VM runs the worker any more.
+#[test]
+fn remove_ended_worker_with_a_run() {
+    let (mut sim, _, id) = doubtful();
+    silence(&mut sim, &id);
+    assert_restarts_once_confirmed(sim, |sim| sim.pool.remove_ended_worker(at(sim.now), &id));
+}
+
+// Guards against a task that waits for the end of a partition although its worker has listed the end
+// of its run.
+#[test]
+fn handle_poll_answer_with_a_failed_run() {
+    let (mut sim, order, id) = doubtful();
+    let exit = Exit {
+        number: 1,
+        task: order.task,
+        run: order.run,
+        outcome: Outcome::Failed,
+        saved: "".into(),
+    };
+    sim.workers.get_mut(&id).expect("a worker").running.remove(&order.task);
+    sim.workers.get_mut(&id).expect("a worker").exits.push(exit);
+    sim.run_for(500);
+    assert_eq!(run_count(&sim), 2);
+}
+
+// Guards against the same where each copy of its start was refused.
+#[test]
+fn handle_order_answer_of_a_refused_start() {
+    let mut sim = Simulation::new(2);
+    sim.pool.confirm_until(at(sim.now));
+    sim.submit(1, vec![step(1, 1_000)]);
+    let order = sim.pool.plan(at(sim.now), 0).remove(0);
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unhealthy);
+    assert!(sim.plan().iter().any(|next| is_start(next) && next.run != order.run));
+}
