Start no task in doubt whose former run was given up by other signs

An owner that may have been replaced could still start a task whose former run it had given up before for a silent worker, and that had waited for room since; its successor may hear from that worker that the run is done, and tell the caller. And a second of three owners counted the leases of the first one as passed, which the third one had renewed. Such starts wait until ownership is confirmed; a task that never ran, or whose worker listed the end, starts as before.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -476,7 +476,10 @@
     /// Returns whether a run that a predecessor started may still be alive on a worker that
     /// this owner can't reach, or have ended on one that has more exits than it lists. Until then, tasks that a predecessor may have started are not
     /// started.
+    ///
+    /// Leases of former owners pass only while no other owner can have renewed them.
     pub fn is_recovering(&self, now: Time) -> bool {
+        let now = self.last_confirmed(now);
         let is_hiding = |worker: &Worker| worker.hides_runs(now);
         self.has_unnamed_workers(now) || self.workers.values().any(is_hiding)
     }
--- a/crates/jobs/src/pool/gang.rs
+++ b/crates/jobs/src/pool/gang.rs
@@ -27,9 +27,11 @@
             .map(|i| name(id, step_key.occurrence, step_key.step, i))
             .collect();
         let is_ready = |name: &task::Name| {
-            entry
-                .task(*name)
-                .is_some_and(|t| matches!(t.state, TaskState::Waiting) && now >= t.not_before)
+            entry.task(*name).is_some_and(|task| {
+                matches!(task.state, TaskState::Waiting)
+                    && now >= task.not_before
+                    && self.is_free_to_start(now, task)
+            })
         };
         if !names.iter().all(is_ready) {
             return;
--- a/crates/jobs/src/pool/incoming.rs
+++ b/crates/jobs/src/pool/incoming.rs
@@ -144,9 +144,7 @@
             return false;
         };
         let (Some(step), Some(task)) = (entry.step(name), entry.task(name)) else { return false };
-        let is_waiting = matches!(task.state, TaskState::Waiting)
-            && now >= task.not_before
-            && !self.awaits_attempts(entry, task);
+        let is_waiting = self.is_startable(now, entry, task);
         let has_place = self.workers.get(key).is_some_and(|worker| {
             worker.is_host(now)
                 && (step.max_per_worker == 0
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -3,7 +3,7 @@
 use corianderfork_model::Time;
 
 use super::Pool;
-use super::entry::{StepState, TaskState, name};
+use super::entry::{StepState, name};
 use super::order::Order;
 use super::ranking::{Candidate, Position, StepKey};
 use super::share::Laggards;
@@ -122,10 +122,7 @@
             let Some(entry) = self.jobs.get(key.job) else { return };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return };
-            if !matches!(task.state, TaskState::Waiting)
-                || now < task.not_before
-                || self.awaits_attempts(entry, task)
-            {
+            if !self.is_startable(now, entry, task) {
                 continue;
             }
             if self.fail_at_limit(now, name) || !self.may_charge(now, key, step, 1) {
@@ -158,10 +155,7 @@
             let Some(entry) = self.jobs.get(key.job) else { return false };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return false };
-            if !matches!(task.state, TaskState::Waiting)
-                || now < task.not_before
-                || self.awaits_attempts(entry, task)
-            {
+            if !self.is_startable(now, entry, task) {
                 continue;
             }
             if self.fail_at_limit(now, name) || !self.may_charge(now, key, step, 1) {
--- a/crates/jobs/src/pool/proof.rs
+++ b/crates/jobs/src/pool/proof.rs
@@ -161,6 +161,11 @@
 }
 
 impl FormerRun {
+    /// Returns the proof that the run is over.
+    pub(super) fn proof(&self) -> Proof {
+        self.proof
+    }
+
     fn describe(&self, now: Time, run: u64) -> String {
         format!(
             "run {run} follows run {} on {}: {}, {} ms ago; {}",
--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -11,12 +11,16 @@
 //! | a run has ended: its worker lists the end | as ever |
 //! | a run never began: each copy of its start was refused or not sent | as ever |
 //! | a run has ended, by anything else ([`Proof`]) | waits |
+//! | a start of a task that has not run, or whose run ended as above | as ever: a successor starts it only once it has heard from each worker that this owner may use, or this owner has stopped |
+//! | a start of any other task | waits |
+//! | the leases of former owners have passed, so that their tasks may start | waits |
 //! | a start of a job that was learned of meanwhile ([`Hold::Ownership`](super::Hold)) | waits |
 //! | a stop of a cancelled job, of a run that belongs to no task, of one without room | as ever |
 
 use corianderfork_model::Time;
 
 use super::Pool;
+use super::entry::{Entry, Task, TaskState};
 use super::proof::Proof;
 use crate::worker;
 
@@ -47,6 +51,11 @@
         self.confirmed_until.is_none_or(|until| now < until)
     }
 
+    /// Returns the latest time up to which no other owner can have taken the pool over.
+    pub(super) fn last_confirmed(&self, now: Time) -> Time {
+        self.confirmed_until.map_or(now, |until| now.min(until))
+    }
+
     /// Returns whether `proof` shows that the runs on a worker are over. If not, that is logged once.
     pub(super) fn may_conclude(&mut self, now: Time, key: worker::Key, proof: Proof) -> bool {
         if proof.is_firsthand() || self.is_confirmed(now) {
@@ -59,4 +68,19 @@
         }
         false
     }
+
+    /// Returns whether a task may start as far as other owners are concerned: none can be at work, or
+    /// the task's former run is over by what its worker said.
+    pub(super) fn is_free_to_start(&self, now: Time, task: &Task) -> bool {
+        self.is_confirmed(now)
+            || task.former_run.as_ref().is_none_or(|run| run.proof().is_firsthand())
+    }
+
+    /// Returns whether a task waits and nothing of its own keeps it from starting.
+    pub(super) fn is_startable(&self, now: Time, entry: &Entry, task: &Task) -> bool {
+        matches!(task.state, TaskState::Waiting)
+            && now >= task.not_before
+            && !self.awaits_attempts(entry, task)
+            && self.is_free_to_start(now, task)
+    }
 }
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -3,9 +3,13 @@
 
 mod common;
 
-use common::{MAX_LEASE_MS, Simulation, at, step};
+use std::time::Duration;
+
+use common::{FENCE, MAX_LEASE_MS, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::pool::{Action, Answer, Order, Report};
+use corianderfork_jobs::record::State;
 use corianderfork_jobs::task::{Exit, Outcome};
+use corianderfork_jobs::{JobId, Step};
 
 /// When no other owner is expected.
 const FOREVER: u64 = 1_000_000_000;
@@ -173,3 +177,69 @@
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unhealthy);
     assert!(sim.plan().iter().any(|next| is_start(next) && next.run != order.run));
 }
+
+// Guards against a start on one side of a partition of a task that a successor found done: the lease
+// of its run had ended before, and there was no room then.
+#[test]
+fn plan_of_a_task_whose_lease_ended_before() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 600_000;
+    let first = sim.submit(1, vec![Step { estimate_ms: 600_000, ..step(1, 8_000) }]);
+    sim.submit(2, vec![Step { estimate_ms: 600_000, ..step(1, 8_000) }]);
+    sim.run_for(300);
+    let lost = sim.workers_running(first_task(first))[0].to_owned();
+    silence(&mut sim, &lost);
+    sim.run_for(MAX_LEASE_MS);
+    assert_eq!(run_count(&sim), 2, "the other worker is full");
+    sim.pool.confirm_until(at(sim.now));
+    sim.pool.cancel(at(sim.now), JobId(2));
+    sim.run_for(3_000);
+    assert_eq!(run_count(&sim), 2);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(500);
+    assert_eq!(run_count(&sim), 3);
+}
+
+/// Lets an owner with a higher fence take over the pool, whose only worker with a run is silent. Its
+/// former owner may have granted leases for ten seconds more.
+fn take_over_from_a_cut_off_worker(sim: &mut Simulation, id: &str) {
+    let locations = sim.pool.written_roster();
+    let record = corianderfork_jobs::record::Record {
+        queue: "q".to_owned(),
+        accepted_ms: 0,
+        attempts: None,
+        job: corianderfork_jobs::Job::new("run".to_owned(), vec![step(1, 1_000)]).expect("a job"),
+        organisation: None,
+    };
+    silence(sim, id);
+    sim.pool = owner(FENCE + 50, sim.now);
+    sim.connections = common::Connections::default();
+    sim.pool.set_roster(locations, 0);
+    sim.pool.accept(at(sim.now), Duration::ZERO, JobId(1), &record, None, FENCE + 1);
+    sim.list_and_poll();
+}
+
+// Guards against a task that runs twice as the second of three owners counts the leases of the first
+// one as ended: the third one has renewed them.
+#[test]
+fn plan_after_the_leases_of_a_former_owner() {
+    let (mut sim, _, id) = doubtful();
+    take_over_from_a_cut_off_worker(&mut sim, &id);
+    sim.pool.confirm_until(at(sim.now + 500));
+    sim.run_for(12_000);
+    assert_eq!(run_count(&sim), 1);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(500);
+    assert_eq!(run_count(&sim), 2);
+}
+
+// Guards against work that stands still in an outage of the store: no successor starts what has never
+// run before it has heard from each worker that this owner may use.
+#[test]
+fn plan_of_a_task_that_has_not_run() {
+    let mut sim = Simulation::new(2);
+    sim.submit(1, vec![step(1, 1_000), Step { after: vec![0], ..step(1, 1_000) }]);
+    sim.pool.confirm_until(at(sim.now));
+    sim.run_for(1_500);
+    assert_eq!(sim.pool.state(JobId(1)), Some(State::Completed));
+}
