Stop no run in doubt for the sake of other work

An owner that may have been replaced stopped runs for workers that leave, for more urgent tasks and for want of progress. Its successor may stop others of the same step at that moment, so that more of them are away than the step allows, and the task can't resume where the owner would have started it. Stops of cancelled jobs, of runs that belong to no task and of runs without room go on.

Four tests of tenure.rs are red if ownership always counts as confirmed; cancel_a_job guards against a cancelled job that runs on.

--- a/crates/jobs/src/pool/evacuate.rs
+++ b/crates/jobs/src/pool/evacuate.rs
@@ -34,6 +34,9 @@
     /// A worker whose tasks all stall looks healthy and would hold them until their callers
     /// gave up.
     pub(super) fn stop_stalled(&mut self, now: Time, due: &BTreeSet<JobKey>) {
+        if !self.is_confirmed(now) {
+            return;
+        }
         let mut stalled = Vec::new();
         let due = due.iter().filter_map(|key| self.jobs.get(*key));
         for entry in due.filter(|entry| !entry.state.is_final()) {
@@ -68,7 +71,7 @@
     /// unavailable.
     pub(super) fn evacuate(&mut self, now: Time) {
         let begun = *self.first_planned.get_or_insert(now);
-        if now - begun < SETTLE_TIME {
+        if now - begun < SETTLE_TIME || !self.is_confirmed(now) {
             return;
         }
         let leaving: Vec<worker::Key> = self
--- a/crates/jobs/src/pool/preempt.rs
+++ b/crates/jobs/src/pool/preempt.rs
@@ -66,7 +66,8 @@
             return;
         }
         self.review_preemptors(now);
-        if now < self.next_preemption || self.is_recovering(now) {
+        let may_stop = !self.is_recovering(now) && self.is_confirmed(now);
+        if now < self.next_preemption || !may_stop {
             return;
         }
         self.next_preemption = now + INTERVAL;
--- a/crates/jobs/src/pool/relocate.rs
+++ b/crates/jobs/src/pool/relocate.rs
@@ -86,7 +86,8 @@
             return;
         }
         self.review_relocations(now);
-        if now < self.next_relocation || !self.is_every_inherited_worker_polled() {
+        let may_stop = self.is_every_inherited_worker_polled() && self.is_confirmed(now);
+        if now < self.next_relocation || !may_stop {
             return;
         }
         self.next_relocation = now + INTERVAL;
--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -16,6 +16,7 @@
 //! | the leases of former owners have passed, so that their tasks may start | waits |
 //! | a start of a job that was learned of meanwhile ([`Hold::Ownership`](super::Hold)) | waits |
 //! | a stop of a cancelled job, of a run that belongs to no task, of one without room | as ever |
+//! | a stop for the sake of other work, of a worker that leaves, of a stalled run | waits: a successor may stop others of the same step |
 
 use corianderfork_model::Time;
 
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::{FENCE, MAX_LEASE_MS, Simulation, at, first_task, owner, step};
+use corianderfork_jobs::contention;
 use corianderfork_jobs::pool::{Action, Answer, Order, Report};
 use corianderfork_jobs::record::State;
 use corianderfork_jobs::task::{Exit, Outcome};
@@ -243,3 +244,103 @@
     sim.run_for(1_500);
     assert_eq!(sim.pool.state(JobId(1)), Some(State::Completed));
 }
+
+fn long_running() -> Step {
+    Step { long_running: true, max_unavailable: Some(1), ..step(2, 1_000) }
+}
+
+/// Returns the number of stops that were ordered.
+fn stop_count(sim: &Simulation) -> usize {
+    sim.orders.iter().filter(|order| order.action == Action::Stop).count()
+}
+
+// Guards against a step with fewer tasks at work than it allows: the owners on both sides of a
+// partition empty a worker each.
+#[test]
+fn evacuate_a_worker_that_leaves() {
+    let mut sim = Simulation::new(6);
+    sim.task_ms = 600_000;
+    let job = sim.submit(1, vec![long_running()]);
+    sim.run_for(2_000);
+    for worker in sim.workers.values_mut() {
+        worker.running.values_mut().for_each(|run| run.percent = Some(100));
+    }
+    sim.run_for(500);
+    sim.pool.confirm_until(at(sim.now));
+    let id = sim.workers_running(first_task(job))[0].to_owned();
+    sim.pool.vacate(at(sim.now), &id, Duration::from_secs(60));
+    sim.run_for(3_000);
+    assert_eq!(stop_count(&sim), 0);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(1_000);
+    assert_eq!(stop_count(&sim), 1);
+}
+
+// Guards against a run that is stopped for want of progress while another owner may have started
+// others of its step anew.
+#[test]
+fn stop_a_stalled_run() {
+    let (mut sim, order, id) = doubtful();
+    let worker = sim.workers.get_mut(&id).expect("a worker");
+    worker.running.get_mut(&order.task).expect("a run").percent = Some(3);
+    sim.run_for(9_000);
+    assert_eq!(stop_count(&sim), 0);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(500);
+    assert_eq!(stop_count(&sim), 1);
+}
+
+// Guards against a run that is stopped for others while its owner may be none any more, and can't
+// resume it elsewhere.
+#[test]
+fn relocate_from_a_worker_that_leaves() {
+    let settings = contention::Settings { relocate: true, ..contention::Settings::default() };
+    let mut sim = Simulation::contended(3, settings);
+    sim.task_ms = 60_000;
+    let job =
+        sim.submit(1, vec![Step { checkpoints: true, estimate_ms: 60_000, ..step(1, 1_000) }]);
+    sim.run_for(3_000);
+    sim.pool.confirm_until(at(sim.now));
+    let id = sim.workers_running(first_task(job))[0].to_owned();
+    let vacate = |sim: &mut Simulation| {
+        for _ in 0..20 {
+            sim.pool.vacate(at(sim.now), &id, Duration::from_secs(2));
+            sim.run_for(100);
+        }
+    };
+    vacate(&mut sim);
+    assert_eq!(stop_count(&sim), 0);
+    sim.pool.confirm_until(at(FOREVER));
+    vacate(&mut sim);
+    assert_eq!(stop_count(&sim), 1);
+}
+
+// Guards against the same for a task of higher priority.
+#[test]
+fn preempt_a_run_of_lower_priority() {
+    let settings = contention::Settings { preempt: true, ..contention::Settings::default() };
+    let mut sim = Simulation::contended(3, settings);
+    sim.task_ms = 6_000;
+    sim.run_for(20_000);
+    let low = Step { checkpoints: true, estimate_ms: 6_000, ..step(1, 2_000) };
+    for id in 1..=12 {
+        sim.submit_to("low", id, vec![low.clone()], Duration::ZERO);
+    }
+    sim.run_for(1_200);
+    sim.pool.confirm_until(at(sim.now));
+    sim.submit(100, vec![Step { estimate_ms: 1_000, ..step(1, 2_000) }]);
+    sim.run_for(500);
+    assert_eq!(stop_count(&sim), 0);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(500);
+    assert_eq!(stop_count(&sim), 1);
+}
+
+// Guards against a cancelled job that runs on as long as the store is out of reach.
+#[test]
+fn cancel_a_job() {
+    let (mut sim, _, _) = doubtful();
+    sim.pool.cancel(at(sim.now), JobId(1));
+    sim.run_for(500);
+    assert_eq!((stop_count(&sim), sim.running_count()), (1, 0));
+}
