--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -64,12 +64,13 @@
         let required = self.required_workers(&candidates);
         let stays = |candidate: &Candidate| !candidate.is_free || required.contains(&candidate.key);
         candidates.sort_by_key(|candidate| !stays(candidate));
+        let is_confirmed = self.is_confirmed(now);
         let mut empty = Vec::new();
         for (rank, candidate) in candidates.iter().enumerate() {
             let Some(worker) = self.workers.get_mut(candidate.key) else { continue };
             worker.is_surplus = rank >= keep as usize && !stays(candidate);
             worker.vacate_until = if worker.is_surplus { now + time } else { Time::ZERO };
-            if worker.is_surplus && worker.is_empty() && worker.strays.is_empty() {
+            if is_confirmed && worker.is_surplus && worker.is_empty() && worker.strays.is_empty() {
                 empty.push(worker.id.clone());
             }
         }
--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -17,6 +17,7 @@
 //! | a start of a job that was learned of meanwhile ([`Hold::Ownership`](super::Hold)) | waits |
 //! | a stop of a cancelled job, of a run that belongs to no task, of one without room | as ever |
 //! | a stop for the sake of other work, of a worker that leaves, of a stalled run | waits: a successor may stop others of the same step |
+//! | a worker is empty, a worker is spare | is not told |
 
 use corianderfork_model::Time;
 
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -374,6 +374,7 @@
     /// nothing until the task has started; the caller has to ask again.
     pub fn vacate(&mut self, now: Time, id: &str, time: Duration) -> Option<bool> {
         let key = *self.by_id.get(id)?;
+        let is_confirmed = self.is_confirmed(now);
         let moving_task = self.task_moving_to(now, key);
         let worker = self.workers.get_mut(key)?;
         let was_vacating = worker.is_vacating(now);
@@ -387,7 +388,7 @@
         }
         worker.vacate_until = now + time;
         worker.is_surplus = false;
-        let is_empty = worker.fenced && worker.is_responsive() && worker.is_empty();
+        let is_empty = worker.fenced && worker.is_responsive() && worker.is_empty() && is_confirmed;
         if !was_vacating {
             self.note(
                 "worker vacates",
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -344,3 +344,23 @@
     sim.run_for(500);
     assert_eq!((stop_count(&sim), sim.running_count()), (1, 0));
 }
+
+// Guards against a VM that is rebooted under the runs of a successor, of which this owner knows none.
+#[test]
+fn vacate_an_empty_worker() {
+    let mut sim = Simulation::new(2);
+    sim.pool.confirm_until(at(sim.now));
+    assert_eq!(sim.pool.vacate(at(sim.now), "w0", Duration::from_secs(1)), Some(false));
+    sim.pool.confirm_until(at(FOREVER));
+    assert_eq!(sim.pool.vacate(at(sim.now), "w0", Duration::from_secs(1)), Some(true));
+}
+
+// Guards against the same as the pool has more workers than it needs.
+#[test]
+fn shrink_a_pool_of_empty_workers() {
+    let mut sim = Simulation::new(2);
+    sim.pool.confirm_until(at(sim.now));
+    assert!(sim.pool.shrink(at(sim.now), 0, Duration::from_secs(1)).is_empty());
+    sim.pool.confirm_until(at(FOREVER));
+    assert_eq!(sim.pool.shrink(at(sim.now), 0, Duration::from_secs(1)).len(), 2);
+}
