Keep what was certain as ownership falls in doubt

While in doubt, an owner counted leases of former owners as of time zero. A worker that had never answered, and whose former leases had passed long ago, was waited for again, and no job accepted before the takeover went on. The last confirmed time stays as it was now; a new owner begins unconfirmed.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -168,10 +168,12 @@
             .resume_time(node.settings.resume_time)
             .stop_time(node.settings.stop_time)
             .contention(node.settings.contention);
+        let mut pool = Pool::new(config);
+        pool.confirm_until(now);
         let owner = Rc::new(Self {
             node: node.clone(),
             name: name.to_owned(),
-            pool: RefCell::new(Pool::new(config)),
+            pool: RefCell::new(pool),
             predecessors: RefCell::new(predecessors),
             wake: Notify::new(),
             list_changed: Cell::new(true),
@@ -441,9 +443,13 @@
 
     /// Tells the pool until when no other process can have taken it over.
     fn confirm(&self) {
-        let until =
-            if self.is_certain() { self.node.tenure.get().confirmed_until() } else { Time::ZERO };
-        self.pool.borrow_mut().confirm_until(until);
+        let is_certain = self.is_certain();
+        let mut pool = self.pool.borrow_mut();
+        if is_certain {
+            pool.confirm_until(self.node.tenure.get().confirmed_until());
+        } else {
+            pool.doubt(clock::now());
+        }
     }
 
     /// Whether no other process can have taken the pool over by now, so that a successor finds what
--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -48,6 +48,22 @@
         self.confirmed_until = Some(until);
     }
 
+    /// Records that another owner may have taken the pool over by now.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::{Config, Pool};
+    /// use corianderfork_model::Time;
+    ///
+    /// let at = Time::from_millis;
+    /// let mut pool = Pool::new(Config::new(7, Time::ZERO));
+    /// pool.confirm_until(at(500));
+    /// pool.doubt(at(300));
+    /// assert!(!pool.is_confirmed(at(300)));
+    /// ```
+    pub fn doubt(&mut self, now: Time) {
+        self.confirmed_until = Some(self.last_confirmed(now));
+    }
+
     /// Returns whether no other owner can have taken the pool over.
     pub fn is_confirmed(&self, now: Time) -> bool {
         self.confirmed_until.is_none_or(|until| now < until)
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -234,6 +234,27 @@
     assert_eq!(run_count(&sim), 2);
 }
 
+// Guards against work that stands still as soon as ownership is in doubt: a worker that has never
+// answered is waited for again, for leases of former owners that have passed long ago.
+#[test]
+fn is_recovering_with_a_worker_that_never_answered() {
+    let mut sim = Simulation::new(2);
+    let mut registration = sim.registrations[0].clone();
+    (registration.id, registration.address) = ("w9".to_owned(), ([127, 0, 0, 1], 9_009).into());
+    sim.registrations.push(registration);
+    sim.workers.insert("w9".to_owned(), common::Worker::default());
+    silence(&mut sim, "w9");
+    sim.list_workers();
+    sim.run_for(12_000);
+    sim.pool.confirm_until(at(sim.now + 500));
+    sim.run_for(300);
+    assert!(!sim.pool.is_recovering(at(sim.now)));
+    sim.pool.doubt(at(sim.now));
+    assert!(!sim.pool.is_recovering(at(sim.now)));
+    sim.run_for(2_000);
+    assert!(!sim.pool.is_recovering(at(sim.now)));
+}
+
 // Guards against work that stands still in an outage of the store: no successor starts what has never
 // run before it has heard from each worker that this owner may use.
 #[test]
