Poll a worker anew whose restart isn't followed yet

In doubt an owner doesn't follow the restart of a worker, but kept the connection to the new instance: the next poll acknowledged exits of the former one there, and extended its lease by the former clock. The new instance could forget the end of a run that nobody had read, and its task would start again.

--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -94,7 +94,8 @@
     ) -> Option<Poll> {
         let lease = self.config.lease;
         let worker = self.workers.get_mut(key)?;
-        let is_kept = connection == Connection::Kept;
+        // The last answer may have come from another instance, and didn't count.
+        let is_kept = connection == Connection::Kept && worker.is_responsive();
         let is_reachable = is_kept && worker.fenced && !worker.is_silent();
         let deadline_ms = if is_reachable { worker.grant(now, lease) } else { None };
         let wait = if is_reachable && worker.is_responsive() { MAX_WAIT } else { Duration::ZERO };
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -255,6 +255,23 @@
     assert!(!sim.pool.is_recovering(at(sim.now)));
 }
 
+// Guards against ends that a worker forgets unread: it has started again under its ID, and the answer
+// that showed it was not followed.
+#[test]
+fn next_poll_after_a_restart_that_is_not_followed() {
+    let (mut sim, _, id) = doubtful();
+    sim.submit(2, vec![step(3, 1_000)]);
+    sim.durations.insert(JobId(2), 100);
+    sim.run_for(1_000);
+    assert!(sim.workers.values().any(|worker| worker.seen_upto > 0), "ends were acknowledged");
+    let now = sim.now;
+    sim.workers.get_mut(&id).expect("a worker").restart(now);
+    sim.connections = common::Connections::default();
+    sim.run_for(500);
+    let next = &sim.workers[&id];
+    assert_eq!((next.seen_upto, next.deadline), (0, 0));
+}
+
 // Guards against work that stands still in an outage of the store: no successor starts what has never
 // run before it has heard from each worker that this owner may use.
 #[test]
