Count as certain only while the member record is there

A lease that is renewed proves that no duty was taken only if the member record is there under it. An owner counted as certain by a read of the duties' records that was sent before its record was back after a loss, and a successor could take its pool between the two; with the record under an earlier lease, put there by a write that was carried out late; and without any new lease, as the time of the last renewal stayed. All conclusions that waited were then drawn at once.

The record is written over the known one alone, and counts as lost if it is gone or another's.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -55,6 +55,9 @@
     pub data_centre: String,
     /// Its capacity in thousandths of a core, limited by its network too.
     pub capacity: u64,
+    /// The lease under which the record was written.
+    #[serde(default)]
+    pub lease: u64,
     /// The revision of its record.
     #[serde(skip)]
     pub revision: u64,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -224,6 +224,11 @@
         .await;
 }
 
+/// Updates a duty's record as read from the store.
+pub fn update_duty(node: &Rc<Node>, item: &Item) {
+    update_entry(node, &item.key, Some(&item.value), item.revision);
+}
+
 fn update_entry(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
     let mut table = node.table.borrow_mut();
     if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
@@ -240,7 +245,12 @@
         // A record that can't be decoded names no holder: the next member that takes the duty
         // overwrites it.
         let holder = value.and_then(|value| decode(node, key, value, revision));
-        let revision = if value.is_some() { revision } else { 0 };
+        let is_there = value.is_some();
+        // A read beside the watch may have told more.
+        if is_there && table.duties.get(name).is_some_and(|known| known.revision > revision) {
+            return;
+        }
+        let revision = if is_there { revision } else { 0 };
         let record = duty::Record { holder: holder.unwrap_or_default(), revision };
         table.put_duty(clock::now(), name, record);
     } else if let Some(name) = key.strip_prefix(QUEUE_PREFIX) {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -11,20 +11,34 @@
 
 use crate::clock;
 use crate::duty::{DUTY_PREFIX, FLEET, Holder, HolderHistory, MEMBER_PREFIX, Member, Record};
+use crate::follow;
 use crate::node::Node;
 use crate::owner::{Owner, ms};
 use crate::placement::QueueRecord;
 use crate::planner;
 use crate::store::Error;
-use crate::tenure::LEASE_TTL;
+use crate::tenure::{LEASE_TTL, Tenure};
 
 /// How often the lease is renewed: four times in its length.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// How often the record is written under one lease while others change it.
+const MAX_PUTS: usize = 3;
 /// The pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// How often duties are checked even if nothing has changed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// What became of a write of the member's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Put {
+    /// The record is there, under this lease.
+    There,
+    /// The record isn't as known here: it is gone, or another one is there.
+    Changed,
+    /// The lease has ended.
+    NoLease,
+}
+
 /// Keeps this daemon's record and lease alive until it stops.
 pub async fn maintain_membership(node: Rc<Node>) {
     let mut lease = None;
@@ -35,9 +49,15 @@
             None => register(&node).await,
         };
         match renewal {
+            Ok(Some(number)) if lease.is_some() => {
+                node.update_tenure(|tenure| tenure.renew(sent));
+                lease = Some(number);
+                tokio::time::sleep(RENEW_INTERVAL).await;
+            }
             Ok(Some(number)) => {
+                node.update_tenure(|tenure| tenure.register(sent, clock::now()));
+                spawn_local(read_duties(node.clone()));
                 lease = Some(number);
-                node.update_tenure(|tenure| tenure.renew(sent));
                 tokio::time::sleep(RENEW_INTERVAL).await;
             }
             Ok(None) => lease = None,
@@ -49,43 +69,88 @@
     }
 }
 
+/// Renews the lease. Returns `None` if it or the record is lost.
 async fn renew(node: &Rc<Node>, lease: u64) -> Result<Option<u64>, Error> {
     if !node.store.keep(lease).await? {
-        node.trace.unlimited(
-            "lease lost",
-            json!({ "lease": lease, "renewed_ms_ago": node.since_renewal() }),
-        );
-        node.update_tenure(|tenure| tenure.lose_lease(clock::now()));
+        lose_lease(node, lease, "the lease has ended");
         return Ok(None);
     }
     // The record may be missing although the lease is alive.
     let name = node.settings.name.as_str();
-    let is_listed = node.table.borrow().members.get(name).is_some_and(|m| m.boot == node.boot);
-    if !is_listed && !put_record(node, lease).await? {
+    let is_own = |member: &Member| member.boot == node.boot && member.lease == lease;
+    let is_listed = node.table.borrow().members.get(name).is_some_and(is_own);
+    if !is_listed && put_record(node, lease).await? != Put::There {
+        lose_lease(node, lease, "the member record is gone");
         return Ok(None);
     }
     Ok(Some(lease))
 }
 
+fn lose_lease(node: &Node, lease: u64, why: &str) {
+    node.trace.unlimited(
+        "lease lost",
+        json!({ "lease": lease, "why": why, "renewed_ms_ago": node.since_renewal() }),
+    );
+    node.update_tenure(Tenure::lose);
+}
+
 async fn register(node: &Rc<Node>) -> Result<Option<u64>, Error> {
     let (lease, _) = node.store.lease(LEASE_TTL).await?;
     node.trace.unlimited("lease taken", json!({ "lease": lease }));
-    Ok(put_record(node, lease).await?.then_some(lease))
+    for _ in 0..MAX_PUTS {
+        match put_record(node, lease).await? {
+            Put::There => return Ok(Some(lease)),
+            Put::Changed => {}
+            Put::NoLease => return Ok(None),
+        }
+    }
+    Ok(None)
 }
 
-async fn put_record(node: &Rc<Node>, lease: u64) -> Result<bool, Error> {
+/// Writes the record over the one that is known. An earlier write that is carried out late would put
+/// it under a lease that is renewed no more.
+async fn put_record(node: &Rc<Node>, lease: u64) -> Result<Put, Error> {
     let member = Member {
         boot: node.boot,
         peers: node.settings.peers,
         data_centre: node.settings.data_centre.as_str().to_owned(),
         capacity: node.settings.capacity,
+        lease,
         revision: 0,
         seen: Time::ZERO,
     };
     let value = serde_json::to_vec(&member).unwrap_or_default();
     let key = format!("{MEMBER_PREFIX}{}", node.settings.name);
-    let txn = Txn { set: vec![(key, value, lease)], ..Txn::default() };
-    Ok(matches!(node.store.txn(&txn).await?, Outcome::Written(_)))
+    let expect = vec![(key.clone(), node.member_revision.get())];
+    let txn = Txn { expect, set: vec![(key, value.clone(), lease)], remove: Vec::new() };
+    match node.store.txn(&txn).await? {
+        Outcome::Written(revision) => {
+            node.member_revision.set(revision);
+            Ok(Put::There)
+        }
+        Outcome::Conflict(items) => {
+            let there = items.first();
+            node.member_revision.set(there.map_or(0, |item| item.revision));
+            let is_own = there.is_some_and(|item| item.value == value);
+            Ok(if is_own { Put::There } else { Put::Changed })
+        }
+        Outcome::NoLease => Ok(Put::NoLease),
+    }
+}
+
+/// Reads who holds the duties, if that is in doubt: a watch may tell a second later.
+async fn read_duties(node: Rc<Node>) {
+    while !node.stopping.get() && !node.tenure.get().is_known() {
+        let started = clock::now();
+        match node.store.range(DUTY_PREFIX).await {
+            Ok((items, _)) => {
+                items.iter().for_each(|item| follow::update_duty(&node, item));
+                node.update_tenure(|tenure| tenure.note_known(started));
+                node.changed.notify_waiters();
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
 }
 
 /// Takes vacant duties and leaves those that another member holds.
@@ -94,6 +159,7 @@
         let now = clock::now();
         if let Some(away) = node.update_tenure(|tenure| tenure.check(now)) {
             node.trace.unlimited("was away", json!({ "for_ms": ms(away) }));
+            spawn_local(read_duties(node.clone()));
         }
         check_duties(&node, now);
         let _ = timeout(CHECK_INTERVAL, node.changed.notified()).await;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -89,6 +89,8 @@
     pub workers_loaded: Cell<bool>,
     /// Until when workers are expected to register for a pool that this daemon owns.
     pub workers_expected_until: Cell<Time>,
+    /// The revision of the member's record as last known here; 0 if there is none.
+    pub member_revision: Cell<u64>,
     /// How certain it is that duties recorded as this daemon's are.
     pub tenure: Cell<Tenure>,
     /// Whether the daemon is shutting down.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -85,6 +85,7 @@
         listed_workers: RefCell::default(),
         workers_loaded: Cell::new(false),
         workers_expected_until: Cell::new(Time::ZERO),
+        member_revision: Cell::new(0),
         tenure: Cell::default(),
         stopping: Cell::new(false),
         changed: Notify::new(),
--- a/crates/entry/src/tenure.rs
+++ b/crates/entry/src/tenure.rs
@@ -22,13 +22,13 @@
 /// What a process knows of its hold on its duties.
 ///
 /// ```
-/// use corianderfork_entry::tenure::{LEASE_TTL, Tenure};
+/// use corianderfork_entry::tenure::Tenure;
 /// use corianderfork_model::Time;
 ///
 /// let at = Time::from_millis;
 /// let mut tenure = Tenure::default();
 /// tenure.check(at(1_000));
-/// tenure.renew(at(1_000));
+/// tenure.register(at(1_000), at(1_010));
 /// assert!(tenure.has_lease(at(1_500)));
 /// assert!(tenure.may_order(at(1_500), at(1_000)));
 /// assert!(tenure.confirmed_until() > at(1_500));
@@ -39,13 +39,15 @@
     renewed_at: Option<Time>,
     /// When the last one was sent by which the duties were certainly held.
     confirmed_at: Option<Time>,
-    /// When something last happened that may have cost the duties: a freeze, or the loss of the lease.
-    doubted_at: Time,
+    /// A read of the duties' records tells who holds them if it was requested from then on; `None`
+    /// while the member record isn't there.
+    readable_from: Option<Time>,
     /// All changes of duties before this time are known.
     known_at: Time,
     /// When duties were last checked. This happens continually unless the process is frozen.
     checked_at: Option<Time>,
-    /// Whether the lease was lost, and the duties' records haven't been read since.
+    /// Whether the lease or the member record was lost, and the duties' records haven't been read
+    /// since it is back.
     is_lost: bool,
 }
 
@@ -59,24 +61,33 @@
         if away <= FREEZE_THRESHOLD {
             return None;
         }
-        (self.renewed_at, self.confirmed_at, self.doubted_at) = (None, None, now);
+        (self.renewed_at, self.confirmed_at) = (None, None);
+        self.readable_from = self.readable_from.map(|from| from.max(now));
         Some(away)
     }
 
-    /// Records that a call sent at `sent` renewed the lease, or took a new one.
+    /// Records that a lease was taken by a call sent at `sent`, and the member record written under it
+    /// by one answered at `written`. Until then others could take the duties.
+    pub fn register(&mut self, sent: Time, written: Time) {
+        let from = if self.is_lost { written } else { Time::ZERO };
+        self.readable_from = Some(self.readable_from.unwrap_or_default().max(from));
+        self.renew(sent);
+    }
+
+    /// Records that a call sent at `sent` renewed the lease.
     pub fn renew(&mut self, sent: Time) {
         self.renewed_at = Some(sent);
         self.confirm();
     }
 
-    /// Records that the lease has ended.
-    pub fn lose_lease(&mut self, now: Time) {
-        (self.doubted_at, self.is_lost) = (now, true);
+    /// Records that the lease has ended, or the member record is gone.
+    pub fn lose(&mut self) {
+        (self.renewed_at, self.readable_from, self.is_lost) = (None, None, true);
     }
 
     /// Records that all changes of duties before `at` are known.
     pub fn note_known(&mut self, at: Time) {
-        self.known_at = at;
+        self.known_at = self.known_at.max(at);
         if self.is_known() {
             self.is_lost = false;
             self.confirm();
@@ -107,7 +118,7 @@
 
     /// Whether nothing has happened by which duties may have been lost since they were last read.
     pub fn is_known(&self) -> bool {
-        self.known_at >= self.doubted_at
+        self.readable_from.is_some_and(|from| self.known_at >= from)
     }
 
     /// Returns until when a duty is certainly held whose record names this process.
--- a/crates/entry/tests/couriers.rs
+++ b/crates/entry/tests/couriers.rs
@@ -26,6 +26,7 @@
             peers: address(number),
             data_centre: if number % 2 == 0 { "east" } else { "west" }.to_owned(),
             capacity: 100,
+            lease: 0,
             revision: 1,
             seen: Time::ZERO,
         };
--- a/crates/entry/tests/duty.rs
+++ b/crates/entry/tests/duty.rs
@@ -21,6 +21,7 @@
         peers: peers(number),
         data_centre: "z".to_owned(),
         capacity,
+        lease: 0,
         revision: u64::from(number) + boot * 10,
         seen: Time::ZERO,
     }
--- a/crates/entry/tests/predecessor.rs
+++ b/crates/entry/tests/predecessor.rs
@@ -26,6 +26,7 @@
         peers: ([127, 0, 0, 1], 7_000).into(),
         data_centre: "z".to_owned(),
         capacity: 250,
+        lease: 0,
         revision: 1,
         seen: Time::ZERO,
     }
--- a/crates/entry/tests/tenure.rs
+++ b/crates/entry/tests/tenure.rs
@@ -22,7 +22,7 @@
 fn holder() -> Tenure {
     let mut tenure = Tenure::default();
     run(&mut tenure, SECOND, SECOND);
-    tenure.renew(at(SECOND));
+    tenure.register(at(SECOND), at(SECOND));
     tenure.note_known(at(SECOND));
     tenure
 }
@@ -53,14 +53,38 @@
     let mut tenure = holder();
     let woken = 31 * SECOND;
     assert_eq!(tenure.check(at(woken)), Some(Duration::from_secs(30)));
-    tenure.lose_lease(at(woken + 10));
-    tenure.renew(at(woken + 20));
-    assert!(tenure.has_lease(at(woken + 30)));
-    assert!(!tenure.may_order(at(woken + 30), at(woken + 25)));
-    tenure.note_known(at(woken + 5));
-    assert!(!tenure.may_order(at(woken + 30), at(woken + 25)), "read before the lease was lost");
-    tenure.note_known(at(woken + 15));
-    assert!(tenure.may_order(at(woken + 30), at(woken + 25)));
+    tenure.lose();
+    tenure.register(at(woken + 20), at(woken + 30));
+    assert!(tenure.has_lease(at(woken + 40)));
+    assert!(!tenure.may_order(at(woken + 40), at(woken + 40)));
+    tenure.note_known(at(woken + 30));
+    assert!(tenure.may_order(at(woken + 40), at(woken + 40)));
+}
+
+// Guards against an owner that counts as certain although its pool was taken between a read and the
+// answer to its registration: until then its member record isn't there.
+#[test]
+fn is_known_by_a_read_before_the_registration() {
+    let mut tenure = holder();
+    tenure.lose();
+    tenure.note_known(at(1_100));
+    assert!(!tenure.is_known(), "there is no record");
+    tenure.register(at(1_050), at(1_200));
+    assert!(!tenure.is_known());
+    tenure.note_known(at(1_199));
+    assert!(!tenure.is_known(), "read before the record was there");
+    tenure.note_known(at(1_200));
+    assert!(tenure.is_known());
+}
+
+// Guards against the same without any new lease.
+#[test]
+fn has_lease_after_its_loss() {
+    let mut tenure = holder();
+    tenure.lose();
+    tenure.note_known(at(1_100));
+    assert!(!tenure.has_lease(at(1_100)) && !tenure.is_known());
+    assert!(tenure.may_order(at(1_100), at(1_050)), "a successor waits for this long");
 }
 
 // Guards against the same without a freeze, beyond the time for which a successor waits.
@@ -68,8 +92,8 @@
 fn may_order_under_a_new_lease_beyond_the_grace() {
     let mut tenure = holder();
     run(&mut tenure, SECOND, 7 * SECOND);
-    tenure.lose_lease(at(7 * SECOND));
-    tenure.renew(at(7 * SECOND));
+    tenure.lose();
+    tenure.register(at(7 * SECOND), at(7 * SECOND));
     assert!(tenure.may_order(at(7_050), at(7_040)));
     run(&mut tenure, 7 * SECOND, 9 * SECOND);
     tenure.renew(at(9 * SECOND));
