Let an owner that is known to be replaced order nothing and not begin again

An owner that a worker rejected for a higher fence left its pool, and began anew with its old fence while the store's record still named it: it read jobs that its successor had accepted, counted as certain while it loaded, and could start them too. It is now remembered that the record is out of date, an owner is no more certain while it loads than later, and none orders once a later holder is known.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -206,10 +206,7 @@
 
 /// Leaves duties whose record names another holder.
 fn leave_lost_duties(node: &Rc<Node>) {
-    let table = node.table.borrow();
-    let is_lost = |duty: &str, fence: u64| {
-        table.duties.get(duty).is_some_and(|r| r.revision > fence && !node.is_me(&r.holder))
-    };
+    let is_lost = |duty: &str, fence: u64| node.is_superseded(duty, fence);
     node.owners.borrow_mut().retain(|pool, owner| {
         let is_lost = is_lost(pool, owner.fence());
         if is_lost {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -142,6 +142,12 @@
         is_named && self.may_order() && self.tenure.get().is_known()
     }
 
+    /// Whether another process is known to have taken a duty from the one that took it with `fence`.
+    pub fn is_superseded(&self, duty: &str, fence: u64) -> bool {
+        let table = self.table.borrow();
+        table.duties.get(duty).is_some_and(|r| r.revision > fence && !self.is_me(&r.holder))
+    }
+
     /// Returns the record by which this daemon holds duties.
     pub fn holder(&self) -> Holder {
         let name = self.settings.name.as_str().to_owned();
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -436,6 +436,11 @@
         }
     }
 
+    /// Whether orders may be sent: no other holder is known, and see [`Node::may_order`].
+    fn may_order(&self) -> bool {
+        self.node.may_order() && !self.node.is_superseded(&self.name, self.fence())
+    }
+
     /// Whether the pool is certain to be still this owner's, as far as it can know.
     fn is_sure(&self) -> bool {
         self.node.is_sure_of(&self.name, self.fence())
@@ -456,7 +461,7 @@
     /// this owner knows among the jobs that were accepted before it. An owner goes on without the
     /// store for a while, and isn't certain then.
     fn is_certain(&self) -> bool {
-        self.node.has_lease() && (self.is_sure() || !self.loaded.get())
+        self.node.has_lease() && self.is_sure()
     }
 
     /// Returns the state of a job. A job whose end is decided but not known to be written
--- a/crates/entry/src/owner/dispatch.rs
+++ b/crates/entry/src/owner/dispatch.rs
@@ -146,7 +146,7 @@
     /// repeated by a later plan if it is still needed.
     fn may_send(&self, order: &Order) -> bool {
         let has_ended = self.retired.get() || self.halted.get();
-        !has_ended && self.node.may_order() && self.pool.borrow().is_needed(order)
+        !has_ended && self.may_order() && self.pool.borrow().is_needed(order)
     }
 
     /// Returns the starts that wait for a worker that doesn't answer: these copies were not sent.
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -72,7 +72,7 @@
         if is_certain {
             self.pool.borrow_mut().confirm_ownership();
         }
-        if self.node.may_order() {
+        if self.may_order() {
             let started = Instant::now();
             let orders = self.pool.borrow_mut().plan(now, clock::wall_ms());
             self.note_decision(started.elapsed(), orders.len());
@@ -95,6 +95,8 @@
         let is_deposed = self.pool.borrow().is_deposed();
         if is_deposed {
             self.retire("a worker saw a higher fence");
+            // The record that still names this process is out of date.
+            self.node.relinquish(&self.name, self.fence() + 1);
         }
         self.write_wake.notify_one();
     }
@@ -187,7 +189,7 @@
         // connection that ends with it.
         let mut connection = None;
         while !self.retired.get() && !self.halted.get() {
-            if !self.node.may_order() {
+            if !self.may_order() {
                 tokio::time::sleep(POLL_PAUSE_AFTER_FAILURE).await;
                 continue;
             }
