Tell no state in doubt of a job that hasn't ended

A caller was told that a job is completed by its new owner, and then that it runs by the former one, which was cut off from the store and answered as if it still had the pool, for up to 8 s. An owner in doubt says that it knows the job, and the caller is told to ask again; a written end is told as ever. may_tell_of_a_job_that_has_not_ended is red if ownership always counts as confirmed.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -469,6 +469,7 @@
     /// reported it, and the caller would see a completed job run again.
     fn state(&self, id: &str, identity: &Identity) -> Reply {
         let Ok(id) = id.parse() else { return Reply::UNKNOWN };
+        self.confirm();
         let pool = self.pool.borrow();
         if pool.organisation_of(id).is_some_and(|owner| !identity.may_use(owner)) {
             return Reply::Foreign;
@@ -477,7 +478,7 @@
             Some(_) if pool.is_ending(id) => Reply::Ending,
             // A written end is final. Any other state may be out of date if this owner
             // has been replaced; only that the job was accepted stays true.
-            Some(state) if !state.is_final() && !self.is_sure() => Reply::Known,
+            Some(state) if !pool.may_tell(clock::now(), state) => Reply::Known,
             Some(state) => Reply::State { state },
             None => Reply::UNKNOWN,
         }
--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -18,12 +18,15 @@
 //! | a stop of a cancelled job, of a run that belongs to no task, of one without room | as ever |
 //! | a stop for the sake of other work, of a worker that leaves, of a stalled run | waits: a successor may stop others of the same step |
 //! | a worker is empty, a worker is spare | is not told |
+//! | a job is queued or running | is not told: a successor may have told callers that it has ended |
+//! | a job has ended, and that is written | as ever |
 
 use corianderfork_model::Time;
 
 use super::Pool;
 use super::entry::{Entry, Task, TaskState};
 use super::proof::Proof;
+use crate::record::State;
 use crate::worker;
 
 impl Pool {
@@ -69,6 +72,23 @@
         self.confirmed_until.is_none_or(|until| now < until)
     }
 
+    /// Returns whether callers may be told that a job is in a state.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::{Config, Pool};
+    /// use corianderfork_jobs::record::State;
+    /// use corianderfork_model::Time;
+    ///
+    /// let at = Time::from_millis;
+    /// let mut pool = Pool::new(Config::new(7, Time::ZERO));
+    /// pool.doubt(at(300));
+    /// assert!(!pool.may_tell(at(300), State::Running));
+    /// assert!(pool.may_tell(at(300), State::Completed));
+    /// ```
+    pub fn may_tell(&self, now: Time, state: State) -> bool {
+        state.is_final() || self.is_confirmed(now)
+    }
+
     /// Returns the latest time up to which no other owner can have taken the pool over.
     pub(super) fn last_confirmed(&self, now: Time) -> Time {
         self.confirmed_until.map_or(now, |until| now.min(until))
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -402,3 +402,16 @@
     sim.pool.confirm_until(at(FOREVER));
     assert_eq!(sim.pool.shrink(at(sim.now), 0, Duration::from_secs(1)).len(), 2);
 }
+
+// Guards against a job that is told completed, then running: its former owner answers on its side of a
+// partition.
+#[test]
+fn may_tell_of_a_job_that_has_not_ended() {
+    let (mut sim, _, _) = doubtful();
+    for state in [State::Queued, State::Running] {
+        assert!(!sim.pool.may_tell(at(sim.now), state));
+    }
+    assert!(sim.pool.may_tell(at(sim.now), State::Completed));
+    sim.pool.confirm_until(at(FOREVER));
+    assert!(sim.pool.may_tell(at(sim.now), State::Running));
+}
