Test the ends of VMs and of stopped runs where they are concluded

Two tests of what an owner in doubt concludes passed with their check taken out, also where starts weren't held: remove_ended_worker_with_a_run told of the list of VMs while the worker wasn't silent yet, so nothing was concluded, and handle_poll_answer_without_a_stopped_run never had a run that was stopping (its end is Unlisted; it goes on as handle_order_answer_of_another_stop).

The first now tells of the list after 3.5 s of silence, within the lease. The second stops a lasting run for a worker that leaves, and its end is gone. With starts not held, each is red without its own check (NoVm, Stopped).

--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -100,6 +100,26 @@
 // Guards against the same as a worker confirms a stop and lists no end.
 #[test]
 fn handle_poll_answer_without_a_stopped_run() {
+    let (mut sim, id) = lasting();
+    sim.pool.vacate(at(sim.now), &id, Duration::from_secs(60));
+    while stop_count(&sim) == 0 {
+        sim.now += 100;
+        sim.poll_all();
+        sim.plan();
+    }
+    let started = run_count(&sim);
+    sim.pool.confirm_until(at(sim.now));
+    sim.workers.get_mut(&id).expect("a worker").exits.clear();
+    sim.run_for(MAX_LEASE_MS + 2_000);
+    assert_eq!(run_count(&sim), started);
+    sim.pool.confirm_until(at(FOREVER));
+    sim.run_for(500);
+    assert_eq!(run_count(&sim), started + 1);
+}
+
+// Guards against the same as a stop is answered that this owner has not ordered.
+#[test]
+fn handle_order_answer_of_another_stop() {
     let (mut sim, order, id) = doubtful();
     let task = sim.workers.get_mut(&id).expect("a worker").running.remove(&order.task);
     assert!(task.is_some());
@@ -147,6 +167,8 @@
 fn remove_ended_worker_with_a_run() {
     let (mut sim, _, id) = doubtful();
     silence(&mut sim, &id);
+    // The list of VMs is newer than the worker's last answer, and its lease holds.
+    sim.run_for(3_500);
     assert_restarts_once_confirmed(sim, |sim| sim.pool.remove_ended_worker(at(sim.now), &id));
 }
 
@@ -287,6 +309,20 @@
     Step { long_running: true, max_unavailable: Some(1), ..step(2, 1_000) }
 }
 
+/// Returns a pool with a job that lasts, whose tasks are at work, and the worker of one of them.
+fn lasting() -> (Simulation, String) {
+    let mut sim = Simulation::new(6);
+    sim.task_ms = 600_000;
+    let job = sim.submit(1, vec![long_running()]);
+    sim.run_for(2_000);
+    for worker in sim.workers.values_mut() {
+        worker.running.values_mut().for_each(|run| run.percent = Some(100));
+    }
+    sim.run_for(500);
+    let id = sim.workers_running(first_task(job))[0].to_owned();
+    (sim, id)
+}
+
 /// Returns the number of stops that were ordered.
 fn stop_count(sim: &Simulation) -> usize {
     sim.orders.iter().filter(|order| order.action == Action::Stop).count()
@@ -296,16 +332,8 @@
 // partition empty a worker each.
 #[test]
 fn evacuate_a_worker_that_leaves() {
-    let mut sim = Simulation::new(6);
-    sim.task_ms = 600_000;
-    let job = sim.submit(1, vec![long_running()]);
-    sim.run_for(2_000);
-    for worker in sim.workers.values_mut() {
-        worker.running.values_mut().for_each(|run| run.percent = Some(100));
-    }
-    sim.run_for(500);
+    let (mut sim, id) = lasting();
     sim.pool.confirm_until(at(sim.now));
-    let id = sim.workers_running(first_task(job))[0].to_owned();
     sim.pool.vacate(at(sim.now), &id, Duration::from_secs(60));
     sim.run_for(3_000);
     assert_eq!(stop_count(&sim), 0);
