Play a former owner and its successor on the same workers at random

The random tests so far connect all owners with all workers, so that none counts a lease as ended that another one renews. In this one each owner has its own link to each worker (up, down, one way, slow). An owner is cut off from the store, goes on for 8 s after its confirmation ends, and another one takes over from 2.5 s after the last renewal; up to three owners act at once. Workers crash, come back under their ID or address, runs fail, jobs are cancelled, VMs are listed and emptied.

Checked: no two runs of a task, no start after an acknowledged end as done, no more tasks stopped than may be missed, no worker maintained under its runs, and all jobs complete once all is connected.

--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod faults;
+pub mod partition;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
