--- a/crates/jobs/src/pool/tenure.rs
+++ b/crates/jobs/src/pool/tenure.rs
@@ -2,9 +2,9 @@
 //!
 //! An owner that can't reach the store goes on for a while, and its successor may be at work on the
 //! other side of a partition. Neither hears of the other, and each reaches some workers only. A worker
-//! rejects the lower fence once it has heard of the higher one, so what a worker tells an owner, or
-//! accepts from it, happened before that worker's successor came. All else may have been contradicted
-//! there: leases renewed, ends noted, runs started.
+//! rejects the lower fence once it has heard of the higher one: when it accepted a call of an owner, it
+//! had heard from no successor, and what it lists itself is true. All else may have been contradicted
+//! on the other side: leases renewed, ends noted, runs started.
 //!
 //! | decision | while another owner may be at work |
 //! |---|---|
