Bound a worker's lease by what its current instance may have taken

A worker that starts again under its ID takes calls that were meant for its former instance. Its clock starts anew, so a deadline on the former clock gives it the longest lease that workers grant, 10 s, where its owner meant 4.5 s. The owner that heard of the restart knew that; everybody else counted what owners mean: a successor of a killed owner, before and after the worker's first answer, an owner without an answer to the start, or with one that refused it, and an owner that is asked for its leases while a start is on its way.

The class: a bound on a lease that was worked out for one life of a worker, and relied on in another. What an owner knows of an instance's leases is now one type, `lease::Bounds`, and each conclusion that rests on it is a row of the table in its module:

- a former owner's leases end by the longest lease, from its known end or from the worker's first answer under the new fence;
- a start without an answer, or refused so that the worker takes its deadline, counts as the longest lease until the same instance answers a poll sent after it had arrived;
- an instance that was just heard of may hold the longest lease, and take one for as long as an order may be on its way;
- leases told to a successor count starts on their way in the same way;
- an inherited worker that has started again before it first answers still has to list all of its exits: with more than it lists at once, done tasks ran again.

plan_by_a_successor_requeues_tasks_of_a_fenced_worker demanded the fault: the task of a silent worker 6 s after its answer to the successor, with a lease of up to 10 s. It now demands that nothing starts before the longest lease is over, and that the task starts right after it, far before the 60 s of the predecessor's grants that it guards against.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -16,7 +16,7 @@
 
 use corianderfork_jobs::JobId;
 use corianderfork_jobs::pool::{Config, Order, Pool};
-use corianderfork_jobs::{pressure, worker};
+use corianderfork_jobs::{lease, pressure, worker};
 use corianderfork_model::Time;
 use serde::Serialize;
 use serde_json::json;
@@ -152,17 +152,18 @@
 impl Owner {
     /// Starts to own the work of the pool `name`, with `fence`.
     pub fn start(node: &Rc<Node>, name: &str, fence: u64, history: HolderHistory) -> Rc<Self> {
-        let lease = WORKER_LEASE.min(node.settings.max_lease);
         let retention = node.settings.job_retention + Duration::from_secs(5);
         let now = clock::now();
         let HolderHistory { former_holders, is_complete, may_grant } = history;
-        let mut predecessors = Tracker::new(now, former_holders, is_complete, lease);
+        let max_lease = node.settings.max_lease;
+        let mut predecessors =
+            Tracker::new(now, former_holders, is_complete, max_lease + lease::MAX_TRANSIT);
         // No other owner of the pool is left in this process.
         predecessors.mark_ended(now, &node.process());
         node.retired_grants.borrow_mut().remove(name);
-        let config = Config::new(fence, now + may_grant + worker::max_lease_duration(lease))
-            .lease(lease)
-            .max_lease(node.settings.max_lease)
+        let config = Config::new(fence, now + may_grant + lease::longest(max_lease))
+            .lease(WORKER_LEASE.min(max_lease))
+            .max_lease(max_lease)
             .remember(retention)
             .remote_factor(node.settings.remote_factor)
             .resume_time(node.settings.resume_time)
--- a/crates/entry/src/predecessor.rs
+++ b/crates/entry/src/predecessor.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use corianderfork_jobs::worker;
+use corianderfork_jobs::lease;
 use corianderfork_model::Time;
 
 use crate::duty::{FormerHolder, Table};
@@ -38,12 +38,13 @@
     holders: Vec<(FormerHolder, Grants)>,
     /// Whether the list names every former holder.
     is_complete: bool,
-    /// The longest time for which a lease granted just now may hold.
+    /// The longest time for which a lease may hold whose order was sent just now.
     lease: Duration,
 }
 
 impl Tracker {
-    /// Tracks the former holders `former_holders`, newest first, whose leases are `lease` long. One
+    /// Tracks the former holders `former_holders`, newest first, whose orders may give leases of up to
+    /// `lease`: a worker may have taken them in another instance than was meant. One
     /// without a name has handed the duty over. If the list isn't complete, the grants of
     /// the unlisted holders are only known once the oldest listed one has reported them.
     ///
@@ -66,7 +67,7 @@
         is_complete: bool,
         lease: Duration,
     ) -> Self {
-        let lease = worker::max_lease_duration(lease);
+        let lease = lease::max_duration(lease);
         let grants = |former: &FormerHolder| {
             if former.name.is_empty() { Grants::Until(now + lease) } else { Grants::Open }
         };
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod flow;
 pub mod id;
 pub mod job;
+pub mod lease;
 pub mod maintenance;
 pub mod meter;
 pub mod organisation;
--- a/crates/jobs/src/pool/copies.rs
+++ b/crates/jobs/src/pool/copies.rs
@@ -46,6 +46,11 @@
         self.has_unanswered = true;
     }
 
+    /// Returns whether a copy is on its way whose answer may still come.
+    pub fn are_open(&self) -> bool {
+        !self.open.is_empty()
+    }
+
     /// Returns whether a copy may still be carried out.
     pub fn may_arrive(&self) -> bool {
         self.has_unanswered || !self.open.is_empty()
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -168,7 +168,7 @@
     /// answered, sorted. Each member of a gang is listed under the first member's name.
     fn runs_younger_than(&self, key: worker::Key, age: Duration) -> Vec<(task::Name, u64)> {
         let Some(worker) = self.workers.get(key) else { return Vec::new() };
-        let heard = worker.last_heard();
+        let heard = worker.leases.last_heard();
         let mut runs = Vec::new();
         for name in worker.allocations.keys() {
             let Some(entry) = self.entry(name.job) else { continue };
@@ -312,7 +312,7 @@
     /// no longer on that worker.
     fn suspect_age(&self, name: task::Name, suspect: &Suspect) -> Option<Duration> {
         let placement = self.entry(name.job)?.placement(name)?;
-        let heard = self.workers.get(suspect.worker)?.last_heard();
+        let heard = self.workers.get(suspect.worker)?.leases.last_heard();
         let is_same_run = placement.worker == suspect.worker && placement.run == suspect.run;
         is_same_run.then(|| placement.running_for(heard))
     }
@@ -354,7 +354,8 @@
         let Some(placement) = self.entry(name.job).and_then(|entry| entry.placement(name)) else {
             return;
         };
-        let heard = self.workers.get(placement.worker).and_then(worker::Worker::last_heard);
+        let heard =
+            self.workers.get(placement.worker).and_then(|worker| worker.leases.last_heard());
         if placement.running_for(heard) < MAX_SUSPECT_AGE {
             return;
         }
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -115,16 +115,7 @@
             Answer::Gone => {
                 return self.remove_worker(now, order.worker, Proof::Replaced);
             }
-            Answer::Done(clock) => {
-                let max_lease = self.config.max_lease;
-                if let Some(worker) = self.workers.get_mut(order.worker) {
-                    worker.update_clock(now, *clock);
-                    if let Action::Start { deadline_ms, .. } = order.action {
-                        worker.confirm_lease(now, *clock, deadline_ms, max_lease);
-                    }
-                }
-            }
-            _ => {}
+            _ => self.note_lease(now, order, answer),
         }
         match order.action {
             Action::Start { .. } => self.handle_start_answer(now, order, answer),
@@ -133,6 +124,24 @@
         }
     }
 
+    /// Records the clock in an answer, and the lease that a start may have given.
+    fn note_lease(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
+        let max_lease = self.config.max_lease;
+        let Some(worker) = self.workers.get_mut(order.worker) else { return };
+        if let Answer::Done(clock) = answer {
+            worker.leases.update_clock(now, *clock);
+        }
+        let Action::Start { deadline_ms, .. } = order.action else { return };
+        match answer {
+            Answer::Done(clock) => worker.leases.confirm(now, *clock, deadline_ms, max_lease),
+            // A worker takes the deadline of a start that it refuses for these reasons.
+            Answer::Old | Answer::Full | Answer::Unclear | Answer::Lost => {
+                worker.leases.leave_unsettled(now);
+            }
+            _ => {}
+        }
+    }
+
     fn handle_start_answer(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
         let Some(placement) = self.current_placement(order) else { return };
         match answer {
@@ -338,7 +347,7 @@
         if !worker.is_responsive() {
             return;
         }
-        let Some(deadline_ms) = worker.grant(now, lease) else { return };
+        let Some(deadline_ms) = worker.leases.grant(now, lease) else { return };
         let ticket = self.ticket(name, key);
         let action = Action::Start { spec, deadline_ms, saved, ticket };
         orders.extend(self.start_order(key, name, run, action));
--- a/crates/jobs/src/pool/plan.rs
+++ b/crates/jobs/src/pool/plan.rs
@@ -236,7 +236,7 @@
         let lease = self.config.lease;
         let organisation = self.entry(name.job).and_then(|entry| entry.organisation);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let Some(deadline_ms) = worker.grant(now, lease) else { return };
+        let Some(deadline_ms) = worker.leases.grant(now, lease) else { return };
         worker.allocate(name, Allocation::new(run, step, organisation));
         self.consume_reservation(name, key);
         self.give_up_room(name);
--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -97,7 +97,7 @@
         // The last answer may have come from another instance, and didn't count.
         let is_kept = connection == Connection::Kept && worker.is_responsive();
         let is_reachable = is_kept && worker.fenced && !worker.is_silent();
-        let deadline_ms = if is_reachable { worker.grant(now, lease) } else { None };
+        let deadline_ms = if is_reachable { worker.leases.grant(now, lease) } else { None };
         let wait = if is_reachable && worker.is_responsive() { MAX_WAIT } else { Duration::ZERO };
         Some(Poll {
             worker: key,
@@ -172,14 +172,12 @@
         worker.born_ms = report.born_ms.or(worker.born_ms);
         self.is_roster_outdated |= worker.location() != location;
         worker.reported_clock_ms = report.clock_ms;
-        worker.update_clock(now, report.clock_ms);
+        worker.leases.update_clock(now, report.clock_ms);
+        worker.leases.settle(sent);
         worker.unanswered_polls = 0;
         if !worker.fenced {
             worker.fenced = true;
-            // From now on the worker rejects predecessors: their leases on it end within one
-            // lease length, whatever they do elsewhere.
-            let until = now + worker::max_lease_duration(self.config.lease);
-            worker.inherited_until = worker.inherited_until.min(until);
+            worker.leases.fence(now);
         }
         worker.has_listed_all |= !report.is_cut_short;
         for exit in &report.exits {
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -62,7 +62,7 @@
     ) -> Option<worker::Key> {
         let former = self.workers.get(key)?;
         let is_end_expected = former.is_end_expected(now);
-        let next = former.next_instance(report.born_ms);
+        let next = former.next_instance(now, report.born_ms);
         if former.is_inherited && !former.fenced {
             self.lost_inherited_workers.insert(former.id.clone());
         }
@@ -80,27 +80,17 @@
         let allocations: Vec<(task::Name, Allocation)> =
             former.allocations.iter().map(|(name, allocation)| (*name, *allocation)).collect();
         let mut lost = Vec::new();
-        let mut may_hold_lease = !report.running.is_empty();
         for (name, allocation) in allocations {
             let is_listed = listed.contains(&(name, allocation.run));
             match self.fate(sent, key, name, allocation.run, is_listed) {
                 Fate::Lost => lost.push(name),
-                fate => {
-                    may_hold_lease = true;
-                    self.move_run(now, key, next_key, (name, allocation), fate);
-                }
+                fate => self.move_run(now, key, next_key, (name, allocation), fate),
             }
         }
         self.requeue_tasks(now, key, lost, Proof::Restarted);
         if let Some(mut former) = self.workers.remove(key) {
             former.clear_allocations();
         }
-        // The former instance's clock was ahead, so a lease that was meant for it may be the
-        // longest one on the new instance.
-        if may_hold_lease && let Some(worker) = self.workers.get_mut(next_key) {
-            let until = now + worker::max_lease_duration(self.config.max_lease);
-            worker.started_until = worker.started_until.max(until);
-        }
         Some(next_key)
     }
 
@@ -133,7 +123,12 @@
         }
     }
 
-    fn placement_on(&self, key: worker::Key, name: task::Name, run: u64) -> Option<&Placement> {
+    pub(super) fn placement_on(
+        &self,
+        key: worker::Key,
+        name: task::Name,
+        run: u64,
+    ) -> Option<&Placement> {
         let placement = self.entry(name.job)?.placement(name)?;
         (placement.worker == key && placement.run == run).then_some(placement)
     }
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -188,7 +188,7 @@
     fn add_unheard_runs(&self, now: Time, waits: &mut Vec<(task::Name, Wait)>) {
         for worker in self.workers.values().filter(|worker| worker.is_silent()) {
             for (task, _) in worker.long_running_runs() {
-                let until = Some(worker.leases_end());
+                let until = Some(worker.leases.end());
                 waits.push((*task, Wait::new(now, Reason::Lease, vec![worker.id.clone()], until)));
             }
         }
@@ -202,7 +202,8 @@
         let is_awaited = |worker: &&Worker| worker.hides_runs(now);
         let awaited = || self.workers.values().filter(is_awaited);
         let workers = awaited().take(MAX_WORKERS).map(|worker| worker.id.clone()).collect();
-        let until = awaited().map(|worker| (!worker.fenced).then_some(worker.inherited_until));
+        let until =
+            awaited().map(|worker| (!worker.fenced).then_some(worker.leases.inherited_until()));
         (workers, until.collect::<Option<Vec<Time>>>().and_then(|all| all.into_iter().max()))
     }
 }
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -8,8 +8,8 @@
 
 use super::Pool;
 use super::proof::Proof;
-use crate::task;
 use crate::worker::{self, Location, Registration, Worker};
+use crate::{lease, task};
 
 /// The most silent workers that are reported at once.
 const MAX_SILENT: usize = 64;
@@ -19,7 +19,8 @@
 
 impl Pool {
     pub(super) fn add_worker(&mut self, location: Location, inherited_until: Time) -> worker::Key {
-        self.insert_worker(Worker::new(location, inherited_until, self.usage.clone()))
+        let leases = lease::Bounds::new(self.config.max_lease, inherited_until);
+        self.insert_worker(Worker::new(location, leases, self.usage.clone()))
     }
 
     /// Adds a worker instance, which is the current one of its ID from now on.
@@ -146,7 +147,7 @@
     pub fn limit_inherited_leases(&mut self, until: Time, by_worker: &BTreeMap<String, Time>) {
         for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
             let reported = by_worker.get(&worker.id).copied().unwrap_or_default();
-            worker.inherited_until = worker.inherited_until.min(reported.max(until));
+            worker.leases.limit_inherited(reported.max(until));
         }
     }
 
@@ -159,9 +160,18 @@
     pub fn granted_leases(&self, now: Time) -> Option<BTreeMap<String, u64>> {
         self.first_planned?;
         let mut left = BTreeMap::new();
-        for worker in self.workers.values() {
+        for (key, worker) in &self.workers {
+            let has_open_starts = worker.allocations.iter().any(|(name, allocation)| {
+                let placement = self.placement_on(key, *name, allocation.run);
+                placement.is_some_and(|placement| placement.copies.are_open())
+            });
+            let end = if has_open_starts {
+                worker.leases.end_with_open_starts(now)
+            } else {
+                worker.leases.end()
+            };
             let longest: &mut u64 = left.entry(worker.id.clone()).or_default();
-            *longest = (*longest).max(worker::millis(worker.leases_end() - now));
+            *longest = (*longest).max(worker::millis(end - now));
         }
         Some(left)
     }
@@ -227,7 +237,7 @@
             worker.id == id
                 && worker.is_silent()
                 && !worker.has_ended
-                && worker.last_heard().is_none_or(is_older)
+                && worker.leases.last_heard().is_none_or(is_older)
         };
         let ended: Vec<worker::Key> = self
             .workers
@@ -316,7 +326,7 @@
     /// Requeues the tasks of workers that have been silent past their leases.
     pub(super) fn release_lapsed(&mut self, now: Time) {
         let has_lapsed =
-            |worker: &Worker| worker.unanswered_polls > 0 && now >= worker.leases_end();
+            |worker: &Worker| worker.unanswered_polls > 0 && now >= worker.leases.end();
         let lapsed: Vec<worker::Key> =
             self.workers.iter().filter(|(_, w)| has_lapsed(w)).map(|(key, _)| key).collect();
         for key in lapsed {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,34 +10,16 @@
 
 use crate::id::JobId;
 use crate::job::{Room, Step};
-use crate::organisation;
 use crate::pool::symbol::Symbol;
 use crate::pool::usage::Usage;
 use crate::task;
+use crate::{lease, organisation};
 
 slotmap::new_key_type! {
     /// The key of a worker of a pool.
     pub struct Key;
 }
 
-/// Maximum amount by which a worker's clock may run slow, in percent, as the platform
-/// guarantees.
-const CLOCK_SLOW_PERCENT: u32 = 2;
-
-/// Returns how long a lease of `length` may last on the clock of the process that granted it:
-/// the worker's clock may be slow, and slightly more time may pass between an answer of the
-/// worker and the grant.
-///
-/// ```
-/// use std::time::Duration;
-///
-/// let length = Duration::from_secs(4);
-/// assert_eq!(corianderfork_jobs::worker::max_lease_duration(length), Duration::from_millis(4_120));
-/// ```
-pub fn max_lease_duration(length: Duration) -> Duration {
-    length * (100 + CLOCK_SLOW_PERCENT + 1) / 100
-}
-
 /// After how many polls without an answer a worker is considered silent.
 pub(crate) const SILENT_POLLS: u32 = 2;
 
@@ -178,14 +160,8 @@
     pub(crate) rostered: bool,
     /// Number of consecutive unanswered polls.
     pub(crate) unanswered_polls: u32,
-    /// Its last reported clock in milliseconds, and when the report arrived.
-    clock: Option<(u64, Time)>,
-    /// When the last granted lease ends, in milliseconds on the worker's clock.
-    granted_until_ms: u64,
-    /// When the leases that predecessors granted end at the latest.
-    pub(crate) inherited_until: Time,
-    /// When the leases of starts end at the latest, whichever instance took them.
-    pub(crate) started_until: Time,
+    /// The leases that it may hold.
+    pub(crate) leases: lease::Bounds,
     /// The number of the last exit that was handled.
     pub(crate) last_exit: u64,
     /// The number of the last exit that the worker may forget.
@@ -222,7 +198,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(location: Location, inherited_until: Time, usage: Rc<Usage>) -> Self {
+    pub(crate) fn new(location: Location, leases: lease::Bounds, usage: Rc<Usage>) -> Self {
         Self {
             id: location.id,
             address: location.address,
@@ -244,10 +220,7 @@
             is_polled: false,
             rostered: false,
             unanswered_polls: 0,
-            clock: None,
-            granted_until_ms: 0,
-            inherited_until,
-            started_until: Time::ZERO,
+            leases,
             last_exit: 0,
             acked: 0,
             pending: BTreeMap::new(),
@@ -272,9 +245,9 @@
         }
     }
 
-    /// Returns a new instance of this worker. It keeps what is known of the VM and what was decided
-    /// about it, and nothing that the former instance did or said.
-    pub(crate) fn next_instance(&self, born_ms: Option<u64>) -> Self {
+    /// Returns the next instance of this worker, which was first heard of at `now`. It keeps what is
+    /// known of the VM and what was decided about it, and nothing that the former instance did or said.
+    pub(crate) fn next_instance(&self, now: Time, born_ms: Option<u64>) -> Self {
         let mut next = Self {
             born_ms,
             known_at: self.known_at,
@@ -283,10 +256,10 @@
             vacate_until: self.vacate_until,
             vacating_since: self.vacating_since,
             is_surplus: self.is_surplus,
-            started_until: self.started_until,
+            is_inherited: self.is_inherited && !self.fenced,
             ..Self::new(
                 Location { born_ms, ..self.location() },
-                self.inherited_until,
+                self.leases.next_instance(now),
                 self.usage.clone(),
             )
         };
@@ -314,54 +287,6 @@
         Location { id: self.id.clone(), address: self.address, born_ms }
     }
 
-    /// Updates the worker's clock from an answer.
-    pub(crate) fn update_clock(&mut self, now: Time, clock_ms: u64) {
-        // Answers may arrive out of order; only a later clock is new.
-        if self.clock.is_none_or(|(known, _)| clock_ms >= known) {
-            self.clock = Some((clock_ms, now));
-        }
-    }
-
-    /// Returns when the worker last answered, if it has.
-    pub(crate) fn last_heard(&self) -> Option<Time> {
-        self.clock.map(|(_, at)| at)
-    }
-
-    /// Grants a lease of `length` from now. Returns its deadline on the worker's clock, or
-    /// `None` if the clock is unknown. Every lease that is sent counts as granted, since an
-    /// unanswered request may have been carried out.
-    pub(crate) fn grant(&mut self, now: Time, length: Duration) -> Option<u64> {
-        let (clock, at) = self.clock?;
-        let deadline = clock + millis(now - at) + millis(length);
-        self.granted_until_ms = self.granted_until_ms.max(deadline);
-        Some(deadline)
-    }
-
-    /// Records that the worker answered a start with its clock at `clock_ms`. If another instance
-    /// answered, the lease differs from the one that was meant.
-    pub(crate) fn confirm_lease(
-        &mut self,
-        now: Time,
-        clock_ms: u64,
-        deadline_ms: u64,
-        max_lease: Duration,
-    ) {
-        let length = Duration::from_millis(deadline_ms.saturating_sub(clock_ms)).min(max_lease);
-        self.started_until = self.started_until.max(now + max_lease_duration(length));
-    }
-
-    /// Returns when all granted leases have certainly ended, on the owner's clock.
-    ///
-    /// The worker's clock may be slow: it shows at least the last reported time plus 98% of the
-    /// time since.
-    pub(crate) fn leases_end(&self) -> Time {
-        let others = self.inherited_until.max(self.started_until);
-        let Some((clock, at)) = self.clock else { return others };
-        let remaining = self.granted_until_ms.saturating_sub(clock);
-        let stretched = remaining * 100 / u64::from(100 - CLOCK_SLOW_PERCENT) + 1;
-        (at + Duration::from_millis(stretched)).max(others)
-    }
-
     /// Returns whether the last poll was answered.
     pub(crate) fn is_responsive(&self) -> bool {
         self.unanswered_polls == 0
@@ -370,7 +295,7 @@
     /// Returns whether tasks may run or have ended there unknown to this owner, which a predecessor
     /// started.
     pub(crate) fn hides_runs(&self, now: Time) -> bool {
-        let may_run = !self.fenced && now < self.inherited_until;
+        let may_run = !self.fenced && now < self.leases.inherited_until();
         let may_have_exits = self.is_inherited && self.fenced && !self.has_listed_all;
         !self.has_ended && (may_run || may_have_exits)
     }
--- a/crates/jobs/tests/common/partition.rs
+++ b/crates/jobs/tests/common/partition.rs
@@ -8,10 +8,10 @@
 use corianderfork_jobs::queue::Queue;
 use corianderfork_jobs::record::{Progress, Record, State};
 use corianderfork_jobs::task::{Name, Outcome};
-use corianderfork_jobs::worker::{self, Key, Location, Registration};
-use corianderfork_jobs::{Job, JobId, Step};
+use corianderfork_jobs::worker::{Key, Location, Registration};
+use corianderfork_jobs::{Job, JobId, Step, lease};
 
-use super::{Connections, FENCE, Worker, at, registration, step};
+use super::{Connections, FENCE, MAX_LEASE_MS, Worker, at, registration, step};
 
 /// The number of workers.
 pub const WORKERS: usize = 4;
@@ -159,8 +159,8 @@
 
 impl Owner {
     fn new(fence: u64, now: u64, links: [Link; WORKERS]) -> Self {
-        let lease = worker::max_lease_duration(WORKER_LEASE);
-        let inherited_until = at(now + STALE_HOLDER_MS) + lease;
+        let longest = lease::longest(Duration::from_millis(MAX_LEASE_MS));
+        let inherited_until = at(now + STALE_HOLDER_MS) + longest;
         let mut pool = Pool::new(Config::new(fence, inherited_until).lease(WORKER_LEASE));
         let queue = Queue { attempts: 1_000, ..Queue::default() };
         pool.set_queues(HashMap::from([("q".to_owned(), queue)]));
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{FENCE, Simulation, at, first_task, owner, step};
+use common::{FENCE, MAX_LEASE_MS, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::pool::{Action, Config, Pool};
 use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::Name;
@@ -246,7 +246,10 @@
     sim.list_workers();
     sim.run_for(3_000);
     assert_eq!(sim.workers_running(first_task(job)), [holder.as_str()], "its lease is valid");
-    sim.run_for(3_000);
+    let starts = sim.orders.len();
+    sim.run_for(MAX_LEASE_MS - 3_000);
+    assert_eq!(sim.orders.len(), starts, "the predecessor may have given it the longest lease");
+    sim.run_for(2_500);
     let now = sim.workers_running(first_task(job));
     assert_eq!(now.len(), 1);
     assert_ne!(now, [holder.as_str()], "its lease has ended");
