Log a lease that is longer than its owner granted

The answer to a start has the worker's clock, so the owner now logs `lease longer than granted` with both clocks and lengths.

take_notes_of_a_lease_longer_than_granted failed before (no such event); green now, with the 32 other tests of lease, restart and takeover.

--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -140,11 +140,18 @@
         Some(deadline)
     }
 
-    /// Records that a start was answered at the worker's clock `clock_ms`. If another instance
-    /// answered, the lease differs from the one that was meant.
-    pub fn confirm(&mut self, now: Time, clock_ms: u64, deadline_ms: u64, max_lease: Duration) {
+    /// Records that a start was answered at the worker's clock `clock_ms`, and returns the length of
+    /// the lease that it gave. If another instance answered, it differs from the one that was meant.
+    pub fn confirm(
+        &mut self,
+        now: Time,
+        clock_ms: u64,
+        deadline_ms: u64,
+        max_lease: Duration,
+    ) -> Duration {
         let length = Duration::from_millis(deadline_ms.saturating_sub(clock_ms)).min(max_lease);
         self.taken_until = self.taken_until.max(now + max_duration(length));
+        length
     }
 
     /// Records that it isn't known which instance took the deadline of a start, if any did.
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -133,7 +133,21 @@
         }
         let Action::Start { deadline_ms, .. } = order.action else { return };
         match answer {
-            Answer::Done(clock) => worker.leases.confirm(now, *clock, deadline_ms, max_lease),
+            Answer::Done(clock) => {
+                let length = worker.leases.confirm(now, *clock, deadline_ms, max_lease);
+                if length > self.config.lease {
+                    let (length, lease) = (length.as_millis(), self.config.lease.as_millis());
+                    let why = format!(
+                        "{length} ms instead of {lease} ms: deadline {deadline_ms} ms, clock {clock} ms"
+                    );
+                    self.note(
+                        "lease longer than granted",
+                        Some(order.task),
+                        Some(order.worker),
+                        why,
+                    );
+                }
+            }
             // A worker takes the deadline of a start that it refuses for these reasons.
             Answer::Old | Answer::Full | Answer::Unclear | Answer::Lost => {
                 worker.leases.leave_unsettled(now);
--- a/crates/jobs/tests/lease.rs
+++ b/crates/jobs/tests/lease.rs
@@ -130,6 +130,19 @@
     assert_single_and_restarted(sim, job, &order.id);
 }
 
+// Guards against a lease that no log shows: an operator couldn't tell why its worker runs on.
+#[test]
+fn take_notes_of_a_lease_longer_than_granted() {
+    let (mut sim, _, order) = ordered();
+    sim.pool.take_notes();
+    restart(&mut sim, &order);
+    sim.send(&order);
+    let notes = sim.pool.take_notes();
+    let note = notes.iter().find(|note| note.event == "lease longer than granted").expect("a note");
+    assert_eq!(note.worker.as_deref(), Some(order.id.as_str()));
+    assert!(note.why.contains("10000 ms instead of 4000 ms"), "{}", note.why);
+}
+
 // Guards against a successor that is told too early an end of the leases: a start is on its way, or got
 // no answer, and may have reached another instance than the one that was meant.
 #[test]
