Conclude nothing from a lease while the answer to a start is awaited

The lease that was meant was over, and only a start that is known to be unanswered counts as the longest one. A worker with starts on their way isn't concluded upon any more; each order is reported when it times out.

A worker that has answered a successor rejects its predecessors, so nothing on its way counts for the bound of inherited leases since.

--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -77,8 +77,8 @@
 /// What an owner knows of the leases of one instance of a worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
-    /// See [`longest`].
-    longest: Duration,
+    /// The longest lease that workers grant.
+    max_lease: Duration,
     /// The last reported clock in milliseconds, and when the report arrived.
     clock: Option<(u64, Time)>,
     /// When the last granted lease ends, in milliseconds on the worker's clock.
@@ -96,7 +96,7 @@
     /// Returns the bounds of an instance on which predecessors' leases end by `inherited_until`.
     pub fn new(max_lease: Duration, inherited_until: Time) -> Self {
         Self {
-            longest: longest(max_lease),
+            max_lease,
             clock: None,
             granted_until_ms: 0,
             inherited_until,
@@ -111,7 +111,7 @@
         Self {
             clock: None,
             granted_until_ms: 0,
-            taken_until: self.taken_until.max(now + self.longest),
+            taken_until: self.taken_until.max(now + longest(self.max_lease)),
             unsettled_since: None,
             ..*self
         }
@@ -142,14 +142,9 @@
 
     /// Records that a start was answered at the worker's clock `clock_ms`, and returns the length of
     /// the lease that it gave. If another instance answered, it differs from the one that was meant.
-    pub fn confirm(
-        &mut self,
-        now: Time,
-        clock_ms: u64,
-        deadline_ms: u64,
-        max_lease: Duration,
-    ) -> Duration {
-        let length = Duration::from_millis(deadline_ms.saturating_sub(clock_ms)).min(max_lease);
+    pub fn confirm(&mut self, now: Time, clock_ms: u64, deadline_ms: u64) -> Duration {
+        let meant = Duration::from_millis(deadline_ms.saturating_sub(clock_ms));
+        let length = meant.min(self.max_lease);
         self.taken_until = self.taken_until.max(now + max_duration(length));
         length
     }
@@ -170,7 +165,7 @@
     /// Records that the worker answered under its owner's fence at `now`: it rejects predecessors
     /// since.
     pub fn fence(&mut self, now: Time) {
-        self.limit_inherited(now + self.longest);
+        self.limit_inherited(now + max_duration(self.max_lease));
     }
 
     /// Records that the leases of predecessors end by `until`. Never extends an earlier limit.
@@ -188,7 +183,7 @@
     /// The worker's clock may be slow: it shows at least the last reported time plus 98% of the
     /// time since.
     pub fn end(&self) -> Time {
-        let unsettled = self.unsettled_since.map(|since| since + self.longest);
+        let unsettled = self.unsettled_since.map(|since| since + longest(self.max_lease));
         let others = self.inherited_until.max(self.taken_until).max(unsettled.unwrap_or_default());
         let Some((clock, at)) = self.clock else { return others };
         let remaining = self.granted_until_ms.saturating_sub(clock);
@@ -198,6 +193,6 @@
 
     /// Returns the same while starts are on their way.
     pub fn end_with_open_starts(&self, now: Time) -> Time {
-        self.end().max(now + self.longest)
+        self.end().max(now + longest(self.max_lease))
     }
 }
--- a/crates/jobs/src/pool/order.rs
+++ b/crates/jobs/src/pool/order.rs
@@ -126,7 +126,6 @@
 
     /// Records the clock in an answer, and the lease that a start may have given.
     fn note_lease(&mut self, now: Time, order: &Order, answer: &Answer<u64>) {
-        let max_lease = self.config.max_lease;
         let Some(worker) = self.workers.get_mut(order.worker) else { return };
         if let Answer::Done(clock) = answer {
             worker.leases.update_clock(now, *clock);
@@ -134,7 +133,7 @@
         let Action::Start { deadline_ms, .. } = order.action else { return };
         match answer {
             Answer::Done(clock) => {
-                let length = worker.leases.confirm(now, *clock, deadline_ms, max_lease);
+                let length = worker.leases.confirm(now, *clock, deadline_ms);
                 if length > self.config.lease {
                     let (length, lease) = (length.as_millis(), self.config.lease.as_millis());
                     let why = format!(
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -161,11 +161,7 @@
         self.first_planned?;
         let mut left = BTreeMap::new();
         for (key, worker) in &self.workers {
-            let has_open_starts = worker.allocations.iter().any(|(name, allocation)| {
-                let placement = self.placement_on(key, *name, allocation.run);
-                placement.is_some_and(|placement| placement.copies.are_open())
-            });
-            let end = if has_open_starts {
+            let end = if self.has_open_starts(key, worker) {
                 worker.leases.end_with_open_starts(now)
             } else {
                 worker.leases.end()
@@ -176,6 +172,14 @@
         Some(left)
     }
 
+    /// Returns whether starts are on their way to a worker whose answers may still come.
+    fn has_open_starts(&self, key: worker::Key, worker: &Worker) -> bool {
+        worker.allocations.iter().any(|(name, allocation)| {
+            let placement = self.placement_on(key, *name, allocation.run);
+            placement.is_some_and(|placement| placement.copies.are_open())
+        })
+    }
+
     /// Removes a worker instance whose VM was moved or maintained.
     ///
     /// A VM is ordered only once its worker is empty. One that has runs and is still listed may have
@@ -325,10 +329,12 @@
 
     /// Requeues the tasks of workers that have been silent past their leases.
     pub(super) fn release_lapsed(&mut self, now: Time) {
-        let has_lapsed =
-            |worker: &Worker| worker.unanswered_polls > 0 && now >= worker.leases.end();
+        let has_lapsed = |(key, worker): &(worker::Key, &Worker)| {
+            let is_over = worker.unanswered_polls > 0 && now >= worker.leases.end();
+            is_over && !self.has_open_starts(*key, worker)
+        };
         let lapsed: Vec<worker::Key> =
-            self.workers.iter().filter(|(_, w)| has_lapsed(w)).map(|(key, _)| key).collect();
+            self.workers.iter().filter(has_lapsed).map(|(key, _)| key).collect();
         for key in lapsed {
             if !self.may_conclude(now, key, Proof::LeaseEnded) {
                 continue;
--- a/crates/jobs/tests/lease.rs
+++ b/crates/jobs/tests/lease.rs
@@ -22,7 +22,7 @@
 /// worker hasn't received yet.
 fn ordered() -> (Simulation, JobId, Order) {
     let mut sim = Simulation::new(2);
-    sim.task_ms = 600_000;
+    sim.task_ms = 100_000;
     sim.run_for(FORMER_CLOCK_MS);
     let job = sim.submit(1, vec![step(1, 1_000)]);
     let order = sim.pool.plan(at(sim.now), 0).remove(0);
@@ -85,6 +85,20 @@
     assert_single_and_restarted(sim, job, &order.id);
 }
 
+// Guards against the same where the answer is still awaited as the lease ends that was meant: an owner
+// that was stopped plans before it notices that its order has timed out.
+#[test]
+fn plan_while_the_answer_to_a_start_is_awaited() {
+    let (mut sim, job, order) = ordered();
+    restart(&mut sim, &order);
+    carry_out(&mut sim, &order);
+    silence(&mut sim, &order.id);
+    sim.run_for(MAX_LEASE_MS - 1_000);
+    assert_eq!(sim.workers_running(first_task(job)), [order.id.as_str()]);
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
+    assert_single_and_restarted(sim, job, &order.id);
+}
+
 // Guards against the same where the instance refused the start: it takes the deadline all the same.
 #[test]
 fn plan_after_a_refused_start() {
