List three ways by which an order for a former instance may still run a task twice

- an order that the next instance carries out seconds late, which the platform's page allows.
- a worker that has answered a successor, starts again and has then seen no fence: an order of a killed owner that is still on its way begins there;
- the same with an owner in doubt that hasn't noticed the restart.

--- a/crates/jobs/tests/lease.rs
+++ b/crates/jobs/tests/lease.rs
@@ -201,3 +201,65 @@
     sim.list_and_poll();
     assert!(sim.pool.is_recovering(at(sim.now)), "it has ended more runs than it lists");
 }
+
+// Guards against a task on two workers: a worker has started again and carries out an order for its
+// former instance seconds after it was sent. It is refused as old, and prolongs the lease.
+#[test]
+fn plan_after_a_start_that_arrives_seconds_behind_a_restart() {
+    let (mut sim, job, order) = ordered();
+    let other = sim.registrations.iter().position(|entry| entry.id != order.id).expect("another");
+    sim.registrations[other].draining = true;
+    sim.list_workers();
+    restart(&mut sim, &order);
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
+    sim.run_for(10_000);
+    assert_eq!(sim.workers_running(first_task(job)), [order.id.as_str()]);
+    assert_eq!(carry_out(&mut sim, &order), Answer::Old);
+    let worker = sim.workers.get_mut(&order.id).expect("a worker");
+    worker.deadline = worker.deadline.max(sim.now - worker.born + MAX_LEASE_MS);
+    silence(&mut sim, &order.id);
+    sim.registrations[other].draining = false;
+    sim.list_workers();
+    assert_single_and_restarted(sim, job, &order.id);
+}
+
+// Guards against a task on two workers: a worker has heard its successor, starts again, and then
+// carries out an order of its former owner, which was killed: it has forgotten the fence.
+#[test]
+fn plan_after_a_worker_forgot_the_fence() {
+    let (mut sim, job, order) = ordered();
+    let until = sim.now + LONG_MS;
+    take_over(&mut sim, until);
+    sim.poll_all();
+    restart(&mut sim, &order);
+    sim.now += 600;
+    carry_out(&mut sim, &order);
+    silence(&mut sim, &order.id);
+    assert_single_and_restarted(sim, job, &order.id);
+}
+
+// Guards against the same with a former owner that lives, in doubt, and hasn't noticed the restart.
+#[test]
+fn plan_in_doubt_after_a_worker_forgot_the_fence() {
+    let (mut sim, job, order) = ordered();
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Unhealthy);
+    sim.pool.doubt(at(sim.now));
+    let until = sim.now + LONG_MS;
+    let locations = sim.pool.written_roster();
+    let mut former = std::mem::replace(&mut sim.pool, owner(FENCE + 50, sim.now));
+    sim.pool.set_roster(locations.clone(), 0);
+    sim.pool.confirm_roster(locations);
+    take_over(&mut sim, until);
+    sim.poll_all();
+    sim.plan();
+    let place = sim.workers_running(first_task(job))[0].to_owned();
+    let other = sim.workers.keys().find(|id| **id != place).expect("another").clone();
+    sim.workers.get_mut(&other).expect("a worker").restart(sim.now);
+    let lost = former.worker(&place).expect("a worker").0;
+    former.handle_poll_answer(at(sim.now), at(sim.now), lost, &Answer::Lost);
+    sim.now += 1_500;
+    for start in former.plan(at(sim.now), 0) {
+        carry_out(&mut sim, &start);
+    }
+    assert_eq!(sim.workers_running(first_task(job)), [place.as_str()]);
+}
