Keep what is known of an occurrence that an owner's clock hasn't begun

Cause: an owner creates the state of an occurrence in its first plan that finds it due by the time of day. What it learns before that was dropped: the failed, crashed, stopped and proven runs and the saved progress of the record, unless a task was done, and runs and ends that workers list at a poll before that plan. The latter let a finished task run again, and a second run start beside the first.

An occurrence now begins also when the record or a worker tells of it, since a predecessor has begun it. The record is unchanged.

--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -364,6 +364,19 @@
         self.begun_occurrences += 1;
     }
 
+    /// Begins an occurrence, and those before it, of which a record or a worker tells.
+    ///
+    /// A predecessor began it by its own time of day. If this owner waited for its own, it would
+    /// drop what it was told: a failed run would not count, and a running or finished task would be
+    /// started again.
+    pub fn begin_known_occurrence(&mut self, occurrence: u32) {
+        let end = occurrence.saturating_add(1).min(self.occurrence_count);
+        while !self.state.is_final() && self.begun_occurrences < end {
+            let is_scheduled = self.schedule.is_some();
+            self.begin_occurrence(if is_scheduled { self.known_since } else { self.accepted });
+        }
+    }
+
     fn due_ms(&self, occurrence: u32) -> u64 {
         self.schedule.map_or(0, |schedule| {
             let after = schedule.every_ms.saturating_mul(u64::from(occurrence));
--- a/crates/jobs/src/pool/exits.rs
+++ b/crates/jobs/src/pool/exits.rs
@@ -68,6 +68,7 @@
     fn clear_placement(&mut self, now: Time, key: worker::Key, exit: &Exit) -> Option<Time> {
         self.note_proven(now, exit.task);
         let entry = self.entry_mut(exit.task.job)?;
+        entry.begin_known_occurrence(exit.task.occurrence);
         let task = entry.task_mut(exit.task)?;
         task.take_saved(exit.run, &exit.saved);
         let TaskState::Placed(placement) = &task.state else { return None };
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -32,6 +32,9 @@
     pub fn restore(&mut self, progress: &Progress) {
         self.state = progress.state;
         self.ended_ms = progress.ended_ms;
+        for occurrence in occurrences(progress) {
+            self.begin_known_occurrence(occurrence);
+        }
         for (key, bits) in &progress.done {
             self.restore_done(key, bits);
         }
@@ -82,11 +85,6 @@
     fn restore_done(&mut self, key: &str, bits: &[u64]) {
         let mut parts = key.split('.').map_while(|part| part.parse::<u32>().ok());
         let Some(occurrence) = parts.next() else { return };
-        while self.begun_occurrences <= occurrence && self.begun_occurrences < self.occurrence_count
-        {
-            let is_scheduled = self.schedule.is_some();
-            self.begin_occurrence(if is_scheduled { self.known_since } else { self.accepted });
-        }
         let Some(step) = parts.next() else {
             self.occurrences.remove(&occurrence);
             self.finished_occurrences += 1;
@@ -142,6 +140,14 @@
     }
 }
 
+/// Returns the occurrences about which something is written.
+fn occurrences(progress: &Progress) -> impl Iterator<Item = u32> {
+    let keys = progress.done.keys().chain(progress.failed.keys()).chain(progress.crashed.keys());
+    let keys = keys.chain(progress.proven.keys()).chain(progress.saved.keys());
+    let keys = keys.chain(progress.stopped.keys());
+    keys.filter_map(|key| key.split('.').next()?.parse().ok())
+}
+
 /// Returns the words of a bit set of which the given bits are set.
 fn bit_set(bits: impl ExactSizeIterator<Item = bool>) -> Vec<u64> {
     let mut words = vec![0u64; bits.len().div_ceil(WORD_BITS as usize)];
--- a/crates/jobs/src/pool/runs.rs
+++ b/crates/jobs/src/pool/runs.rs
@@ -18,6 +18,7 @@
         let Some(entry) = self.entry_mut_unmarked(name.job) else {
             return self.track_stray(now, key, running);
         };
+        entry.begin_known_occurrence(name.occurrence);
         let is_final = entry.state.is_final();
         let Some(task) = entry.task_mut(name) else {
             return self.track_stray(now, key, running);
--- a/crates/jobs/tests/occurrence.rs
+++ b/crates/jobs/tests/occurrence.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
-use common::{FENCE, Simulation, at, step};
+use common::{Connections, FENCE, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::job::Schedule;
-use corianderfork_jobs::pool::Order;
+use corianderfork_jobs::pool::{Action, Order};
 use corianderfork_jobs::record::{Record, State};
+use corianderfork_jobs::task::Outcome;
 use corianderfork_jobs::{Job, JobId, Step};
 
 /// The time of day at which the owner's clock is 0.
@@ -15,24 +16,35 @@
 /// The interval between occurrences, in milliseconds.
 const INTERVAL_MS: u64 = 10_000;
 
+/// Returns the record of a job whose first occurrence is due when the owner's clock is `first`.
+fn record(first: u64, times: u32, steps: Vec<Step>) -> Record {
+    let schedule = Schedule { first_ms: MIDNIGHT + first, every_ms: INTERVAL_MS, times };
+    let job = Job::new("run".to_owned(), steps).and_then(|job| job.scheduled(schedule));
+    let job = job.expect("a job");
+    Record { queue: "q".to_owned(), accepted_ms: MIDNIGHT, attempts: None, job, organisation: None }
+}
+
 /// Submits a job whose first occurrence is due when the owner's clock is `first`.
 fn submit(sim: &mut Simulation, id: u64, first: u64, times: u32, steps: Vec<Step>) -> JobId {
     let id = JobId(id);
     sim.steps.insert(id, steps.clone());
-    let schedule = Schedule { first_ms: MIDNIGHT + first, every_ms: INTERVAL_MS, times };
-    let job = Job::new("run".to_owned(), steps).and_then(|job| job.scheduled(schedule));
-    let job = job.expect("a job");
-    let record = Record {
-        queue: "q".to_owned(),
-        accepted_ms: MIDNIGHT,
-        attempts: None,
-        job,
-        organisation: None,
-    };
+    let record = record(first, times, steps);
     sim.pool.accept(at(sim.now), Duration::ZERO, id, &record, None, FENCE + 1_000);
     id
 }
 
+/// Replaces the owner with a successor that knows only what was written. It has read the jobs and
+/// has polled no worker.
+fn take_over(sim: &mut Simulation, job: JobId, record: &Record) {
+    let locations = sim.pool.written_roster();
+    sim.pool = owner(FENCE + 50, sim.now);
+    sim.connections = Connections::default();
+    sim.pool.set_roster(locations, 0);
+    sim.list_workers();
+    let progress = sim.progress.get(&job);
+    sim.pool.accept(at(sim.now), Duration::ZERO, job, record, progress, FENCE + 1);
+}
+
 fn plan(sim: &mut Simulation) -> Vec<Order> {
     let orders = sim.pool.plan(at(sim.now), MIDNIGHT + sim.now);
     orders.iter().for_each(|order| sim.send(order));
@@ -123,3 +135,95 @@
     assert_eq!(occurrences, [1, 2]);
     assert_eq!(successor.pool.state(job), Some(State::Completed));
 }
+
+// Guards against starting a task of a scheduled job more often than its queue's attempts allow: the
+// written failed runs of an occurrence are dropped by a successor, because its own clock hasn't
+// begun the occurrence when it reads them.
+#[test]
+fn accept_by_a_successor_keeps_the_failed_runs_of_an_occurrence() {
+    let mut sim = Simulation::new(2);
+    sim.workers.values_mut().for_each(|worker| worker.fails = true);
+    let steps = vec![step(1, 1_000)];
+    let job = submit(&mut sim, 1, 2_000, 3, steps.clone());
+    let mut starts = 0;
+    while sim.progress.get(&job).is_none_or(|progress| progress.failed.is_empty()) {
+        starts += run(&mut sim, 100).len();
+        assert!(sim.now < 5_000, "no failed run is written");
+    }
+    take_over(&mut sim, job, &record(2_000, 3, steps));
+    starts += run(&mut sim, 5_000).len();
+    assert_eq!(starts, 2, "as many as the queue's attempts");
+    assert_eq!(sim.pool.state(job), Some(State::Failed));
+}
+
+// Guards against doing the work of a scheduled job again: the written progress of an occurrence is
+// dropped by a successor, although its worker was allowed to forget it.
+#[test]
+fn accept_by_a_successor_resumes_an_occurrence_from_its_saved_progress() {
+    let mut sim = Simulation::new(1);
+    sim.workers.values_mut().for_each(|worker| worker.saves = true);
+    sim.task_ms = 20_000;
+    let steps = vec![step(1, 1_000)];
+    let job = submit(&mut sim, 1, 2_000, 3, steps.clone());
+    run(&mut sim, 5_000);
+    let now = sim.now;
+    let worker = sim.workers.get_mut("w0").expect("a worker");
+    worker.advance(now);
+    worker.finish_run(first_task(job), Outcome::Stopped);
+    sim.poll_all();
+    sim.now += 1_000;
+    sim.write();
+    sim.poll_all();
+    assert!(sim.workers["w0"].exits.is_empty(), "its end was acknowledged");
+    take_over(&mut sim, job, &record(2_000, 3, steps));
+    let orders = run(&mut sim, 200);
+    let saved = |action: &Action| match action {
+        Action::Start { saved, .. } => common::saved_ms(saved),
+        _ => 0,
+    };
+    assert_eq!(orders.len(), 1);
+    assert!(saved(&orders[0].action) >= 3_000, "{orders:?}");
+}
+
+// Guards against running a finished task again, and against forgetting a failed run: a successor
+// polls the workers before its clock has begun the occurrence, takes the listed end for one of
+// nothing that it knows, and lets the worker forget it.
+#[test]
+fn handle_poll_answer_before_an_occurrence_has_begun() {
+    for (fails, starts) in [(false, 1), (true, 2)] {
+        let mut sim = Simulation::new(1);
+        sim.workers.values_mut().for_each(|worker| worker.fails = fails);
+        let steps = vec![step(1, 1_000)];
+        let job = submit(&mut sim, 1, 2_000, 1, steps.clone());
+        let mut orders = run(&mut sim, 1_100);
+        sim.now += 700;
+        sim.workers.values_mut().for_each(|worker| worker.advance(sim.now));
+        assert_eq!(sim.workers["w0"].exits.len(), 1, "an end that no owner has heard of");
+        take_over(&mut sim, job, &record(2_000, 1, steps));
+        sim.poll_all();
+        sim.poll_all();
+        orders.extend(run(&mut sim, 5_000));
+        assert_eq!(orders.len(), starts, "fails: {fails}");
+        let state = if fails { State::Failed } else { State::Completed };
+        assert_eq!(sim.pool.state(job), Some(state));
+    }
+}
+
+// Guards against a second run of a task beside the first: a successor polls the workers before its
+// clock has begun the occurrence, and begins it later without the run that was listed.
+#[test]
+fn handle_poll_answer_adopts_a_run_before_its_occurrence_has_begun() {
+    let mut sim = Simulation::new(2);
+    sim.task_ms = 3_000;
+    let steps = vec![step(1, 1_000)];
+    let job = submit(&mut sim, 1, 2_000, 1, steps.clone());
+    let mut orders = run(&mut sim, 1_500);
+    take_over(&mut sim, job, &record(2_000, 1, steps));
+    sim.poll_all();
+    // Only the roster and the leases were seen so far: the occurrence begins with this plan.
+    orders.extend(plan(&mut sim));
+    assert_eq!(sim.running_count(), 1);
+    orders.extend(run(&mut sim, 5_000));
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(sim.pool.state(job), Some(State::Completed));
+}
