Count the workers that a gang needs, not only its room

Nothing had failed.

Cause: the size of a pool is computed from room. The gang counted as half a worker, the pool vacated all but two, and a gang starts as a whole or not at all. The same holds without `anti_affinity` where its tasks leave a rest on each worker.

A pool now counts how many workers its ready gangs need at once, reports the largest count (`at_once` in the load, left out if 0, so that earlier versions read it as before), and requests at least so many. When asked to shrink it keeps the workers with which a ready gang can start. A gang that needs more than all workers of all pools asks for none of this. Weighed: `unfit`, which asks for one worker more at a time and only after 2.5 s, and raises the minimum of the pool, so that a gang that can't start would take the workers of others.

--- a/crates/entry/src/planner/size.rs
+++ b/crates/entry/src/planner/size.rs
@@ -68,13 +68,13 @@
         let (pools, spares) = self.pools();
         let Some(vm_room) = typical_room(vms) else { return };
         let mut free = self.spare_vms(vms, &spares);
-        let mut demands = self.fetch_demands(&pools, &vm_room).await;
+        let total = vm_count(vms);
+        let mut demands = self.fetch_demands(&pools, &vm_room, total).await;
         demands.extend(self.recall_demands(&pools, &demands, vms));
         if !self.knows_loads(&pools, &demands) {
             return;
         }
         let requests: Vec<Request> = demands.iter().map(|demand| demand.request).collect();
-        let total = vm_count(vms);
         self.is_scarce = requests.iter().map(|request| request.current).sum::<u32>() > total;
         let (mut shortages, mut needs) = (Vec::new(), BTreeMap::new());
         let mut messages = Vec::new();
@@ -141,7 +141,7 @@
         self.report_gone_workers(&gone);
     }
 
-    async fn fetch_demands(&mut self, pools: &[String], vm_room: &Room) -> Vec<Demand> {
+    async fn fetch_demands(&mut self, pools: &[String], vm_room: &Room, total: u32) -> Vec<Demand> {
         let tells_target = self.node.settings.contention.refuse;
         let mut messages = Vec::with_capacity(pools.len());
         for pool in pools {
@@ -180,14 +180,9 @@
             self.arrivals.mark_counted(pool, &counted);
             let stock = Stock::new(&load, self.arrivals.count_coming(pool));
             let sizing = self.sizes.entry(pool.clone()).or_default();
+            let load = load.without_oversized_gang(total);
             let request = sizing.sizer.request(clock::now(), &load, vm_room);
-            demands.push(Demand {
-                pool: pool.clone(),
-                load: *load,
-                stock,
-                request,
-                is_current: true,
-            });
+            demands.push(Demand { pool: pool.clone(), load, stock, request, is_current: true });
         }
         demands
     }
@@ -285,7 +280,7 @@
             self.node.trace.line(
                 "pool sized",
                 || json!({ "pool": demand.pool, "target": target, "now": request.current, "held": request.peak, "in_time": request.in_time,
-                    "workers": load.workers, "surplus": load.surplus, "coming": demand.stock.coming, "rooted": load.rooted, "unfit": load.unfit, "refused": load.refused,
+                    "workers": load.workers, "surplus": load.surplus, "coming": demand.stock.coming, "rooted": load.rooted, "unfit": load.unfit, "at_once": load.at_once, "refused": load.refused,
                     "used": load.used, "waiting": load.waiting, "lasting": load.lasting,
                     "needed": load.needed, "needed_in_time": load.in_time, "noise": load.noise,
                     "listed_ms_ago": crate::owner::ms(listed) }),
--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -17,6 +17,7 @@
 mod exits;
 mod explain;
 mod gang;
+mod gang_size;
 mod held;
 mod hold;
 mod incoming;
--- a/crates/jobs/src/pool/load.rs
+++ b/crates/jobs/src/pool/load.rs
@@ -49,6 +49,10 @@
     /// all of it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub in_time: Option<Room>,
+    /// Number of workers that the ready gang which needs the most has to have at once: its tasks
+    /// don't fit on fewer, whatever the total room. Earlier versions neither send nor read this.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub at_once: u32,
     /// Random variation of `needed` from one second to the next.
     pub noise: Room,
     /// Number of long-running tasks that have waited for a worker for a while, plus different
@@ -62,6 +66,11 @@
     pub refused: u32,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl Load {
     /// Returns the load as it is sent: without `in_time` where that is all of `needed`, which is what
     /// its absence means.
@@ -78,6 +87,24 @@
     pub fn compact(self) -> Self {
         Self { in_time: self.in_time.filter(|in_time| *in_time != self.needed), ..self }
     }
+
+    /// Returns the load without a gang that needs more than all `total` workers: it can't start, and
+    /// other pools would lack what it asks for.
+    ///
+    /// ```
+    /// use corianderfork_jobs::pool::Load;
+    ///
+    /// let load = Load { at_once: 5, ..Load::default() };
+    /// assert_eq!(load.without_oversized_gang(5).at_once, 5);
+    /// assert_eq!(load.without_oversized_gang(4).at_once, 0);
+    /// ```
+    #[must_use]
+    pub const fn without_oversized_gang(mut self, total: u32) -> Self {
+        if self.at_once > total {
+            self.at_once = 0;
+        }
+        self
+    }
 }
 
 impl Pool {
@@ -110,6 +137,8 @@
             for (number, occurrence) in &entry.occurrences {
                 let held = |step| held.count((key, (*number, step)));
                 self.add_workload(now, entry, (*number, occurrence), held, &mut workload);
+                let at_once = self.workers_at_once(now, entry, occurrence, held);
+                load.at_once = load.at_once.max(at_once);
                 largest = largest.max(&entry.largest_gang(occurrence, held));
             }
         }
--- a/crates/jobs/src/pool/shrink.rs
+++ b/crates/jobs/src/pool/shrink.rs
@@ -7,6 +7,7 @@
 use corianderfork_model::Time;
 
 use super::entry::StepState;
+use super::gang_size::is_ready_gang;
 use super::{Pool, advice};
 use crate::feature::Feature;
 use crate::job::{Room, Step};
@@ -14,8 +15,8 @@
 
 /// A worker that takes new tasks, or would if the pool had fewer workers.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
-    key: worker::Key,
+pub(super) struct Candidate {
+    pub key: worker::Key,
     /// Whether it hosts no long-running task and none has room reserved there.
     is_free: bool,
     is_surplus: bool,
@@ -89,7 +90,8 @@
         healthy.map(to_candidate).collect()
     }
 
-    /// Returns the workers without which an unfinished step could run nowhere in the pool.
+    /// Returns the workers without which an unfinished step could run nowhere in the pool, or not all
+    /// tasks of a gang at once.
     ///
     /// A step may need a label, a size, or permission by the advice service, which few workers
     /// have. While the step waits for its turn or for room, these workers are idle and look
@@ -97,9 +99,11 @@
     /// log shows `task waits` for it, and `advice told` without an allowed worker.
     fn required_workers(&self, candidates: &[Candidate]) -> HashSet<worker::Key> {
         let least = self.least_room(candidates);
+        let held = self.held_tasks();
         let mut required: HashSet<worker::Key> = HashSet::new();
-        for entry in self.active_jobs() {
-            for occurrence in entry.occurrences.values() {
+        for (job, entry) in self.active.iter().filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+        {
+            for (number, occurrence) in &entry.occurrences {
                 let unfinished = entry
                     .steps
                     .iter()
@@ -113,6 +117,18 @@
                     let found = self.worker_to_keep(candidates, step, state, stays);
                     required.extend(found.map(|candidate| candidate.key));
                 }
+                let steps = entry.steps.iter().zip(&occurrence.steps).enumerate();
+                let gangs = steps.filter(|(index, (step, state))| {
+                    is_ready_gang(step, state, occurrence)
+                        && needs_worker(step, state)
+                        && held.count((job, (*number, *index))) == 0
+                });
+                for (_, (step, state)) in gangs {
+                    let stays = |candidate: &Candidate| {
+                        !candidate.is_free || required.contains(&candidate.key)
+                    };
+                    required.extend(self.workers_to_keep_for_gang(candidates, step, state, stays));
+                }
             }
         }
         required
--- a/crates/jobs/src/size.rs
+++ b/crates/jobs/src/size.rs
@@ -134,7 +134,8 @@
         let min = load.rooted.max(MIN_WORKERS).max(with_unplaced);
         let demand = load.lasting.in_units_of(worker_room) + load.needed.in_units_of(worker_room);
         let noise = load.noise.in_units_of(worker_room);
-        let request = to_workers(self.extrapolate(now, demand, noise) * HEADROOM).max(min);
+        let request = to_workers(self.extrapolate(now, demand, noise) * HEADROOM);
+        let request = request.max(min).max(load.at_once);
         while self.requests.back().is_some_and(|(_, known)| *known <= request) {
             self.requests.pop_back();
         }
@@ -143,7 +144,7 @@
             self.requests.pop_front();
         }
         let peak = self.requests.front().map_or(request, |(_, request)| *request);
-        let current = to_workers(demand * HEADROOM).max(min);
+        let current = to_workers(demand * HEADROOM).max(min).max(load.at_once);
         let in_time = load.lasting.in_units_of(worker_room)
             + load.in_time.unwrap_or(load.needed).in_units_of(worker_room);
         let in_time = to_workers(in_time * HEADROOM).clamp(min, current);
--- a/crates/jobs/tests/gang.rs
+++ b/crates/jobs/tests/gang.rs
@@ -3,12 +3,18 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use common::{Simulation, at, first_task, step};
+use corianderfork_jobs::job::Room;
 use corianderfork_jobs::record::State;
+use corianderfork_jobs::size::Sizer;
 use corianderfork_jobs::task::{Name, Outcome};
 use corianderfork_jobs::{JobId, Step};
 
+/// How long a worker is vacated, in seconds.
+const VACATED_S: u64 = 60;
+
 fn gang(count: u32, cpu: u64) -> Step {
     Step { gang: true, ..step(count, cpu) }
 }
@@ -131,3 +137,80 @@
     sim.run_for(400);
     assert_eq!(sim.workers_running(first_task(job)).len(), 1);
 }
+
+/// Sizes the pool by its load, as the planner does, and vacates the workers beyond that.
+fn size(sim: &mut Simulation, sizer: &mut Sizer) -> Vec<String> {
+    let worker_room = Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 };
+    let now = at(sim.now);
+    let keep = sizer.request(now, &sim.pool.load(now), &worker_room).current;
+    sim.pool.shrink(now, keep, Duration::from_secs(VACATED_S))
+}
+
+// Guards against a gang that never starts beside idle workers: its queue's demand has fallen, the
+// pool counts the room of its tasks, which is that of one worker, and vacates the other workers
+// again and again, while its tasks have to be on four.
+#[test]
+fn plan_starts_a_gang_over_more_workers_than_the_pool_keeps() {
+    let steps = [Step { max_per_worker: 1, ..gang(4, 1_000) }, gang(4, 4_500)];
+    for step in steps {
+        let mut sim = Simulation::new(6);
+        let mut sizer = Sizer::default();
+        assert_eq!(size(&mut sim, &mut sizer).len(), 4, "the pool keeps two");
+        let job = sim.submit(1, vec![step]);
+        for _ in 0..10 {
+            size(&mut sim, &mut sizer);
+            sim.run_for(100);
+        }
+        assert_eq!(sim.pool.state(job), Some(State::Completed));
+        sim.now += 5_000;
+        sim.list_and_poll();
+        assert_eq!(size(&mut sim, &mut sizer).len(), 4, "and two again afterwards");
+    }
+}
+
+// Guards against a gang that never starts because its pool asks for fewer workers than its tasks
+// have to be on: the others are in other pools.
+#[test]
+fn load_asks_for_the_workers_that_a_gang_needs() {
+    let worker_room = Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 };
+    let steps = [
+        (Step { max_per_worker: 1, ..gang(4, 1_000) }, 4),
+        (Step { max_per_worker: 2, ..gang(7, 1_000) }, 4),
+        (gang(4, 4_500), 4),
+    ];
+    for (step, workers) in steps {
+        let mut sim = Simulation::new(2);
+        sim.submit(1, vec![step.clone()]);
+        assert!(sim.plan().is_empty());
+        let request =
+            Sizer::default().request(at(sim.now), &sim.pool.load(at(sim.now)), &worker_room);
+        assert!(request.current >= workers && request.peak >= workers, "{request:?} for {step:?}");
+    }
+}
+
+// Guards against a gang that waits while its pool is asked to keep fewer workers than its tasks have
+// to be on, by a planner of an earlier version or for other pools.
+#[test]
+fn shrink_keeps_the_workers_on_which_a_gang_can_start() {
+    let mut sim = Simulation::new(6);
+    let job = sim.submit(1, vec![Step { max_per_worker: 1, ..gang(4, 1_000) }]);
+    let empty = sim.pool.shrink(at(sim.now), 2, Duration::from_secs(VACATED_S));
+    assert_eq!(empty.len(), 2, "{empty:?}");
+    sim.run_for(1_000);
+    assert_eq!(sim.pool.state(job), Some(State::Completed));
+}
+
+// Guards against keeping workers for a gang that can't start: its turn hasn't come, or the pool has
+// too few workers that can run it.
+#[test]
+fn shrink_keeps_no_workers_for_a_gang_that_cannot_start() {
+    let wide = |count| Step { max_per_worker: 1, ..gang(count, 1_000) };
+    for steps in [vec![step(1, 1_000), wide(4).after(0)], vec![wide(9)]] {
+        let mut sim = Simulation::new(6);
+        sim.task_ms = 60_000;
+        sim.submit(1, steps);
+        sim.plan();
+        let empty = sim.pool.shrink(at(sim.now), 2, Duration::from_secs(VACATED_S));
+        assert_eq!(empty.len(), 4, "{empty:?}");
+    }
+}
