Deliver no orders of a peer that a frozen process finds as it wakes

A task could run on two workers (found by the review, by reading): a peer that delivers orders was frozen with one in its receive buffer, and sent it on waking, after any time.

A courier delivers only if it hasn't been frozen since its lease was last renewed. After a freeze it tells the owner that nothing was sent.

--- a/crates/entry/src/delivery.rs
+++ b/crates/entry/src/delivery.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::task::spawn_local;
 
+use crate::clock;
 use crate::http::CallError;
 use crate::node::Node;
 use crate::peer::Reply;
@@ -68,6 +69,9 @@
 
 /// Delivers orders for a peer, all at once. A worker may take `within` for its answer.
 pub async fn deliver(node: &Rc<Node>, deliveries: Vec<Delivery>, within: Duration) -> Reply {
+    if !node.tenure.get().may_deliver(clock::now()) {
+        return Reply::Delivered { outcomes: vec![Outcome::Unsent; deliveries.len()] };
+    }
     let calls: Vec<_> = deliveries
         .into_iter()
         .map(|delivery| spawn_local(deliver_one(node.clone(), delivery, within)))
--- a/crates/entry/src/tenure.rs
+++ b/crates/entry/src/tenure.rs
@@ -116,6 +116,24 @@
         !self.is_frozen(now) && self.renewed_at.is_some_and(|at| now - at < LEASE_TTL)
     }
 
+    /// Whether orders of a peer may be delivered. One that a frozen process finds as it wakes was sent
+    /// long ago: its worker may have started again since, and its owner doesn't wait for it any more.
+    ///
+    /// ```
+    /// use corianderfork_entry::tenure::Tenure;
+    /// use corianderfork_model::Time;
+    ///
+    /// let at = Time::from_millis;
+    /// let mut tenure = Tenure::default();
+    /// tenure.check(at(1_000));
+    /// tenure.register(at(1_000), at(1_010));
+    /// assert!(tenure.may_deliver(at(1_200)));
+    /// assert!(!tenure.may_deliver(at(5_000)), "it was frozen");
+    /// ```
+    pub fn may_deliver(&self, now: Time) -> bool {
+        !self.is_frozen(now) && self.renewed_at.is_some()
+    }
+
     /// Whether nothing has happened by which duties may have been lost since they were last read.
     pub fn is_known(&self) -> bool {
         self.readable_from.is_some_and(|from| self.known_at >= from)
--- a/crates/entry/tests/tenure.rs
+++ b/crates/entry/tests/tenure.rs
@@ -117,3 +117,18 @@
     assert!(tenure.confirmed_until() < at(2 * SECOND));
     assert!(!tenure.has_lease(at(2 * SECOND)));
 }
+
+// Guards against an order that is delivered seconds after it was sent: its courier was frozen, and
+// finds it as it wakes.
+#[test]
+fn may_deliver_after_a_freeze() {
+    let mut tenure = holder();
+    run(&mut tenure, SECOND, 2 * SECOND);
+    assert!(tenure.may_deliver(at(2 * SECOND)));
+    let woken = 9 * SECOND;
+    assert!(!tenure.may_deliver(at(woken)));
+    assert!(tenure.check(at(woken)).is_some());
+    assert!(!tenure.may_deliver(at(woken + 100)), "its lease isn't renewed yet");
+    tenure.renew(at(woken + 200));
+    assert!(tenure.may_deliver(at(woken + 300)));
+}
