Tell a worker's next instance by a clock that is ahead

A done task could run again (found by the review, by a pure test): a worker that says nothing of its start (`born`) started again with its clock ahead. It was taken for the former instance, so its first exits counted as handled, and the acknowledgement for the former one let it forget them.

A worker's clock runs slow at most. One that advanced by more than the time since the report before was requested, and a second, is that of another instance. The owner's clock counts times in which its VM is suspended. Where both reports name the start, that alone decides, as before.

--- a/crates/jobs/src/pool/poll.rs
+++ b/crates/jobs/src/pool/poll.rs
@@ -122,7 +122,7 @@
         worker.is_polled = true;
         let ended = match answer {
             Answer::Gone => Some(Proof::Replaced),
-            Answer::Done(report) if worker.has_restarted(report.born_ms, report.clock_ms) => {
+            Answer::Done(report) if worker.has_restarted(now, report.born_ms, report.clock_ms) => {
                 Some(Proof::Restarted)
             }
             _ => None,
@@ -172,6 +172,7 @@
         worker.born_ms = report.born_ms.or(worker.born_ms);
         self.is_roster_outdated |= worker.location() != location;
         worker.reported_clock_ms = report.clock_ms;
+        worker.reported_since = sent;
         worker.leases.update_clock(now, report.clock_ms);
         worker.leases.settle(sent);
         worker.unanswered_polls = 0;
--- a/crates/jobs/src/pool/restart.rs
+++ b/crates/jobs/src/pool/restart.rs
@@ -37,7 +37,7 @@
         report: &Report,
     ) -> Option<worker::Key> {
         let worker = self.workers.get(key)?;
-        if !worker.has_restarted(report.born_ms, report.clock_ms) {
+        if !worker.has_restarted(now, report.born_ms, report.clock_ms) {
             return Some(key);
         }
         let why = format!(
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -23,6 +23,9 @@
 /// After how many polls without an answer a worker is considered silent.
 pub(crate) const SILENT_POLLS: u32 = 2;
 
+/// By how much the clock of an instance may seem to advance more than the time.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(1_000);
+
 /// How long a worker that is to be maintained waits for room elsewhere. This is longer than
 /// moving another worker into the pool takes.
 pub(crate) const STRANDED_AFTER: Duration = Duration::from_millis(4_000);
@@ -137,6 +140,8 @@
     pub(crate) known_at: u64,
     /// The clock of its last report, in milliseconds.
     pub(crate) reported_clock_ms: u64,
+    /// When that report was requested.
+    pub(crate) reported_since: Time,
     pub(crate) labels: Vec<String>,
     pub(crate) rack: String,
     pub(crate) rack_symbol: Symbol,
@@ -206,6 +211,7 @@
             registered_born_ms: None,
             known_at: 0,
             reported_clock_ms: 0,
+            reported_since: Time::ZERO,
             labels: Vec::new(),
             rack: String::new(),
             rack_symbol: Symbol::default(),
@@ -274,12 +280,19 @@
         next
     }
 
-    /// Returns whether a report can't be one of this instance.
+    /// Returns whether a report that arrived at `now` can't be one of this instance.
     ///
     /// Reports arrive in the order in which they were sent, so the clock of an instance never goes
-    /// back from one to the next.
-    pub(crate) fn has_restarted(&self, born_ms: Option<u64>, clock_ms: u64) -> bool {
-        !is_same_start(self.born_ms, born_ms) || clock_ms < self.reported_clock_ms
+    /// back from one to the next. Nor does it advance by more than the time between, which tells
+    /// instances apart whose starts aren't known.
+    pub(crate) fn has_restarted(&self, now: Time, born_ms: Option<u64>, clock_ms: u64) -> bool {
+        if self.born_ms.is_some() && born_ms.is_some() {
+            return self.born_ms != born_ms || clock_ms < self.reported_clock_ms;
+        }
+        let has_reported = self.reported_since > Time::ZERO;
+        let elapsed = lease::max_duration(now - self.reported_since) + CLOCK_TOLERANCE;
+        let is_ahead = clock_ms > self.reported_clock_ms + millis(elapsed);
+        clock_ms < self.reported_clock_ms || has_reported && is_ahead
     }
 
     pub(crate) fn location(&self) -> Location {
