Tell successors the longest lease for a start of a task that is done elsewhere

The leases that a successor is told left out starts on their way whose task had ended elsewhere since (found by the review, by reading). That MAX_TRANSIT covers the timeouts of orders is checked when the crate is built.

--- a/crates/entry/src/owner/dispatch.rs
+++ b/crates/entry/src/owner/dispatch.rs
@@ -6,6 +6,7 @@
 
 use corianderfork_adapter::worker as wire;
 use corianderfork_jobs::contention::Switch;
+use corianderfork_jobs::lease::MAX_TRANSIT;
 use corianderfork_jobs::pool::{Answer, Order};
 use corianderfork_jobs::worker;
 use corianderfork_model::Time;
@@ -23,6 +24,10 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// How much longer a peer may take that delivers orders.
 const DELIVERY_SLACK: Duration = Duration::from_millis(300);
+// An order that a peer delivers has been given up by then.
+const _: () = assert!(
+    2 * RESPONSE_TIMEOUT.as_millis() + DELIVERY_SLACK.as_millis() <= MAX_TRANSIT.as_millis()
+);
 /// The least number of orders that are delivered by peers.
 const MIN_DELIVERED: usize = 8;
 
--- a/crates/jobs/src/pool/workers.rs
+++ b/crates/jobs/src/pool/workers.rs
@@ -161,7 +161,8 @@
         self.first_planned?;
         let mut left = BTreeMap::new();
         for (key, worker) in &self.workers {
-            let end = if self.has_open_starts(key, worker) {
+            let has_stray_start = worker.strays.values().any(|stray| stray.is_start_pending);
+            let end = if has_stray_start || self.has_open_starts(key, worker) {
                 worker.leases.end_with_open_starts(now)
             } else {
                 worker.leases.end()
--- a/crates/jobs/tests/lease.rs
+++ b/crates/jobs/tests/lease.rs
@@ -9,7 +9,7 @@
 use corianderfork_jobs::JobId;
 use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::{Answer, Order};
-use corianderfork_jobs::record::Record;
+use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::{Exit, Outcome};
 
 /// The clock of a worker that has run for a while, in milliseconds: a deadline on it is further ahead
@@ -263,3 +263,19 @@
     }
     assert_eq!(sim.workers_running(first_task(job)), [place.as_str()]);
 }
+
+// Guards against a done task that runs again: an earlier copy of its start, which got no answer, is
+// carried out by the next instance of its worker.
+#[test]
+fn restart_before_a_copy_of_the_start_of_a_done_task_arrives() {
+    let (mut sim, job, order) = ordered();
+    sim.task_ms = 1_000;
+    sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
+    sim.run_for(2_500);
+    assert_eq!(sim.pool.state(job), Some(State::Completed));
+    restart(&mut sim, &order);
+    sim.list_and_poll();
+    sim.run_for(500);
+    carry_out(&mut sim, &order);
+    assert!(sim.workers_running(first_task(job)).is_empty(), "it is done");
+}
