Limit heads and the memory of callers' connections

Callers saw: a daemon ran out of memory under clients whose heads, or empty lines before a request, don't end, and answered nobody until it was started again.

Cause: the HTTP library buffers up to 408 KiB of an unfinished head for each connection, empty lines included, and nothing bounded the sum: some 3,000 connections of callers with 4,100 descriptors, beside 160 to 260 MB of memory.

Change: `max_header_bytes` of the configuration's `limits`, which was read nowhere, bounds the buffer of each connection; without it 16 KiB. A longer head is answered 431 and its connection is closed. The new setting `[limits] memory_mb` (filled in by the platform) gives the VM's memory: three eighths of it bound the number of callers' connections, each counted with its longest head and 16 KiB for the rest. With 260 MB that is 3,120, more than the descriptors allow; with 160 MB it is 1,920. Peers keep a larger buffer, for messages of up to 8 MB.

Why this works: the buffer is what grows, whatever the bytes are, and both factors of the sum are bounded now. A limit in bytes for all heads together would refuse some clients sooner for others.

--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -25,6 +25,10 @@
 const PEER_FDS_DIVISOR: usize = 8;
 /// Connections of the balancer, and of metrics clients: a few of each at once.
 const MAX_MONITOR_CONNECTIONS: usize = 32;
+/// The share of the memory that callers' connections may take, with the heads that they send.
+const CONNECTION_MEMORY: Share = Share { parts: 3, of: 8 };
+/// The buffer for what a peer sends, in bytes: its messages are larger than callers' requests.
+const PEER_READ_BUFFER: usize = 256 << 10;
 /// The largest body of a peer's request, which is a relayed call to the store.
 const MAX_PEER_BODY: usize = 8 << 20;
 const METRICS_PATH: &str = "/metrics";
@@ -34,24 +38,41 @@
 /// The path under which the use of limits is shown, on the metrics address.
 const ORGANISATIONS_PATH: &str = "/organisations";
 
+/// A part of a whole.
+struct Share {
+    parts: usize,
+    of: usize,
+}
+
+impl Share {
+    fn part(&self, whole: usize) -> usize {
+        whole / self.of * self.parts
+    }
+}
+
 /// The gauges of all addresses.
 #[derive(Clone)]
 pub struct Gauges {
     /// For callers.
     pub callers: Gauge,
+    /// The connections of callers that the descriptors suffice for.
+    caller_fds: usize,
     peers: Gauge,
     readiness: Gauge,
     metrics: Gauge,
 }
 
 impl Gauges {
-    /// Divides `max_fds` descriptors among the addresses.
-    pub fn new(max_fds: usize) -> Self {
+    /// Divides `max_fds` descriptors and `memory` bytes among the addresses.
+    pub fn new(max_fds: usize, memory: usize) -> Self {
         let peers = max_fds / PEER_FDS_DIVISOR;
         let others = FILE_FDS + RESERVED_FDS + peers + 2 * MAX_MONITOR_CONNECTIONS;
-        let callers = max_fds.saturating_sub(others).max(16);
+        let caller_fds = max_fds.saturating_sub(others).max(16);
+        let callers = Gauge::new("callers", caller_fds);
+        callers.limit_connections(caller_fds, CONNECTION_MEMORY.part(memory));
         Self {
-            callers: Gauge::new("callers", callers),
+            callers,
+            caller_fds,
             peers: Gauge::new("peers", peers),
             readiness: Gauge::new("readiness", MAX_MONITOR_CONNECTIONS),
             metrics: Gauge::new("metrics", MAX_MONITOR_CONNECTIONS),
@@ -75,6 +96,7 @@
         let peers = server::listen(node.settings.peers).await?;
         let callers = server::listen(node.settings.callers).await?;
         self.peers.max_body.set(MAX_PEER_BODY);
+        self.peers.read_buffer.set(PEER_READ_BUFFER);
         let serve = |listener, gauge: &Gauge, handler| {
             let traffic = node.traffic.clone();
             spawn_local(server::serve(
@@ -88,7 +110,7 @@
         serve(readiness, &self.readiness, ready_handler(node));
         serve(metrics, &self.metrics, metrics_handler(node, self));
         serve(peers, &self.peers, peer_handler(node));
-        serve(callers, &self.callers, caller_handler(node, &self.callers));
+        serve(callers, &self.callers, caller_handler(node, self));
         Ok(())
     }
 }
@@ -144,14 +166,18 @@
     })
 }
 
-fn caller_handler(node: &Rc<Node>, gauge: &Gauge) -> Handler {
+fn caller_handler(node: &Rc<Node>, gauges: &Gauges) -> Handler {
     let gateway = Gateway::new(node.clone());
-    let (node, gauge) = (node.clone(), gauge.clone());
+    let (node, gauge, caller_fds) = (node.clone(), gauges.callers.clone(), gauges.caller_fds);
+    let memory = CONNECTION_MEMORY.part(node.settings.memory);
     gauge.max_body.set(1 << 20);
     Rc::new(move |request: HttpRequest| {
         let gateway = gateway.clone();
-        let max_body = node.config.borrow().as_ref().map(|config| config.max_body);
-        gauge.max_body.set(max_body.unwrap_or(1 << 20));
+        if let Some(config) = &*node.config.borrow() {
+            gauge.max_body.set(config.max_body);
+            gauge.limit_heads(config.max_head.unwrap_or(server::DEFAULT_MAX_HEAD));
+            gauge.limit_connections(caller_fds, memory);
+        }
         Box::pin(async move {
             if request.path == caller::READY {
                 return HttpResponse::new(404, caller::error("no such queue"));
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -98,7 +98,7 @@
 
 async fn serve(settings: Settings, path: PathBuf) -> ExitCode {
     let node = node(settings);
-    let gauges = Gauges::new(node.settings.max_fds);
+    let gauges = Gauges::new(node.settings.max_fds, node.settings.memory);
     if let Err(error) = gauges.open(&node).await {
         eprintln!("cannot bind an address ({error}); check [listen] in the settings");
         return ExitCode::FAILURE;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +26,13 @@
 
 /// How long a client may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The longest head unless the configuration sets another limit, in bytes.
+pub const DEFAULT_MAX_HEAD: usize = 16 << 10;
+/// The bounds of that limit, in bytes. The lower one is the smallest buffer of the HTTP library.
+const MAX_HEAD_RANGE: RangeInclusive<usize> = 8 << 10..=64 << 10;
+/// The memory of a connection besides the head that is being received, in bytes: the buffer of the
+/// response's head, and the state of its task.
+const CONNECTION_BYTES: usize = 16 << 10;
 /// The pause after a failed accept, which usually means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -85,12 +93,30 @@
     pub rejected: Rc<Cell<usize>>,
     /// The longest accepted body, in bytes.
     pub max_body: Rc<Cell<usize>>,
+    /// The size of a connection's buffer for received bytes, which is the longest accepted head.
+    pub read_buffer: Rc<Cell<usize>>,
 }
 
 impl Gauge {
     /// Returns the gauge of the address `name`, which allows `max_connections`.
     pub fn new(name: &'static str, max_connections: usize) -> Self {
-        Self { name, max_connections: Rc::new(Cell::new(max_connections)), ..Self::default() }
+        Self {
+            name,
+            max_connections: Rc::new(Cell::new(max_connections)),
+            read_buffer: Rc::new(Cell::new(DEFAULT_MAX_HEAD)),
+            ..Self::default()
+        }
+    }
+
+    /// Sets the longest accepted head of new connections, in bytes.
+    pub fn limit_heads(&self, bytes: usize) {
+        self.read_buffer.set(bytes.clamp(*MAX_HEAD_RANGE.start(), *MAX_HEAD_RANGE.end()));
+    }
+
+    /// Limits the connections to `max` and to those that `memory` bytes suffice for.
+    pub fn limit_connections(&self, max: usize, memory: usize) {
+        let affordable = memory / (self.read_buffer.get() + CONNECTION_BYTES);
+        self.max_connections.set(max.min(affordable));
     }
 }
 
@@ -165,6 +191,8 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        // Empty lines before a request count too.
+        .max_buf_size(gauge.read_buffer.get())
         .serve_connection(TokioIo::new(stream), service);
     // A connection broken by the client is not an error of this process.
     let _ = served.await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -47,6 +47,8 @@
     pub network_mbps: f64,
     /// The limit of open descriptors.
     pub max_fds: usize,
+    /// The memory of this VM, in bytes.
+    pub memory: usize,
     /// The time from SIGTERM to the end of the process.
     pub grace: Duration,
     /// The longest lease that a worker accepts.
@@ -111,6 +113,8 @@
             network_mbps: network,
             max_fds: usize::try_from(file.number("limits", "max_fds", 1_024, 64..=1_000_000))
                 .unwrap_or(1_024),
+            memory: usize::try_from(file.number("limits", "memory_mb", 256, 16..=1 << 20) << 20)
+                .unwrap_or(usize::MAX),
             grace: seconds(file.get_or("bounds", "grace_s", 6.0)),
             max_lease: file.millis(
                 "bounds",
--- a/crates/entry/tests/listen.rs
+++ b/crates/entry/tests/listen.rs
@@ -16,6 +16,7 @@
 struct Daemon {
     child: Child,
     settings: PathBuf,
+    callers: SocketAddr,
     readiness: SocketAddr,
     peers: SocketAddr,
 }
@@ -40,7 +41,7 @@
             .stdout(Stdio::null())
             .spawn()
             .expect("it starts");
-        let daemon = Self { child, settings, readiness, peers };
+        let daemon = Self { child, settings, callers, readiness, peers };
         drop(daemon.open_connections(readiness, 1));
         daemon
     }
@@ -113,3 +114,16 @@
         send_request(daemon.peers, &format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()));
     assert!(response.contains("not-owner"), "{response:?}");
 }
+
+// Guards against heads that take hundreds of kilobytes each, and against a legal one that is
+// rejected. The daemon has no configuration and answers requests with 503.
+#[test]
+fn request_with_heads_around_the_limit() {
+    let daemon = Daemon::start("heads");
+    for (length, status) in [(200, 503), (15 << 10, 503), (17 << 10, 431)] {
+        let start = "GET /one/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\nFiller: ";
+        let filler = "x".repeat(length - start.len() - 4);
+        let response = send_request(daemon.callers, &format!("{start}{filler}\r\n\r\n"));
+        assert!(response.starts_with(&format!("HTTP/1.1 {status}")), "{length}: {response:?}");
+    }
+}
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -36,6 +36,9 @@
     assert_eq!(settings.grace, Duration::from_secs(6));
     assert_eq!(settings.max_lease, Duration::from_secs(6));
     assert_eq!(settings.capacity, 50, "the network limits the capacity");
+    assert_eq!(settings.memory, 256 << 20);
+    let small = GOOD.replace("[limits]\n", "[limits]\nmemory_mb = 160\n");
+    assert_eq!(Settings::parse(&small).unwrap().memory, 160 << 20);
 }
 
 #[test]
