Receive a body into one buffer, and give up one that makes no progress

Callers saw: a daemon ran out of memory under clients that send bodies of legal size in chunks of a few bytes, and answered nobody until it was started again.

Cause: the limit counted the bytes of the body, but each chunk was kept as a separate slice together with the buffer that it was read into: 40 bytes and more for a chunk of one byte. Nothing bounded the time in which a body arrives either, so that an unfinished one was kept for as long as its client stayed.

Change: the chunks are copied into one buffer, which doubles up to what the body can still be (its announced length, or the limit). A body whose announced length is over the limit is refused before any of it is read. One of which nothing arrives for 30 s is given up; the job was not submitted, and the answer is 413 as for one that was cut off.

Why this works: the memory of a body is at most twice its received length whatever the chunks are.

The 30 s are not covered by a test: it would have to wait for them.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,7 +10,7 @@
 
 use corianderfork_adapter::{caller, organisation};
 use corianderfork_jobs::organisation::Digest;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +21,7 @@
 use tokio::task::spawn_local;
 
 use crate::access::Credential;
+use crate::receive::receive;
 use crate::trace::Trace;
 use crate::traffic::Traffic;
 
@@ -49,7 +50,7 @@
     pub deadline_ms: Option<u64>,
     /// The API key, as a digest.
     pub credential: Credential,
-    /// The body; `None` if it was too long or incomplete.
+    /// The body; `None` if it was too long, incomplete or made no progress.
     pub body: Option<Bytes>,
 }
 
@@ -205,8 +206,7 @@
     let deadline_ms = text(caller::DEADLINE).and_then(|text| text.trim().parse().ok());
     let credential = credential(&head.headers);
     let path = head.uri.path().to_owned();
-    let body = Limited::new(body, max_body).collect().await;
-    let body = body.ok().map(http_body_util::Collected::to_bytes);
+    let body = receive(body, max_body).await;
     HttpRequest {
         method: head.method.as_str().to_owned(),
         host,
