Bound the memory of all bodies that callers' requests bring

Callers saw: a daemon ran out of memory under clients that send bodies of legal size, most of which stop just short of their end and stay connected, and answered nobody until it was started again.

Cause: each body was limited, but not their sum: some 3,000 connections of callers times up to 1 MiB.

Change: `intake::Budget` divides a quarter of `memory_mb`, without I/O. Three sixteenths of the memory are for bodies over 16 KiB. When they are used up, a body from which nothing arrived for a second loses its memory to one that arrives; if there is none, the arriving one is refused. Bodies of up to 16 KiB have a sixteenth of their own, in which a new one always takes the place of the one without progress for the longest, so that an ordinary submission gets in beside any crowd of unfinished ones. A body alone in its part is always received. A body that is complete keeps its memory until its response. Peers' messages are not counted. A refused connection is closed after its response, so that nothing received stays unread.

A refused submission is answered 503 with Retry-After only if its job isn't known to its owner, isn't in the store and may not be stored by an attempt in progress: 503 says that it never runs, and an earlier attempt may have been accepted. A known job gets 200; where it isn't certain, or eight such checks are in progress, the answer is 504. Ruled out: reading no further from clients while there is no memory, since received bytes count for the platform too; replacing large bodies that make progress, since then none would ever be complete.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -6,6 +6,7 @@
 mod refuse;
 mod state;
 mod uncertain;
+mod unreceived;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -18,7 +19,7 @@
 use corianderfork_jobs::{Job, JobId, Record, Step};
 use corianderfork_model::Time;
 use serde_json::json;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, Semaphore};
 use tokio::task::spawn_local;
 
 use crate::access::Identity;
@@ -29,6 +30,7 @@
 use crate::owner::ms;
 use crate::peer::{self, Message, Reply};
 use crate::placement::{self, QueueRoute};
+use crate::receive::Body;
 use crate::server::{HttpRequest, HttpResponse};
 use accept::{InFlight, PendingJob, StoreResult, store_timeout};
 
@@ -56,6 +58,8 @@
     writes_in_flight: Cell<usize>,
     submission_count: Cell<u64>,
     refusals: Rc<refuse::RefusalLog>,
+    /// Permits for checks of submissions whose body isn't received.
+    checks: Semaphore,
     /// When the store was last asked for a newer configuration; one request asks for all.
     config_asked_at: Mutex<Time>,
 }
@@ -69,6 +73,7 @@
             writes_in_flight: Cell::new(0),
             submission_count: Cell::new(0),
             refusals: Rc::default(),
+            checks: Semaphore::new(unreceived::MAX_CHECKS),
             config_asked_at: Mutex::new(Time::ZERO),
         })
     }
@@ -131,11 +136,13 @@
         if let Err(error) = id.parse::<JobId>() {
             return (HttpResponse::new(400, caller::error(&error.to_string())), "bad id");
         }
-        let Some(body) = &request.body else {
-            return (
-                HttpResponse::new(413, caller::error("the body is too long or was cut off")),
-                "body",
-            );
+        let body = match &request.body {
+            Body::Whole(body) => body,
+            Body::Refused => return self.refuse_unreceived(route, id, &identity).await,
+            Body::Invalid => {
+                let why = "the body is too long, was cut off or made no progress";
+                return (HttpResponse::new(413, caller::error(why)), "body");
+            }
         };
         let job = match caller::parse_job(body) {
             Ok(job) => job,
@@ -367,6 +374,11 @@
     }
 }
 
+/// The response for a job that was accepted before.
+fn known() -> (HttpResponse, &'static str) {
+    (HttpResponse::new(200, b"{}".to_vec()), "known")
+}
+
 /// The response for a job that may still be stored: 503 would promise that it never runs.
 fn unknown() -> (HttpResponse, &'static str) {
     let why = "it is not known whether the job was stored; send it again";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod effort;
 pub mod ended;
 pub mod exchange;
+pub mod intake;
 pub mod job_counters;
 pub mod lanes;
 pub mod lookup;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -8,8 +8,10 @@
 
 use crate::delivery;
 use crate::gateway::Gateway;
+use crate::intake::Budget;
 use crate::node::Node;
 use crate::peer::{Message, Reply};
+use crate::receive::Receiver;
 use crate::server::{self, Gauge, Handler, HttpRequest, HttpResponse};
 use crate::{clock, explain, relay};
 
@@ -27,6 +29,9 @@
 const MAX_MONITOR_CONNECTIONS: usize = 32;
 /// The share of the memory that callers' connections may take, with the heads that they send.
 const CONNECTION_MEMORY: Share = Share { parts: 3, of: 8 };
+/// The shares for the bodies of callers' requests.
+const SMALL_BODY_MEMORY: Share = Share { parts: 1, of: 16 };
+const LARGE_BODY_MEMORY: Share = Share { parts: 3, of: 16 };
 /// The buffer for what a peer sends, in bytes: its messages are larger than callers' requests.
 const PEER_READ_BUFFER: usize = 256 << 10;
 /// The largest body of a peer's request, which is a relayed call to the store.
@@ -68,7 +73,9 @@
         let peers = max_fds / PEER_FDS_DIVISOR;
         let others = FILE_FDS + RESERVED_FDS + peers + 2 * MAX_MONITOR_CONNECTIONS;
         let caller_fds = max_fds.saturating_sub(others).max(16);
-        let callers = Gauge::new("callers", caller_fds);
+        let (small, large) = (SMALL_BODY_MEMORY.part(memory), LARGE_BODY_MEMORY.part(memory));
+        let receiver = Receiver::new(Budget::new(small, large));
+        let callers = Gauge { receiver, ..Gauge::new("callers", caller_fds) };
         callers.limit_connections(caller_fds, CONNECTION_MEMORY.part(memory));
         Self {
             callers,
@@ -158,6 +165,8 @@
         node.metrics.set("peers' connections", gauges.peers.connections.get());
         node.metrics.set("callers closed unheard", gauges.callers.rejected.get());
         node.metrics.set("peers closed unheard", gauges.peers.rejected.get());
+        node.metrics.set("bodies refused for lack of memory", gauges.callers.receiver.refused());
+        node.metrics.set("kilobytes of bodies", gauges.callers.receiver.used() >> 10);
         node.metrics.set("answers cut off", node.client.truncated_responses());
         node.metrics.set("peers' answers cut off", node.peers.truncated_responses());
         node.metrics.set("duties", node.owners.borrow().len());
@@ -192,8 +201,8 @@
     Rc::new(move |request: HttpRequest| {
         let node = node.clone();
         Box::pin(async move {
-            let message =
-                request.body.and_then(|body| serde_json::from_slice::<Message>(&body).ok());
+            let body = request.body.whole();
+            let message = body.and_then(|body| serde_json::from_slice::<Message>(body).ok());
             let Some(message) = message else {
                 return HttpResponse::new(400, b"a peer sends a message of this version".to_vec());
             };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -21,7 +21,7 @@
 use tokio::task::spawn_local;
 
 use crate::access::Credential;
-use crate::receive::receive;
+use crate::receive::{Body, Lease, Receiver};
 use crate::trace::Trace;
 use crate::traffic::Traffic;
 
@@ -50,8 +50,8 @@
     pub deadline_ms: Option<u64>,
     /// The API key, as a digest.
     pub credential: Credential,
-    /// The body; `None` if it was too long, incomplete or made no progress.
-    pub body: Option<Bytes>,
+    /// The body.
+    pub body: Body,
 }
 
 /// A response.
@@ -96,6 +96,8 @@
     pub max_body: Rc<Cell<usize>>,
     /// The size of a connection's buffer for received bytes, which is the longest accepted head.
     pub read_buffer: Rc<Cell<usize>>,
+    /// The bodies that are being received and handled.
+    pub receiver: Receiver,
 }
 
 impl Gauge {
@@ -182,11 +184,13 @@
         async move {
             let _busy = CountGuard::new(&gauge.requests);
             let counted = traffic.begin(gauge.name);
-            let http_request = read_request(request, gauge.max_body.get()).await;
-            counted.add_received(http_request.body.as_ref().map_or(0, Bytes::len));
+            let (http_request, _lease) = read_request(request, &gauge).await;
+            let received = http_request.body.whole().map(Bytes::len);
+            counted.add_received(received.unwrap_or(0));
             let http_response = handler(http_request).await;
             counted.add_sent(http_response.body.len());
-            build_response(http_response, gauge.closing.get())
+            // The rest of a body that isn't received can't be told from the next request.
+            build_response(http_response, gauge.closing.get() || received.is_none())
         }
     });
     let served = http1::Builder::new()
@@ -199,22 +203,16 @@
     let _ = served.await;
 }
 
-async fn read_request(request: Request<Incoming>, max_body: usize) -> HttpRequest {
+async fn read_request(request: Request<Incoming>, gauge: &Gauge) -> (HttpRequest, Lease) {
     let (head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = text("host").or_else(|| head.uri.host()).unwrap_or_default().to_owned();
     let deadline_ms = text(caller::DEADLINE).and_then(|text| text.trim().parse().ok());
     let credential = credential(&head.headers);
     let path = head.uri.path().to_owned();
-    let body = receive(body, max_body).await;
-    HttpRequest {
-        method: head.method.as_str().to_owned(),
-        host,
-        path,
-        deadline_ms,
-        credential,
-        body,
-    }
+    let (body, lease) = gauge.receiver.receive(body, gauge.max_body.get()).await;
+    let method = head.method.as_str().to_owned();
+    (HttpRequest { method, host, path, deadline_ms, credential, body }, lease)
 }
 
 /// Returns the API key among the headers, as a digest: nothing else of it is kept.
