Close the connection that waits the longest for its client when a new caller comes

Callers saw: no answer, while other clients kept all connections with requests that they didn't finish. A new connection was closed unheard.

Cause: the limit of callers' connections was met by closing the new one.

Change: `connections::Table`, without I/O, knows since when each connection waits for its client: for a request, or for the rest of one. When all are taken, the one that has waited for the longest is closed for the new one. One whose request is handled is never closed; a new connection is rejected only while all are. Peers, the balancer and metrics clients are as before: they are under our control and keep the connections that they open. The number that is closed so is among the metrics.

Why this works: an ordinary caller sends its request as soon as it is connected, so that its connection waits for less time than those of a crowd. A kept connection of an ordinary caller may be closed while it is idle; the caller sees a broken connection, after which it sends its request again.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod attempts;
 pub mod away;
 pub mod buffer;
+pub mod connections;
 pub mod couriers;
 pub mod delivery;
 pub mod division;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -75,7 +75,9 @@
         let caller_fds = max_fds.saturating_sub(others).max(16);
         let (small, large) = (SMALL_BODY_MEMORY.part(memory), LARGE_BODY_MEMORY.part(memory));
         let receiver = Receiver::new(Budget::new(small, large));
-        let callers = Gauge { receiver, ..Gauge::new("callers", caller_fds) };
+        // Only callers are beyond our control: peers and the balancer keep what they have opened.
+        let replaceable = Some(Rc::default());
+        let callers = Gauge { receiver, replaceable, ..Gauge::new("callers", caller_fds) };
         callers.limit_connections(caller_fds, CONNECTION_MEMORY.part(memory));
         Self {
             callers,
@@ -164,6 +166,7 @@
         node.metrics.set("requests", gauges.callers.requests.get());
         node.metrics.set("peers' connections", gauges.peers.connections.get());
         node.metrics.set("callers closed unheard", gauges.callers.rejected.get());
+        node.metrics.set("callers closed for others", gauges.callers.replaced.get());
         node.metrics.set("peers closed unheard", gauges.peers.rejected.get());
         node.metrics.set("bodies refused for lack of memory", gauges.callers.receiver.refused());
         node.metrics.set("kilobytes of bodies", gauges.callers.receiver.used() >> 10);
--- a/crates/entry/src/receive.rs
+++ b/crates/entry/src/receive.rs
@@ -66,11 +66,17 @@
         self.0.budget.borrow().used()
     }
 
-    /// Receives a body of at most `max` bytes, which may be used until the lease is dropped.
-    pub async fn receive(&self, incoming: Incoming, max: usize) -> (Body, Lease) {
+    /// Receives a body of at most `max` bytes, which may be used until the lease is dropped. Calls
+    /// `on_progress` for each part that arrives.
+    pub async fn receive(
+        &self,
+        incoming: Incoming,
+        max: usize,
+        on_progress: impl Fn(),
+    ) -> (Body, Lease) {
         let lease = self.begin();
         let body = tokio::select! {
-            body = read(incoming, max, &lease) => body,
+            body = read(incoming, max, &lease, on_progress) => body,
             () = lease.lost.notified() => Body::Refused,
         };
         if matches!(body, Body::Refused) {
@@ -121,7 +127,7 @@
 
 /// Reads a body into one buffer: a chunk of a few bytes would otherwise keep the whole buffer that
 /// it was read into.
-async fn read(mut incoming: Incoming, max: usize, lease: &Lease) -> Body {
+async fn read(mut incoming: Incoming, max: usize, lease: &Lease, on_progress: impl Fn()) -> Body {
     let announced = incoming.size_hint();
     let to_usize = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     if to_usize(announced.lower()) > max {
@@ -135,6 +141,7 @@
             Ok(None) => return Body::Whole(bytes.into()),
             Ok(Some(Err(_))) | Err(_) => return Body::Invalid,
         };
+        on_progress();
         let Some(data) = frame.data_ref() else { continue };
         let length = bytes.len() + data.len();
         if length > max {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 server.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -18,12 +19,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
 use crate::access::Credential;
 use crate::receive::{Body, Lease, Receiver};
 use crate::trace::Trace;
 use crate::traffic::Traffic;
+use crate::{clock, connections};
 
 /// How long a client may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -92,12 +94,16 @@
     pub max_connections: Rc<Cell<usize>>,
     /// Connections closed at once because of that limit.
     pub rejected: Rc<Cell<usize>>,
+    /// Connections closed to make room for others.
+    pub replaced: Rc<Cell<usize>>,
     /// The longest accepted body, in bytes.
     pub max_body: Rc<Cell<usize>>,
     /// The size of a connection's buffer for received bytes, which is the longest accepted head.
     pub read_buffer: Rc<Cell<usize>>,
     /// The bodies that are being received and handled.
     pub receiver: Receiver,
+    /// The open connections, if one of them is closed to make room for a new one.
+    pub replaceable: Option<Rc<Replaceable>>,
 }
 
 impl Gauge {
@@ -111,6 +117,21 @@
         }
     }
 
+    /// Whether another connection may be opened. Closes the one that has waited for its client for
+    /// the longest if that makes room.
+    async fn has_room(&self) -> bool {
+        while self.connections.get() >= self.max_connections.get() {
+            let Some(task) = self.replaceable.as_ref().and_then(|open| open.take_longest_waiting())
+            else {
+                return false;
+            };
+            task.abort();
+            let _ = task.await;
+            self.replaced.set(self.replaced.get() + 1);
+        }
+        true
+    }
+
     /// Sets the longest accepted head of new connections, in bytes.
     pub fn limit_heads(&self, bytes: usize) {
         self.read_buffer.set(bytes.clamp(*MAX_HEAD_RANGE.start(), *MAX_HEAD_RANGE.end()));
@@ -145,9 +166,14 @@
             Ok((stream, _)) => {
                 // Beyond the limit a connection is closed at once: descriptors are needed
                 // for the store and the workers.
-                if gauge.connections.get() < gauge.max_connections.get() {
-                    let (gauge, traffic) = (gauge.clone(), traffic.clone());
-                    spawn_local(handle_connection(stream, gauge, handler.clone(), traffic));
+                if gauge.has_room().await {
+                    let connection = Connection::new(&gauge);
+                    let (id, traffic) = (connection.id, traffic.clone());
+                    let task = handle_connection(stream, connection, handler.clone(), traffic);
+                    let task = spawn_local(task);
+                    if let Some((open, id)) = gauge.replaceable.as_ref().zip(id) {
+                        open.tasks.borrow_mut().insert(id, task);
+                    }
                 } else {
                     gauge.rejected.set(gauge.rejected.get() + 1);
                     trace.line(
@@ -176,19 +202,80 @@
     }
 }
 
-async fn handle_connection(stream: TcpStream, gauge: Gauge, handler: Handler, traffic: Traffic) {
-    let _open = CountGuard::new(&gauge.connections);
+/// The open connections of an address, and their tasks.
+#[derive(Default)]
+pub struct Replaceable {
+    table: RefCell<connections::Table>,
+    tasks: RefCell<BTreeMap<connections::Id, JoinHandle<()>>>,
+}
+
+impl Replaceable {
+    fn take_longest_waiting(&self) -> Option<JoinHandle<()>> {
+        let id = self.table.borrow_mut().take_longest_waiting()?;
+        self.tasks.borrow_mut().remove(&id)
+    }
+}
+
+/// An open connection, until dropped.
+struct Connection {
+    gauge: Gauge,
+    id: Option<connections::Id>,
+    _open: CountGuard,
+}
+
+impl Connection {
+    fn new(gauge: &Gauge) -> Self {
+        let open = gauge.replaceable.as_ref();
+        let id = open.map(|open| open.table.borrow_mut().open(clock::now()));
+        Self { gauge: gauge.clone(), id, _open: CountGuard::new(&gauge.connections) }
+    }
+
+    /// Notes that the connection waits for its client.
+    fn wait(&self) {
+        if let Some((open, id)) = self.gauge.replaceable.as_ref().zip(self.id) {
+            open.table.borrow_mut().wait(clock::now(), id);
+        }
+    }
+
+    /// Notes that a whole request has arrived.
+    fn handle(&self) {
+        if let Some((open, id)) = self.gauge.replaceable.as_ref().zip(self.id) {
+            open.table.borrow_mut().handle(id);
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let Some((open, id)) = self.gauge.replaceable.as_ref().zip(self.id) {
+            open.table.borrow_mut().close(id);
+            open.tasks.borrow_mut().remove(&id);
+        }
+    }
+}
+
+async fn handle_connection(
+    stream: TcpStream,
+    connection: Connection,
+    handler: Handler,
+    traffic: Traffic,
+) {
     let _ = stream.set_nodelay(true);
+    let (gauge, connection) = (connection.gauge.clone(), Rc::new(connection));
     let service = service_fn(|request| {
         let (gauge, handler, traffic) = (gauge.clone(), handler.clone(), traffic.clone());
+        let connection = connection.clone();
         async move {
             let _busy = CountGuard::new(&gauge.requests);
             let counted = traffic.begin(gauge.name);
-            let (http_request, _lease) = read_request(request, &gauge).await;
+            connection.wait();
+            let (http_request, _lease) = read_request(request, &connection).await;
+            connection.handle();
             let received = http_request.body.whole().map(Bytes::len);
             counted.add_received(received.unwrap_or(0));
             let http_response = handler(http_request).await;
             counted.add_sent(http_response.body.len());
+            connection.wait();
             // The rest of a body that isn't received can't be told from the next request.
             build_response(http_response, gauge.closing.get() || received.is_none())
         }
@@ -203,14 +290,16 @@
     let _ = served.await;
 }
 
-async fn read_request(request: Request<Incoming>, gauge: &Gauge) -> (HttpRequest, Lease) {
+async fn read_request(request: Request<Incoming>, connection: &Connection) -> (HttpRequest, Lease) {
     let (head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = text("host").or_else(|| head.uri.host()).unwrap_or_default().to_owned();
     let deadline_ms = text(caller::DEADLINE).and_then(|text| text.trim().parse().ok());
     let credential = credential(&head.headers);
     let path = head.uri.path().to_owned();
-    let (body, lease) = gauge.receiver.receive(body, gauge.max_body.get()).await;
+    let gauge = &connection.gauge;
+    let on_progress = || connection.wait();
+    let (body, lease) = gauge.receiver.receive(body, gauge.max_body.get(), on_progress).await;
     let method = head.method.as_str().to_owned();
     (HttpRequest { method, host, path, deadline_ms, credential, body }, lease)
 }
