Charge a body's progress once in a millisecond

Each chunk of a body updated the order of the bodies and of the connections, also where thousands of chunks arrive in a millisecond of the clock that orders them. Both are updated now when the clock has moved or memory is needed; which body or connection is given up is unchanged.

--- a/crates/entry/src/receive.rs
+++ b/crates/entry/src/receive.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use corianderfork_model::Time;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use tokio::sync::Notify;
@@ -67,7 +68,7 @@
     }
 
     /// Receives a body of at most `max` bytes, which may be used until the lease is dropped. Calls
-    /// `on_progress` for each part that arrives.
+    /// `on_progress` when a part has arrived, at most once in a millisecond unless memory is needed.
     pub async fn receive(
         &self,
         incoming: Incoming,
@@ -110,8 +111,8 @@
 
 impl Lease {
     /// Sets the size of the memory, which others may lose for it. Returns false if there is none.
-    fn resize(&self, bytes: usize) -> bool {
-        let grant = self.shared.budget.borrow_mut().resize(clock::now(), self.id, bytes);
+    fn resize(&self, now: Time, bytes: usize) -> bool {
+        let grant = self.shared.budget.borrow_mut().resize(now, self.id, bytes);
         let losses = self.shared.losses.borrow();
         grant.dropped.iter().filter_map(|id| losses.get(id)).for_each(|lost| lost.notify_one());
         grant.is_granted
@@ -134,22 +135,27 @@
         return Body::Invalid;
     }
     let longest = announced.upper().map_or(max, |bytes| max.min(to_usize(bytes)));
-    let mut bytes = Vec::new();
+    let (mut bytes, mut progressed) = (Vec::new(), clock::now());
     loop {
         let frame = match timeout(PROGRESS_TIMEOUT, incoming.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => return Body::Whole(bytes.into()),
             Ok(Some(Err(_))) | Err(_) => return Body::Invalid,
         };
-        on_progress();
         let Some(data) = frame.data_ref() else { continue };
         let length = bytes.len() + data.len();
         if length > max {
             return Body::Invalid;
         }
         let size = buffer::next_size(length, bytes.capacity(), longest);
-        if !lease.resize(size) {
-            return Body::Refused;
+        let now = clock::now();
+        // There may be thousands of chunks in a millisecond.
+        if size > bytes.capacity() || now > progressed {
+            if !lease.resize(now, size) {
+                return Body::Refused;
+            }
+            on_progress();
+            progressed = now;
         }
         bytes.reserve_exact(size - bytes.len());
         bytes.extend_from_slice(data);
