--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -10,16 +10,16 @@
 //!
 //! | conclusion | rests on |
 //! |---|---|
-//! | this owner's leases have ended ([`Proof::LeaseEnded`]) | deadlines on this instance's clock; the longest lease after a start without an answer that settles it, until the same instance answers a poll sent when that start had arrived |
+//! | this owner's leases have ended ([`Proof::LeaseEnded`]) | deadlines on this instance's clock; the longest lease after a start without an answer that settles it, until the same instance answers a poll sent when that start had arrived; nothing while an answer is awaited |
 //! | the same for an instance that has just been heard of | the longest lease: starts for the former instance may have reached it, and may still |
 //! | an answered start gave the lease that was meant | the clock in the answer |
 //! | a refused start gave no lease | the reason: a worker that refuses a start as old or for lack of room takes its deadline |
 //! | a poll gives no lease to another instance | the connection: it carries a deadline only where the instance has answered before |
-//! | leases told to a successor | as above, and the longest lease for each start on its way |
+//! | leases told to a successor | as above, and the longest lease while starts are on their way |
 //! | a former owner's leases have ended, and it can't be asked | the longest lease, from its known end |
-//! | the same, once the worker has answered this owner | the longest lease, from that answer: it rejects the former owner since |
+//! | the same, once the worker has answered this owner | the longest lease, from that answer: it rejects the former owner since, unless it starts again |
 //! | no run of a former owner is unseen ([`Proof::NoneUnseen`]) | each inherited worker has listed all it holds under this owner's fence, in whichever instance, or a former owner's leases there have ended |
-//! | an instance has ended ([`Proof::Restarted`], [`Proof::Replaced`]) | its worker's answer, which names another one, or whose clock is behind |
+//! | an instance has ended ([`Proof::Restarted`], [`Proof::Replaced`]) | its worker's answer, which names another one, or whose clock is behind or too far ahead |
 //! | an instance has ended ([`Proof::NoVm`], [`Proof::Maintained`]) | the platform's list; starts that may reach the next instance keep their tasks |
 //! | an entry is one of this instance | the start that it names |
 //! | a worker is empty | its current instance, which answers |
