--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -41,8 +41,8 @@
 /// guarantees.
 const CLOCK_SLOW_PERCENT: u32 = 2;
 
-/// The longest time from sending an order to its arrival: the timeouts of its owner and of a peer that
-/// delivers it.
+/// The time within which an order is taken to arrive. It covers the timeouts of its owner and of a peer
+/// that delivers it, and is an assumption: an order may arrive after its sender has given up.
 pub const MAX_TRANSIT: Duration = Duration::from_millis(1_700);
 
 /// Returns how long a lease of `length` may last on the clock of the process that granted it:
