--- /dev/null
+++ b/review/standin-3/src/cases.rs
@@ -0,0 +1,252 @@
+//! The cases. Each returns whether its rule held, or an error if it couldn't run.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::record::Record;
+use crate::runner::Runner;
+use crate::setup::{Setup, job};
+
+type Outcome = Result<bool, String>;
+
+fn id(number: u64) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000 + number * 0x1_0001)
+}
+
+/// A scheduled job whose first time lies in the past.
+pub fn schedule(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    const INTERVAL_MS: u64 = 600_000;
+    const DAYS_AGO: u64 = 340;
+    const TIMES: u64 = 52_560;
+    let begun = Instant::now();
+    let setup = Setup::start(record.clone(), root, 4, &[("lookup-desk", 3)])?;
+    let mut accepted = Vec::new();
+    let mut submit = |number: u64| {
+        if begun.elapsed() > Duration::from_secs(45) {
+            return;
+        }
+        let id = id(number);
+        if setup.submit("lookup-desk", &id, number as usize, &job(2, 1_000, 300)) {
+            accepted.push(id);
+        }
+        sleep(Duration::from_millis(500));
+    };
+    (0..8).for_each(&mut submit);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?;
+    let now = u64::try_from(now.as_millis()).map_err(|e| e.to_string())?;
+    let first = if trouble { now - DAYS_AGO * 86_400_000 } else { now + 1_000 };
+    let mut scheduled = job(1, 1_000, 100);
+    scheduled["initial_delay_ms"] = first.into();
+    scheduled["interval_ms"] = INTERVAL_MS.into();
+    scheduled["repeat_count"] = TIMES.into();
+    record
+        .line(&format!("a job every {INTERVAL_MS} ms, {TIMES} times, first at {first}, now {now}"));
+    if !setup.submit("lookup-desk", &id(1_000), 0, &scheduled) {
+        return Err("the scheduled job isn't accepted".to_owned());
+    }
+    (100..116).for_each(&mut submit);
+    record.line(&format!("end of the traffic, {} jobs accepted", accepted.len()));
+    // `finish_s` of the deployment.
+    sleep(Duration::from_secs(14));
+    let starts = || setup.seen.starts.lock().map(|starts| starts.len()).unwrap_or(0);
+    let ticks = || setup.daemons.iter().map(|daemon| daemon.cpu_ticks()).collect::<Vec<_>>();
+    let (before, ticks_before) = (starts(), ticks());
+    // The rule's three seconds with nothing running.
+    sleep(Duration::from_secs(3));
+    let is_idle = starts() == before && setup.runners.iter().all(|runner| runner.is_idle());
+    record.line(&format!(
+        "tasks started so far: {before}, 3 s later: {}; all runners idle: {is_idle}",
+        starts()
+    ));
+    for ((daemon, before), after) in setup.daemons.iter().zip(ticks_before).zip(ticks()) {
+        record.line(&format!(
+            "{} used {} % of a core in these 3 s, and has {} MB",
+            daemon.name,
+            (after - before) / 3,
+            daemon.memory_mb()
+        ));
+    }
+    let asked = Instant::now();
+    let (mut unanswered, mut stuck, mut completed) = (0, 0, 0);
+    for id in &accepted {
+        if asked.elapsed() > Duration::from_secs(35) {
+            break;
+        }
+        match setup.state("lookup-desk", id).as_deref() {
+            Some("completed") => completed += 1,
+            Some(state) => {
+                record.line(&format!("job {id}: {state}"));
+                stuck += 1;
+            }
+            None => unanswered += 1,
+        }
+    }
+    record.line(&format!(
+        "of {} accepted jobs, asked for {finish} s after the traffic: {completed} completed, {stuck} not, {unanswered} without an answer from any machine",
+        accepted.len(), finish = 17
+    ));
+    Ok(unanswered == 0 && (stuck == 0 || !is_idle))
+}
+
+/// A job under which three runners crash, one after the other.
+pub fn crashes(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    const CRASHES: u32 = 3;
+    let mut setup = Setup::start(record.clone(), root, 3, &[("transfer-desk", 2)])?;
+    let id = id(1);
+    if !setup.submit("transfer-desk", &id, 0, &job(1, 2_000, 5_000)) {
+        return Err("the job isn't accepted".to_owned());
+    }
+    let end = Instant::now() + Duration::from_secs(70);
+    let (mut crashed, mut back, mut last) = (0, None, None);
+    let mut state = None;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(100));
+        if back.is_some_and(|at| Instant::now() >= at) {
+            back = None;
+            let new = format!("i-transfer-desk-again-{crashed}");
+            record.line(&format!("runner {new} comes up at the address of the crashed one"));
+            let next = last.as_ref().and_then(|last: &Arc<Runner>| last.start_again(&new));
+            setup.runners.push(next.ok_or("the runner's address is taken")?);
+        }
+        let is_due = |runner: &&Arc<Runner>| {
+            runner.running_for(&id).is_some_and(|time| time >= Duration::from_millis(1_500))
+        };
+        if trouble
+            && crashed < CRASHES
+            && back.is_none()
+            && let Some(runner) = setup.runners.iter().find(is_due)
+        {
+            runner.crash();
+            last = Some(runner.clone());
+            crashed += 1;
+            back = Some(Instant::now() + Duration::from_millis(2_000));
+        }
+        if Instant::now() + Duration::from_secs(1) > end || crashed == CRASHES || !trouble {
+            state = setup.state("transfer-desk", &id);
+            if matches!(state.as_deref(), Some("completed" | "failed" | "cancelled")) {
+                break;
+            }
+            sleep(Duration::from_millis(400));
+        }
+    }
+    let done = setup.seen.done.lock().map(|done| done.len()).unwrap_or(0);
+    record.line(&format!("runners crashed: {crashed}; runs that ended `failed`: 0; tasks that ended `done`: {done}; state: {state:?}"));
+    if trouble && crashed < CRASHES {
+        return Err("fewer runners crashed than meant".to_owned());
+    }
+    match state.as_deref() {
+        Some("completed") => Ok(true),
+        Some("failed") => Ok(false),
+        other => Err(format!("the job is {other:?} at the end")),
+    }
+}
+
+/// A service whose name continues that of another one after a slash.
+pub fn names(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    let second = if trouble { "transfer-desk/howrah" } else { "transfer-desk-howrah" };
+    let setup = Setup::start(record.clone(), root, 3, &[("transfer-desk", 2), (second, 2)])?;
+    let mut accepted = 0;
+    for number in 0..8 {
+        let queue = if number % 2 == 0 { "transfer-desk-howrah" } else { "transfer-desk" };
+        let is_accepted = setup.submit(queue, &id(number), number as usize, &job(2, 1_000, 800));
+        accepted += u32::from(is_accepted);
+        sleep(Duration::from_millis(400));
+    }
+    sleep(Duration::from_secs(6));
+    let done = setup.seen.done.lock().map_err(|e| e.to_string())?.clone();
+    let twice: Vec<_> = done.iter().filter(|(_, count)| **count > 1).collect();
+    record.line(&format!(
+        "{accepted} jobs of 2 tasks accepted; tasks done: {}; done twice: {twice:?}",
+        done.len()
+    ));
+    if accepted < 8 || done.len() < 16 {
+        return Err("not all jobs were accepted and done".to_owned());
+    }
+    Ok(twice.is_empty())
+}
+
+/// A service with the name by which the planner's duty is kept.
+pub fn fleet(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    let service = if trouble { "fleet" } else { "fleets" };
+    let setup = Setup::start(record.clone(), root, 3, &[(service, 2)])?;
+    let mut accepted = Vec::new();
+    for number in 0..6 {
+        if setup.submit(service, &id(number), number as usize, &job(2, 1_000, 300)) {
+            accepted.push(id(number));
+        }
+        sleep(Duration::from_millis(500));
+    }
+    record.line(&format!("end of the traffic, {} jobs accepted", accepted.len()));
+    sleep(Duration::from_secs(14));
+    let starts = setup.seen.starts.lock().map(|starts| starts.len()).unwrap_or(0);
+    let is_idle = setup.runners.iter().all(|runner| runner.is_idle());
+    let mut stuck = 0;
+    for id in &accepted {
+        let state = setup.state(service, id);
+        stuck += usize::from(state.as_deref() != Some("completed"));
+    }
+    record.line(&format!("{} accepted, {stuck} not completed 14 s after the traffic; tasks started: {starts}; all runners idle: {is_idle}", accepted.len()));
+    if accepted.is_empty() {
+        return Err("no job was accepted".to_owned());
+    }
+    Ok(stuck == 0 || !is_idle)
+}
+
+/// The settings name another address of the store.
+pub fn settings(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    let services = [("lookup-desk", 3)];
+    let mut setup = Setup::start(record.clone(), root, 5, &services)?;
+    for number in 0..4 {
+        if !setup.submit("lookup-desk", &id(number), number as usize, &job(2, 1_000, 300)) {
+            return Err("no job is accepted".to_owned());
+        }
+    }
+    if trouble {
+        let (old, new) = setup.open_new_address()?;
+        record.line(&format!("the store is served at {new} too; the settings name it, and three of five machines get SIGHUP"));
+        for (number, daemon) in setup.daemons.iter().enumerate() {
+            daemon
+                .rewrite_settings(&old.to_string(), &new.to_string())
+                .map_err(|e| e.to_string())?;
+            if number < 3 {
+                daemon.signal("HUP");
+            }
+        }
+        sleep(Duration::from_secs(10));
+        record.line(&format!("10 s later the store isn't served at {old} any more"));
+        setup.close_old_address();
+    }
+    // `stable_window_ms`, and more.
+    sleep(Duration::from_secs(5));
+    record.line("the operator adds a route; the store acknowledges");
+    crate::setup::configure(&setup.store, 2, &[("lookup-desk", 3), ("rally-desk", 0)]);
+    // `config_deadline_ms` and `max_stretch_ms`.
+    sleep(Duration::from_secs(8));
+    let (mut older, mut handled) = (0, 0);
+    for daemon in 0..5 {
+        let path = format!("/rally-desk/{}", id(50 + daemon as u64));
+        match setup.ask(daemon, "POST", &path, &job(1, 1_000, 300).to_string()) {
+            Some((404, _)) => older += 1,
+            Some((200, _)) => handled += 1,
+            _ => {}
+        }
+    }
+    for number in 0..4 {
+        let state = setup.state("lookup-desk", &id(number));
+        record.line(&format!("job {} handed in before: {state:?}", id(number)));
+    }
+    for daemon in 0..5 {
+        setup.ask(
+            daemon,
+            "POST",
+            &format!("/lookup-desk/{}", id(80 + daemon as u64)),
+            &job(1, 1_000, 300).to_string(),
+        );
+    }
+    record.line(&format!(
+        "the new route 8 s after its acknowledgement: 404 at {older} machines, 200 at {handled}"
+    ));
+    Ok(older == 0)
+}
