--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -250,3 +250,36 @@
     ));
     Ok(older == 0)
 }
+
+/// A task that takes seven times as long as estimated, on the only runner of its service.
+pub fn long(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    const TAKES_MS: u64 = 630_000;
+    let setup = Setup::start(record.clone(), root, 3, &[("valuation-desk", 1)])?;
+    let id = id(1);
+    let mut long = job(1, 2_000, TAKES_MS);
+    let estimate = if trouble { TAKES_MS / 7 } else { TAKES_MS };
+    long["steps"][0]["estimate_ms"] = estimate.into();
+    record.line(&format!("a task of {TAKES_MS} ms, estimated at {estimate} ms"));
+    if !setup.submit("valuation-desk", &id, 0, &long) {
+        return Err("the job isn't accepted".to_owned());
+    }
+    // `finish_s` after the end of the traffic.
+    sleep(Duration::from_secs(14));
+    let (mut longest, mut since) = (Duration::ZERO, None::<Instant>);
+    let end = Instant::now() + Duration::from_secs(45);
+    while Instant::now() < end {
+        let is_idle = setup.runners.iter().all(|runner| runner.is_idle());
+        since = if is_idle { since.or_else(|| Some(Instant::now())) } else { None };
+        longest = longest.max(since.map_or(Duration::ZERO, |since| since.elapsed()));
+        sleep(Duration::from_millis(20));
+    }
+    let state = setup.state("valuation-desk", &id);
+    let starts = setup.seen.starts.lock().map_err(|e| e.to_string())?.values().sum::<u32>();
+    record.line(&format!(
+        "after 59 s: {state:?}; starts of the task: {starts}; longest time with nothing running on the idle runner: {longest:?}"
+    ));
+    if starts == 0 {
+        return Err("the task never started".to_owned());
+    }
+    Ok(longest <= Duration::from_secs(3))
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -38,6 +38,7 @@
         "crashes" => cases::crashes(record.clone(), &root, trouble),
         "names" => cases::names(record.clone(), &root, trouble),
         "fleet" => cases::fleet(record.clone(), &root, trouble),
+        "long" => cases::long(record.clone(), &root, trouble),
         "settings" => cases::settings(record.clone(), &root, trouble),
         _ => Err("no such case".to_owned()),
     };
