--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::record::Record;
-use crate::runner::Runner;
 use crate::setup::{Setup, job};
 
 type Outcome = Result<bool, String>;
@@ -90,59 +89,6 @@
     Ok(unanswered == 0 && (stuck == 0 || !is_idle))
 }
 
-/// A job under which three runners crash, one after the other.
-pub fn crashes(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
-    const CRASHES: u32 = 3;
-    let mut setup = Setup::start(record.clone(), root, 3, &[("transfer-desk", 2)])?;
-    let id = id(1);
-    if !setup.submit("transfer-desk", &id, 0, &job(1, 2_000, 5_000)) {
-        return Err("the job isn't accepted".to_owned());
-    }
-    let end = Instant::now() + Duration::from_secs(70);
-    let (mut crashed, mut back, mut last) = (0, None, None);
-    let mut state = None;
-    while Instant::now() < end {
-        sleep(Duration::from_millis(100));
-        if back.is_some_and(|at| Instant::now() >= at) {
-            back = None;
-            let new = format!("i-transfer-desk-again-{crashed}");
-            record.line(&format!("runner {new} comes up at the address of the crashed one"));
-            let next = last.as_ref().and_then(|last: &Arc<Runner>| last.start_again(&new));
-            setup.runners.push(next.ok_or("the runner's address is taken")?);
-        }
-        let is_due = |runner: &&Arc<Runner>| {
-            runner.running_for(&id).is_some_and(|time| time >= Duration::from_millis(1_500))
-        };
-        if trouble
-            && crashed < CRASHES
-            && back.is_none()
-            && let Some(runner) = setup.runners.iter().find(is_due)
-        {
-            runner.crash();
-            last = Some(runner.clone());
-            crashed += 1;
-            back = Some(Instant::now() + Duration::from_millis(2_000));
-        }
-        if Instant::now() + Duration::from_secs(1) > end || crashed == CRASHES || !trouble {
-            state = setup.state("transfer-desk", &id);
-            if matches!(state.as_deref(), Some("completed" | "failed" | "cancelled")) {
-                break;
-            }
-            sleep(Duration::from_millis(400));
-        }
-    }
-    let done = setup.seen.done.lock().map(|done| done.len()).unwrap_or(0);
-    record.line(&format!("runners crashed: {crashed}; runs that ended `failed`: 0; tasks that ended `done`: {done}; state: {state:?}"));
-    if trouble && crashed < CRASHES {
-        return Err("fewer runners crashed than meant".to_owned());
-    }
-    match state.as_deref() {
-        Some("completed") => Ok(true),
-        Some("failed") => Ok(false),
-        other => Err(format!("the job is {other:?} at the end")),
-    }
-}
-
 /// A service whose name continues that of another one after a slash.
 pub fn names(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
     let second = if trouble { "transfer-desk/howrah" } else { "transfer-desk-howrah" };
@@ -283,3 +229,51 @@
     }
     Ok(longest <= Duration::from_secs(3))
 }
+
+/// A start that a runner leaves unanswered and carries out late, after it has started again.
+pub fn late(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    const DELAY: Duration = Duration::from_secs(6);
+    let setup = Setup::start(record.clone(), root, 3, &[("valuation-desk", 2)])?;
+    sleep(Duration::from_secs(5));
+    if trouble {
+        *setup.seen.delay.lock().map_err(|e| e.to_string())? = Some(DELAY);
+    }
+    let mut accepted = Vec::new();
+    for number in 0..6 {
+        if setup.submit("valuation-desk", &id(number), number as usize, &job(1, 2_000, 500)) {
+            accepted.push(id(number));
+        }
+        sleep(Duration::from_millis(200));
+    }
+    let noted = |task: &str| setup.seen.noted.lock().is_ok_and(|noted| noted.contains(task));
+    let mut delayed = None;
+    if trouble {
+        let until = Instant::now() + Duration::from_secs(3);
+        delayed = setup.seen.delayed.lock().map_err(|e| e.to_string())?.clone();
+        let (runner, task) = delayed.clone().ok_or("no start was delayed")?;
+        while !noted(&task) {
+            if Instant::now() > until {
+                return Err("the delayed task isn't done in time".to_owned());
+            }
+            sleep(Duration::from_millis(20));
+        }
+        sleep(Duration::from_millis(300));
+        let state = setup.state("valuation-desk", task.split('.').next().unwrap_or(""));
+        record.line(&format!("the job of {task} is {state:?}"));
+        let life = setup.seen.life(&runner).ok_or("the runner isn't known")?;
+        life.crash();
+        sleep(Duration::from_millis(600));
+        record.line(&format!("runner {runner} starts again under its ID at its address"));
+        life.start_again(&runner).ok_or("the runner's address is taken")?;
+    }
+    sleep(Duration::from_secs(8));
+    let again = setup.seen.started_again.lock().map_err(|e| e.to_string())?.clone();
+    record.line(&format!(
+        "{} jobs accepted; delayed: {delayed:?}; started after their noted end: {again:?}",
+        accepted.len()
+    ));
+    if accepted.is_empty() || !accepted.iter().all(|id| noted(&format!("{id}.0.0.0"))) {
+        return Err("not all jobs were accepted and done".to_owned());
+    }
+    Ok(again.is_empty())
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -35,9 +35,9 @@
     record.line(&format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "schedule" => cases::schedule(record.clone(), &root, trouble),
-        "crashes" => cases::crashes(record.clone(), &root, trouble),
         "names" => cases::names(record.clone(), &root, trouble),
         "fleet" => cases::fleet(record.clone(), &root, trouble),
+        "late" => cases::late(record.clone(), &root, trouble),
         "long" => cases::long(record.clone(), &root, trouble),
         "settings" => cases::settings(record.clone(), &root, trouble),
         _ => Err("no such case".to_owned()),
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -1,11 +1,11 @@
 //! A runner as the pages describe it: lease, fence, numbered ends, and orders.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use corianderfork_adapter_standin::store::Store;
 use corianderfork_adapter_standin::{fleet, listener};
@@ -44,6 +44,23 @@
     pub starts: Mutex<BTreeMap<String, u32>>,
     /// Ends `done` by task.
     pub done: Mutex<BTreeMap<String, u32>>,
+    /// Tasks whose end `done` was taken note of.
+    pub noted: Mutex<BTreeSet<String>>,
+    /// Tasks that started after such an end.
+    pub started_again: Mutex<Vec<String>>,
+    /// The present life of each runner.
+    lives: Mutex<HashMap<String, Arc<Runner>>>,
+    /// How late the next start that arrives anywhere is carried out; it gets no answer.
+    pub delay: Mutex<Option<Duration>>,
+    /// The delayed start: its runner and task.
+    pub delayed: Mutex<Option<(String, String)>>,
+}
+
+impl Seen {
+    /// Returns the present life of a runner.
+    pub fn life(&self, id: &str) -> Option<Arc<Runner>> {
+        self.lives.lock().unwrap().get(id).cloned()
+    }
 }
 
 /// One life of a runner.
@@ -53,6 +70,7 @@
     pub address: SocketAddr,
     beat_at: Mutex<Instant>,
     started: Instant,
+    born_ms: u64,
     state: Mutex<State>,
     is_down: AtomicBool,
     record: Arc<Record>,
@@ -77,7 +95,7 @@
         Self::start_at(listener(), id, pool, cpu, store, record, seen)
     }
 
-    /// Starts the next life of a crashed runner: a new ID at the same address.
+    /// Starts the next life of a crashed runner at the same address, with the ID given.
     pub fn start_again(&self, id: &str) -> Option<Arc<Self>> {
         let listener = TcpListener::bind(self.address).ok()?;
         Some(Self::start_at(
@@ -107,6 +125,7 @@
             address,
             beat_at: Mutex::new(Instant::now()),
             started: Instant::now(),
+            born_ms: unix_ms(),
             state: Mutex::default(),
             is_down: AtomicBool::new(false),
             record: record.clone(),
@@ -115,6 +134,7 @@
             store: store.clone(),
             cpu,
         });
+        seen.lives.lock().unwrap().insert(id.to_owned(), runner.clone());
         let front = Arc::new(Front(runner.clone()));
         let server = Server::start(listener, 512, Arc::new(Connections::default()), front)
             .expect("a server");
@@ -140,21 +160,8 @@
         self.is_down() || self.state.lock().unwrap().running.is_empty()
     }
 
-    /// How long a task of the job has been running here.
-    pub fn running_for(&self, job: &str) -> Option<Duration> {
-        if self.is_down() {
-            return None;
-        }
-        let state = self.state.lock().unwrap();
-        state
-            .running
-            .iter()
-            .find(|(task, _)| task.starts_with(job))
-            .map(|(_, run)| run.began.elapsed())
-    }
-
     /// Crashes: all that runs is gone, connections end, and the port has no listener. Its entry in the
-    /// store is removed after three heartbeats.
+    /// store is removed after three heartbeats, unless it has started again under its ID.
     pub fn crash(&self) {
         self.is_down.store(true, Ordering::SeqCst);
         if let Some(server) = self.server.lock().unwrap().take() {
@@ -162,11 +169,14 @@
         }
         let lost: Vec<String> = self.state.lock().unwrap().running.keys().cloned().collect();
         self.record.line(&format!("runner {} crashed, runs lost: {lost:?}", self.id));
-        let (store, key) = (self.store.clone(), format!("servers/{}", self.id));
+        let (store, id) = (self.store.clone(), self.id.clone());
+        let (seen, born) = (self.seen.clone(), self.born_ms);
         let left = 3 * HEARTBEAT - self.beat_at.lock().unwrap().elapsed();
         thread::spawn(move || {
             thread::sleep(left);
-            store.remove(&key);
+            if seen.life(&id).is_none_or(|life| life.born_ms == born) {
+                store.remove(&format!("servers/{id}"));
+            }
         });
     }
 
@@ -176,7 +186,7 @@
             sequence += 1;
             *self.beat_at.lock().unwrap() = Instant::now();
             let entry = json!({ "service": self.pool, "address": address.to_string(), "zone": "kolkata-hall",
-                "version": "1", "capacity": 8, "state": "ready", "cold_left_ms": 0, "sequence": sequence,
+                "version": "1", "capacity": 8, "state": "ready", "cold_left_ms": 0, "sequence": sequence, "born": self.born_ms,
                 "available": { "cpu": self.cpu, "mem_mb": 262_144, "gpu": 0 }, "labels": ["a", format!("r-{}", self.id)] });
             fleet::write_json(&self.store, &format!("servers/{}", self.id), &entry);
             thread::sleep(HEARTBEAT);
@@ -246,6 +256,12 @@
         let spec = body["spec"].as_str().unwrap_or("");
         let takes = spec.parse().ok().map(Duration::from_millis);
         self.record.line(&format!("runner {} task {task} run {number} started", self.id));
+        if self.seen.noted.lock().unwrap().contains(&task) {
+            self.record.line(&format!(
+                "that start comes after the end `done` of {task}, which was taken note of"
+            ));
+            self.seen.started_again.lock().unwrap().push(task.clone());
+        }
         *self.seen.starts.lock().unwrap().entry(task.clone()).or_default() += 1;
         state.running.insert(task, Run { number, began: Instant::now(), takes, stopped: None });
         self.done()
@@ -265,6 +281,15 @@
                 if std::mem::take(&mut first) {
                     state.fence = fence;
                     let upto = body["seen_upto"].as_u64().unwrap_or(0);
+                    for (_, task, run, how) in state.ended.iter().filter(|(n, ..)| *n <= upto) {
+                        if *how == "done" {
+                            self.record.line(&format!(
+                                "runner {} task {task} run {run}: its end is taken note of",
+                                self.id
+                            ));
+                            self.seen.noted.lock().unwrap().insert(task.clone());
+                        }
+                    }
                     state.ended.retain(|(number, ..)| *number > upto);
                     self.take_deadline(&mut state, body["deadline_ms"].as_u64().unwrap_or(0));
                     self.end_due(&mut state);
@@ -287,38 +312,25 @@
                         .take(500)
                         .map(|(n, task, run, how)| json!([n, task, run, how, ""]))
                         .collect();
-                    let body =
-                        json!({ "clock_ms": self.clock_ms(), "running": running, "ended": ended });
+                    let body = json!({ "clock_ms": self.clock_ms(), "born": self.born_ms, "running": running, "ended": ended });
                     return Reply::Whole(Response::json(200, &body));
                 }
             }
             thread::sleep(Duration::from_millis(5));
         }
     }
-}
 
-impl Service for Front {
-    fn call(&self, request: &Request) -> Reply {
-        let runner = &self.0;
-        if runner.is_down() {
-            return Reply::Cut;
-        }
-        if request.header("Target-Instance").is_some_and(|id| id != runner.id) {
-            return Reply::Whole(Response::json(421, &json!({})));
-        }
-        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        if request.path == "/api/hold" {
-            return runner.hold(&body);
-        }
-        let mut state = runner.state.lock().unwrap();
+    /// Carries a call out.
+    fn handle(&self, path: &str, body: &Value) -> Reply {
+        let mut state = self.state.lock().unwrap();
         let fence = body["fence"].as_u64().unwrap_or(0);
         if fence < state.fence {
-            return runner.refuse("fence");
+            return self.refuse("fence");
         }
         state.fence = fence;
-        runner.end_due(&mut state);
-        match request.path.as_str() {
-            "/api/run-start" => runner.run_start(&mut state, &body),
+        self.end_due(&mut state);
+        match path {
+            "/api/run-start" => self.run_start(&mut state, body),
             "/api/run-stop" => {
                 let (task, number) = (
                     body["task"].as_str().unwrap_or("").to_owned(),
@@ -329,10 +341,67 @@
                 if let Some(run) = state.running.get_mut(&task).filter(|run| run.number == number) {
                     run.stopped.get_or_insert_with(Instant::now);
                 }
-                runner.done()
+                self.done()
             }
-            "/api/pace" => runner.done(),
+            "/api/pace" => self.done(),
             _ => Reply::Whole(Response::json(404, &json!({}))),
         }
     }
 }
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(0)
+}
+
+impl Front {
+    /// Leaves a start without an answer; the runner that has this ID by then carries it out.
+    fn carry_out_late(&self, delay: Duration, body: Value) -> Reply {
+        let runner = &self.0;
+        let (id, task) = (runner.id.clone(), body["task"].as_str().unwrap_or("").to_owned());
+        runner
+            .record
+            .line(&format!("runner {id} leaves the start of {task} without an answer: {body}"));
+        *runner.seen.delayed.lock().unwrap() = Some((id.clone(), task));
+        let (seen, record) = (runner.seen.clone(), runner.record.clone());
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let Some(life) = seen.life(&id).filter(|life| !life.is_down()) else { return };
+            record.line(&format!(
+                "runner {id} carries the delayed start out, {delay:?} late; its clock says {}",
+                life.clock_ms()
+            ));
+            if let Reply::Whole(answer) = life.handle("/api/run-start", &body) {
+                record.line(&format!("to that start nobody hears the answer {}", answer.status));
+            }
+        });
+        let until = Instant::now() + delay;
+        while Instant::now() < until && !runner.is_down() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        Reply::Cut
+    }
+}
+
+impl Service for Front {
+    fn call(&self, request: &Request) -> Reply {
+        let runner = &self.0;
+        if runner.is_down() {
+            return Reply::Cut;
+        }
+        if request.header("Target-Instance").is_some_and(|id| id != runner.id) {
+            return Reply::Whole(Response::json(421, &json!({})));
+        }
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        if request.path == "/api/hold" {
+            return runner.hold(&body);
+        }
+        if request.path == "/api/run-start" {
+            let delay = runner.seen.delay.lock().unwrap().take();
+            if let Some(delay) = delay {
+                return self.carry_out_late(delay, body);
+            }
+        }
+        runner.handle(&request.path, &body)
+    }
+}
