--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -277,3 +277,77 @@
     }
     Ok(again.is_empty())
 }
+
+/// Jobs of many tasks, which the system accepts until an owner needs more memory than its machine has.
+pub fn memory(record: Arc<Record>, root: &Path, trouble: bool) -> Outcome {
+    const LIMIT_MB: u64 = 260;
+    const JOBS: u64 = 100;
+    let tasks = if trouble { 10_000 } else { 10 };
+    let mut setup = Setup::start(record.clone(), root, 4, &[("lookup-desk", 3)])?;
+    let (mut accepted, mut killed, mut most) = (Vec::new(), 0, 0);
+    let mut down = Vec::new();
+    let mut watch = |setup: &mut Setup| {
+        for (number, daemon) in setup.daemons.iter_mut().enumerate() {
+            if down.iter().any(|(other, _)| *other == number) {
+                continue;
+            }
+            let memory = daemon.memory_mb();
+            most = most.max(memory);
+            if memory > LIMIT_MB {
+                record.line(&format!("{} has {memory} MB; the platform kills it", daemon.name));
+                daemon.kill();
+                killed += 1;
+                down.push((number, Instant::now()));
+            }
+        }
+        while let Some((number, _)) = down.pop_if(|(_, at)| at.elapsed() > Duration::from_secs(1)) {
+            record.line(&format!("{} is started again", setup.daemons[number].name));
+            setup.daemons[number].start();
+        }
+    };
+    for number in 0..JOBS {
+        let id = id(number);
+        if setup.submit("lookup-desk", &id, number as usize, &job(tasks, 4_000, 500)) {
+            accepted.push(id);
+        }
+        watch(&mut setup);
+        sleep(Duration::from_millis(200));
+    }
+    record.line(&format!("end of the traffic, {} jobs of {tasks} tasks accepted", accepted.len()));
+    let begun = Instant::now();
+    let starts = |setup: &Setup| setup.seen.starts.lock().map(|starts| starts.len()).unwrap_or(0);
+    // `finish_s` of the deployment.
+    while begun.elapsed() < Duration::from_secs(14) {
+        watch(&mut setup);
+        sleep(Duration::from_millis(50));
+    }
+    // The rule's three seconds with nothing running.
+    let (before, mut is_idle) = (starts(&setup), true);
+    while begun.elapsed() < Duration::from_secs(17) {
+        watch(&mut setup);
+        is_idle &= setup.runners.iter().all(|runner| runner.is_idle());
+        sleep(Duration::from_millis(50));
+    }
+    let after = starts(&setup);
+    is_idle &= after == before;
+    record.line(&format!(
+        "tasks started so far: {before}, 3 s later: {after}; all runners idle: {is_idle}"
+    ));
+    let mut unfinished = 0;
+    for id in accepted.iter().step_by(9) {
+        watch(&mut setup);
+        unfinished += usize::from(setup.state("lookup-desk", id).as_deref() != Some("completed"));
+    }
+    while begun.elapsed() < Duration::from_secs(45) {
+        watch(&mut setup);
+        sleep(Duration::from_millis(50));
+    }
+    record.line(&format!(
+        "most memory {most} MB of {LIMIT_MB}; processes killed for it: {killed}; tasks started 45 s after the traffic: {}; of {} accepted jobs asked for, {unfinished} not completed",
+        starts(&setup), accepted.len().div_ceil(9)
+    ));
+    if accepted.is_empty() {
+        return Err("no job was accepted".to_owned());
+    }
+    Ok(unfinished == 0 || !is_idle)
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -38,6 +38,7 @@
         "names" => cases::names(record.clone(), &root, trouble),
         "fleet" => cases::fleet(record.clone(), &root, trouble),
         "late" => cases::late(record.clone(), &root, trouble),
+        "memory" => cases::memory(record.clone(), &root, trouble),
         "long" => cases::long(record.clone(), &root, trouble),
         "settings" => cases::settings(record.clone(), &root, trouble),
         _ => Err("no such case".to_owned()),
