Hold a state only for tasks of which something is known

Cause: each task of an accepted job was laid out, some 320 bytes each, by every owner that read it.

A step now has a state for tasks that were started or have failed, a bit for each one that is done, and a number for the rest. Loops that looked for placed tasks look at those only. What is written stays the same.

--- a/crates/jobs/src/pool.rs
+++ b/crates/jobs/src/pool.rs
@@ -45,6 +45,7 @@
 mod space;
 pub(crate) mod symbol;
 mod tally;
+mod tasks;
 mod tenure;
 mod turn;
 mod unmet;
--- a/crates/jobs/src/pool/agenda.rs
+++ b/crates/jobs/src/pool/agenda.rs
@@ -117,8 +117,8 @@
 }
 
 fn lacks_workers(entry: &Entry) -> bool {
-    let mut tasks = entry.long_running_states().flat_map(|state| &state.tasks);
-    tasks.any(|task| super::reserve::lacks_worker(&task.state))
+    let mut tasks = entry.long_running_states().flat_map(|state| state.tasks.open());
+    tasks.any(|(_, task)| super::reserve::lacks_worker(&task.state))
 }
 
 /// Returns when something is due for a job, apart from a change of its urgency.
@@ -133,7 +133,7 @@
     }
     for occurrence in entry.occurrences.values() {
         for (step, state) in entry.steps.iter().zip(&occurrence.steps) {
-            for task in &state.tasks {
+            for (_, task) in state.tasks.known() {
                 let TaskState::Placed(placement) = &task.state else { continue };
                 match placement.phase {
                     Phase::Starting { retry_at } | Phase::Stopping { retry_at, .. } => {
--- a/crates/jobs/src/pool/backlog.rs
+++ b/crates/jobs/src/pool/backlog.rs
@@ -133,7 +133,11 @@
                     }
                     TaskState::Waiting | TaskState::Done => None,
                 };
-                runs.extend(state.tasks.iter().filter_map(run));
+                if step.long_running {
+                    runs.extend(state.tasks.iter().filter_map(run));
+                } else {
+                    runs.extend(state.tasks.known().filter_map(|(_, task)| run(task)));
+                }
             }
         }
         let latest_start = Time::ZERO + (entry.deadline(occurrence) - (Time::ZERO + chain));
--- a/crates/jobs/src/pool/crash.rs
+++ b/crates/jobs/src/pool/crash.rs
@@ -399,7 +399,7 @@
         let mut names = Vec::new();
         for (occurrence, state) in &self.occurrences {
             for (step, state) in state.steps.iter().enumerate() {
-                let tasks = state.tasks.iter().enumerate();
+                let tasks = state.tasks.known();
                 let suspected = tasks.filter(|(_, task)| !task.inherited_starts.is_empty());
                 names.extend(suspected.map(|(index, _)| name(self.id, *occurrence, step, index)));
             }
--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -12,6 +12,7 @@
 use super::hold::Hold;
 use super::proof::FormerRun;
 use super::ranking::Position;
+use super::tasks::Tasks;
 use crate::id::JobId;
 use crate::job::{Job, Step};
 use crate::organisation;
@@ -92,7 +93,7 @@
 
 #[derive(Debug)]
 pub(super) struct StepState {
-    pub tasks: Vec<Task>,
+    pub tasks: Tasks,
     /// Number of tasks that are not done.
     pub unfinished: u32,
     /// Number of tasks that wait to be started.
@@ -187,24 +188,8 @@
 
 impl Occurrence {
     pub fn new(steps: &[Step], begun: Time) -> Self {
-        let new_task = Task {
-            state: TaskState::Waiting,
-            failed: Vec::new(),
-            crashed: Vec::new(),
-            crashed_since: None,
-            crashed_at: Vec::new(),
-            is_proven: false,
-            starting_run: None,
-            inherited_starts: Vec::new(),
-            saved: Rc::from(""),
-            saved_by: 0,
-            has_resumed: false,
-            stopped: Vec::new(),
-            not_before: Time::ZERO,
-            former_run: None,
-        };
         let state = |step: &Step| StepState {
-            tasks: vec![new_task.clone(); step.count as usize],
+            tasks: Tasks::new(step.count as usize),
             unfinished: step.count,
             waiting: step.count,
             advice: StepAdvice::default(),
@@ -282,6 +267,7 @@
             task.former_run = None;
         }
         task.state = new;
+        step.tasks.settle(name.index as usize);
     }
 
     /// Returns a task to the waiting state. Its former run has to be over; see [`super::proof`].
@@ -309,8 +295,11 @@
             matches!(task.state, TaskState::Waiting)
                 && now - task.not_before.max(self.known_since) > UNPLACED_AFTER
         };
-        let unplaced =
-            self.long_running_states().flat_map(|state| &state.tasks).filter(is_unplaced).count();
+        let unplaced = self
+            .long_running_states()
+            .flat_map(|state| state.tasks.iter())
+            .filter(is_unplaced)
+            .count();
         u32::try_from(unplaced).unwrap_or(u32::MAX)
     }
 
@@ -333,7 +322,7 @@
         let mut names = Vec::new();
         for (number, occurrence) in &self.occurrences {
             for (step, state) in occurrence.steps.iter().enumerate() {
-                for (index, task) in state.tasks.iter().enumerate() {
+                for (index, task) in state.tasks.known() {
                     if matches!(task.state, TaskState::Placed(_)) {
                         names.push(name(self.id, *number, step, index));
                     }
--- a/crates/jobs/src/pool/explain.rs
+++ b/crates/jobs/src/pool/explain.rs
@@ -91,8 +91,11 @@
         (number, occurrence): (u32, &Occurrence),
         (step, state): (usize, &StepState),
     ) -> StepExplanation {
-        let placed =
-            state.tasks.iter().filter(|task| matches!(task.state, TaskState::Placed(_))).count();
+        let placed = state
+            .tasks
+            .known()
+            .filter(|(_, task)| matches!(task.state, TaskState::Placed(_)))
+            .count();
         let waits =
             (state.waiting > 0).then(|| self.why_waiting(now, entry, (number, occurrence), step));
         let (waits_for, mut why) = match waits {
@@ -103,8 +106,8 @@
         if state.waiting > 0 && !entry.is_owed {
             why.push_str("; its organisation submits more jobs a second than its weight, and this one yields to those within it");
         }
-        let is_waiting = |task: &Task| matches!(task.state, TaskState::Waiting);
-        let first = state.tasks.iter().position(is_waiting).unwrap_or(0);
+        let is_waiting = |(_, task): &(usize, &Task)| matches!(task.state, TaskState::Waiting);
+        let first = state.tasks.open().find(is_waiting).map_or(0, |(index, _)| index);
         let (task, waiting) =
             (name(entry.id, number, step, 0), name(entry.id, number, step, first));
         StepExplanation {
@@ -136,10 +139,10 @@
             let why = format!("runs after the steps {:?}, which are not all done", step.after);
             return (Reason::Steps, why);
         }
-        let awaits_attempts = |task: &Task| {
+        let awaits_attempts = |(_, task): (usize, &Task)| {
             matches!(task.state, TaskState::Waiting) && self.awaits_attempts(entry, task)
         };
-        if occurrence.steps.get(index).is_some_and(|state| state.tasks.iter().any(awaits_attempts))
+        if occurrence.steps.get(index).is_some_and(|state| state.tasks.known().any(awaits_attempts))
         {
             let why = format!(
                 "a run has failed, and the configuration doesn't say how many may: it lacks the queue {}",
@@ -252,9 +255,10 @@
 
 /// Returns how many tasks of a step wait because they were stopped.
 fn why_stopped(state: &StepState) -> String {
-    let is_stopped =
-        |task: &&Task| matches!(task.state, TaskState::Waiting) && !task.stopped.is_empty();
-    match state.tasks.iter().filter(is_stopped).count() {
+    let is_stopped = |(_, task): &(usize, &Task)| {
+        matches!(task.state, TaskState::Waiting) && !task.stopped.is_empty()
+    };
+    match state.tasks.known().filter(is_stopped).count() {
         0 => String::new(),
         count => format!("; {count} of them ran before, were stopped and resume"),
     }
--- a/crates/jobs/src/pool/place.rs
+++ b/crates/jobs/src/pool/place.rs
@@ -116,9 +116,17 @@
         space.has_capacity(&step.room(), step.count, !may_spread)
     }
 
+    /// Returns the indices from the first task of a step on that may not be done.
+    fn open_tasks(&self, key: StepKey) -> std::ops::Range<usize> {
+        let occurrence =
+            self.jobs.get(key.job).and_then(|entry| entry.occurrences.get(&key.occurrence));
+        let state = occurrence.and_then(|occurrence| occurrence.steps.get(key.step));
+        state.map_or(0..0, |state| state.tasks.open_indices())
+    }
+
     /// Starts the waiting tasks of a step on any workers.
     fn place_step(&mut self, now: Time, key: StepKey, step: &Step, orders: &mut Vec<Order>) {
-        for index in 0..step.count as usize {
+        for index in self.open_tasks(key) {
             let Some(entry) = self.jobs.get(key.job) else { return };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return };
@@ -151,7 +159,7 @@
         space: &mut Space,
         orders: &mut Vec<Order>,
     ) -> bool {
-        for index in 0..step.count as usize {
+        for index in self.open_tasks(key) {
             let Some(entry) = self.jobs.get(key.job) else { return false };
             let name = name(entry.id, key.occurrence, key.step, index);
             let Some(task) = entry.task(name) else { return false };
--- a/crates/jobs/src/pool/preempt.rs
+++ b/crates/jobs/src/pool/preempt.rs
@@ -150,8 +150,9 @@
             }
             let predicted_ms = self.predict(&entry.queue, step);
             let work = predicted_ms.saturating_mul(step.room().cpu) / 1_000;
-            let tasks = state.tasks.iter().enumerate();
-            let waiting = tasks
+            let waiting = state
+                .tasks
+                .open()
                 .filter(|(_, task)| {
                     matches!(task.state, TaskState::Waiting) && now >= task.not_before
                 })
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -99,10 +99,10 @@
 impl Occurrence {
     fn add_to(&self, occurrence: u32, progress: &mut Progress) {
         for (step, state) in self.steps.iter().enumerate() {
-            let done =
-                bit_set(state.tasks.iter().map(|task| matches!(task.state, TaskState::Done)));
-            let proven = bit_set(state.tasks.iter().map(|task| task.is_proven));
-            for (index, task) in state.tasks.iter().enumerate() {
+            let done = state.tasks.done_words();
+            let proven = state.tasks.known().filter(|(_, task)| task.is_proven);
+            let proven = bit_set(state.tasks.len(), proven.map(|(index, _)| index));
+            for (index, task) in state.tasks.known() {
                 let key = || format!("{occurrence}.{step}.{index}");
                 if !task.failed.is_empty() {
                     progress.failed.insert(key(), task.failed.clone());
@@ -148,10 +148,10 @@
     keys.filter_map(|key| key.split('.').next()?.parse().ok())
 }
 
-/// Returns the words of a bit set of which the given bits are set.
-fn bit_set(bits: impl ExactSizeIterator<Item = bool>) -> Vec<u64> {
-    let mut words = vec![0u64; bits.len().div_ceil(WORD_BITS as usize)];
-    for (index, _) in bits.enumerate().filter(|(_, is_set)| *is_set) {
+/// Returns the words of a bit set of `count` bits of which those at the given indices are set.
+fn bit_set(count: usize, indices: impl Iterator<Item = usize>) -> Vec<u64> {
+    let mut words = vec![0u64; count.div_ceil(WORD_BITS as usize)];
+    for index in indices {
         words[index / WORD_BITS as usize] |= 1 << (index % WORD_BITS as usize);
     }
     words
--- a/crates/jobs/src/pool/ranking.rs
+++ b/crates/jobs/src/pool/ranking.rs
@@ -349,7 +349,7 @@
         let has_crashes = occurrence
             .steps
             .get(key.step)
-            .is_some_and(|state| state.tasks.iter().any(|task| !task.crashed.is_empty()));
+            .is_some_and(|state| state.tasks.known().any(|(_, task)| !task.crashed.is_empty()));
         let needs_advice =
             self.queues.get(&entry.queue).is_some_and(|queue| queue.advice.is_some());
         Candidate {
--- a/crates/jobs/src/pool/reserve.rs
+++ b/crates/jobs/src/pool/reserve.rs
@@ -264,7 +264,7 @@
         let is_due = !matches!(task.state, TaskState::Waiting) || now - since > RESERVE_AFTER;
         (lacks_worker(&task.state) && is_due).then_some((index, since))
     };
-    state.tasks.iter().enumerate().filter_map(since)
+    state.tasks.open().filter_map(since)
 }
 
 /// Returns whether a task has no worker, or is being stopped on the one it has.
--- a/crates/jobs/src/pool/wait.rs
+++ b/crates/jobs/src/pool/wait.rs
@@ -172,9 +172,9 @@
                     }
                     let (reason, _) = self.why_waiting(now, entry, (*number, occurrence), index);
                     let (workers, until) = self.awaited_workers(now, reason);
-                    let tasks = state.tasks.iter().enumerate();
+                    let tasks = state.tasks.open();
                     let waiting = tasks.filter(|(_, t)| matches!(t.state, TaskState::Waiting));
-                    waits.extend(waiting.map(|(task, _)| {
+                    waits.extend(waiting.take(MAX_TRACKED - waits.len()).map(|(task, _)| {
                         let wait = Wait::new(now, reason, workers.clone(), until);
                         (name(entry.id, *number, index, task), wait)
                     }));
