Keep names that operators choose apart in keys and duties

Cause: the owner of a pool reads by the prefix `job/POOL/` and took the last part of each key for an ID; the planner's duty is called `fleet`; slot 1 of the writes of a pool has the key of slot 0 of another.

What follows the prefix has to be an ID. A pool that is called like the planner's duty or like a slot has a duty or key of its own. A job whose key would be longer than the store takes is answered 503 at once.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -24,6 +24,42 @@
 /// The duty of planning for the fleet.
 pub const FLEET: &str = "fleet";
 
+/// Returns the duty of owning a pool.
+///
+/// A pool has the name that operators give it, and may be called like the planner's duty. That name,
+/// with any number of slashes behind it, gets one slash more, so that no two duties are called alike.
+/// All other pools' duties are called as the pool.
+///
+/// ```
+/// use corianderfork_entry::duty::{FLEET, of_pool, pool_of};
+///
+/// assert_eq!(of_pool("desk"), "desk");
+/// assert_ne!(of_pool("fleet"), FLEET);
+/// for pool in ["desk", "desk/north", "fleet", "fleet/", "fleet/north", ""] {
+///     assert_eq!(pool_of(&of_pool(pool)), Some(pool));
+/// }
+/// ```
+pub fn of_pool(pool: &str) -> String {
+    if is_like_fleet(pool) { format!("{pool}/") } else { pool.to_owned() }
+}
+
+/// Returns the pool whose owner has a duty; `None` for the planner's duty.
+pub fn pool_of(duty: &str) -> Option<&str> {
+    match is_like_fleet(duty) {
+        true => duty.strip_suffix('/'),
+        false => Some(duty),
+    }
+}
+
+fn is_like_fleet(name: &str) -> bool {
+    name.trim_end_matches('/') == FLEET
+}
+
+/// Returns the key of a duty's record.
+pub fn key(duty: &str) -> String {
+    format!("{DUTY_PREFIX}{duty}")
+}
+
 /// How long a holder's member record may be missing before the holder counts as dead.
 /// After an outage of the store in which leases expired, all members register again
 /// within one renewal; without this pause the first one back would take over duties
@@ -159,7 +195,7 @@
 
     /// Returns the pools that have or had an owner.
     pub fn owned_pools(&self) -> impl Iterator<Item = &str> {
-        self.duties.keys().map(String::as_str).filter(|duty| *duty != FLEET)
+        self.duties.keys().filter_map(|duty| pool_of(duty))
     }
 
     /// Updates a duty's record.
@@ -234,7 +270,7 @@
     /// ```
     pub fn takeover_conditions(&self, duty: &str) -> Vec<(String, u64)> {
         let record = self.duties.get(duty).cloned().unwrap_or_default();
-        let mut rows = vec![(format!("{DUTY_PREFIX}{duty}"), record.revision)];
+        let mut rows = vec![(key(duty), record.revision)];
         let name = record.holder.name;
         if !name.is_empty() {
             let revision = self.members.get(&name).map_or(0, |member| member.revision);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -198,7 +198,7 @@
                 let is_listed = |key: String| items.iter().any(|item| item.key == key);
                 let mut table = target.table.borrow_mut();
                 table.members.retain(|name, _| is_listed(format!("{MEMBER_PREFIX}{name}")));
-                table.duties.retain(|name, _| is_listed(format!("{DUTY_PREFIX}{name}")));
+                table.duties.retain(|name, _| is_listed(duty::key(name)));
                 // Queues' records stay: this read may be older than a job accepted here,
                 // and a record that was removed shows in the next write.
                 drop(table);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::admission::Submission;
 use crate::clock;
 use crate::http::CallError;
+use crate::lookup::is_storable;
 use crate::node::Node;
 use crate::owner::ms;
 use crate::peer::{self, Message, Reply};
@@ -149,6 +150,11 @@
             Ok(job) => job,
             Err(why) => return (HttpResponse::new(400, caller::error(&why)), "bad job"),
         };
+        if !is_storable(&route.name, &route.pool) {
+            let why =
+                "the queue's or its service's name is too long for a key of the store; shorten it";
+            return (HttpResponse::new(503, caller::error(why)), "name too long");
+        }
         let organisation = identity.organisation().map(str::to_owned);
         let limited = config.organisations.as_ref().zip(identity.organisation());
         if let Some(organisation) = limited.and_then(|(directory, name)| directory.get(name))
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -5,10 +5,15 @@
 //! reader must therefore read the acceptance record first. [`Lookup`] does no I/O: it names
 //! the key to read next and interprets the values.
 
+use corianderfork_adapter::store::MAX_KEY;
+use corianderfork_jobs::JobId;
 use corianderfork_jobs::record::{Progress, State};
 use serde::Deserialize;
 
 use crate::access::Identity;
+use crate::duty;
+use crate::placement::queue_key;
+use crate::write_slots::Slots;
 
 /// The key prefix of acceptance records; pool and id follow.
 pub const JOB_PREFIX: &str = "job/";
@@ -25,6 +30,48 @@
     format!("{RUN_PREFIX}{pool}/{id}")
 }
 
+/// Returns the prefix of the keys of a pool's acceptance records. Keys of another pool, whose name
+/// continues this one's after a slash, begin with it as well; see [`id_of`].
+pub fn job_prefix(pool: &str) -> String {
+    format!("{JOB_PREFIX}{pool}/")
+}
+
+/// Returns the prefix of the keys of a pool's progress records, as [`job_prefix`].
+pub fn run_prefix(pool: &str) -> String {
+    format!("{RUN_PREFIX}{pool}/")
+}
+
+/// Returns whether the store takes the keys of a queue's jobs in a pool: operators may give names that
+/// are longer than its keys.
+///
+/// ```
+/// use corianderfork_entry::lookup::is_storable;
+///
+/// assert!(is_storable("queue", "pool"));
+/// assert!(!is_storable("queue", &"long".repeat(50)));
+/// ```
+pub fn is_storable(queue: &str, pool: &str) -> bool {
+    let of_job = job_key(pool, &JobId(0).to_string());
+    let of_slot = Slots::new(pool).key(Slots::first());
+    [of_job, of_slot, duty::key(&duty::of_pool(pool)), queue_key(queue)]
+        .iter()
+        .all(|key| key.len() <= MAX_KEY)
+}
+
+/// Returns the ID of the job whose record has a key, given the prefix of the pool's keys; `None` if
+/// the key isn't one of the pool.
+///
+/// ```
+/// use corianderfork_entry::lookup::{id_of, job_key, job_prefix};
+///
+/// let id = "0123456789abcdef";
+/// assert_eq!(id_of(&job_prefix("desk"), &job_key("desk", id)), Some(id));
+/// assert_eq!(id_of(&job_prefix("desk"), &job_key("desk/north", id)), None);
+/// ```
+pub fn id_of<'a>(prefix: &str, key: &'a str) -> Option<&'a str> {
+    key.strip_prefix(prefix).filter(|id| id.parse::<JobId>().is_ok())
+}
+
 /// The organisation of a record of a job, whatever else it contains.
 #[derive(Deserialize)]
 struct Owned {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use corianderfork_adapter::store::{Outcome, Txn};
+use corianderfork_adapter::store::{MAX_KEY, Outcome, Txn};
 use corianderfork_model::Time;
 use serde_json::json;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::duty::{DUTY_PREFIX, FLEET, Holder, HolderHistory, MEMBER_PREFIX, Member, Record};
+use crate::duty::{self, DUTY_PREFIX, FLEET, Holder, HolderHistory, MEMBER_PREFIX, Member, Record};
 use crate::follow;
 use crate::node::Node;
 use crate::owner::{Owner, ms};
@@ -171,20 +171,21 @@
     let config = node.config.borrow();
     let Some(config) = config.as_ref() else { return Vec::new() };
     let mut duties: Vec<String> =
-        config.pools.iter().filter(|pool| !pool.spare).map(|pool| pool.name.clone()).collect();
+        config.pools.iter().filter(|pool| !pool.spare).map(|p| duty::of_pool(&p.name)).collect();
     // A pool that was removed from the configuration may have jobs left.
     let table = node.table.borrow();
     let previously_owned = table.owned_pools();
     // The same holds for a pool that was removed before it had an owner.
     let in_queue_records = table.queues.values().flat_map(QueueRecord::pools).map(String::as_str);
-    for name in previously_owned.chain(in_queue_records) {
-        if !duties.iter().any(|duty| duty == name) {
-            duties.push(name.to_owned());
+    for duty in previously_owned.chain(in_queue_records).map(duty::of_pool) {
+        if !duties.contains(&duty) {
+            duties.push(duty);
         }
     }
     if node.settings.fleet.is_some() {
         duties.push(FLEET.to_owned());
     }
+    duties.retain(|duty| duty::key(duty).len() <= MAX_KEY);
     duties.sort();
     duties
 }
@@ -209,7 +210,7 @@
 fn leave_lost_duties(node: &Rc<Node>) {
     let is_lost = |duty: &str, fence: u64| node.is_superseded(duty, fence);
     node.owners.borrow_mut().retain(|pool, owner| {
-        let is_lost = is_lost(pool, owner.fence());
+        let is_lost = is_lost(&duty::of_pool(pool), owner.fence());
         if is_lost {
             owner.retire("the store names another holder");
         }
@@ -236,16 +237,15 @@
 }
 
 fn is_held(node: &Node, duty: &str) -> bool {
-    if duty == FLEET {
-        node.planner.get().is_some()
-    } else {
-        node.owners.borrow().contains_key(duty)
+    match duty::pool_of(duty) {
+        Some(pool) => node.owners.borrow().contains_key(pool),
+        None => node.planner.get().is_some(),
     }
 }
 
 async fn take_duty(node: Rc<Node>, duty: String) {
     let record = node.table.borrow().duties.get(&duty).cloned().unwrap_or_default();
-    let key = format!("{DUTY_PREFIX}{duty}");
+    let key = duty::key(&duty);
     let holder = Holder { before: node.table.borrow().former_holders(&duty), ..node.holder() };
     let history = node.table.borrow().history(clock::now(), &duty);
     let value = serde_json::to_vec(&holder).unwrap_or_default();
@@ -269,13 +269,13 @@
 }
 
 fn start_duty(node: &Rc<Node>, duty: &str, fence: u64, history: HolderHistory) {
-    if duty == FLEET {
+    let Some(pool) = duty::pool_of(duty) else {
         node.planner.set(Some(fence));
         spawn_local(planner::plan(node.clone(), fence));
         return;
-    }
-    let owner = Owner::start(node, duty, fence, history);
-    node.owners.borrow_mut().insert(duty.to_owned(), owner);
+    };
+    let owner = Owner::start(node, pool, fence, history);
+    node.owners.borrow_mut().insert(pool.to_owned(), owner);
     node.changed.notify_waiters();
 }
 
@@ -291,7 +291,7 @@
         handovers.push(spawn_local(async move {
             owner.flush().await;
             owner.retire("planned stop");
-            release_duty(node, (name, owner.fence())).await;
+            release_duty(node, (duty::of_pool(&name), owner.fence())).await;
         }));
     }
     for handover in handovers {
@@ -302,7 +302,7 @@
 
 /// Writes that a duty has no holder any more.
 pub async fn release_duty(node: Rc<Node>, (duty, fence): (String, u64)) {
-    let key = format!("{DUTY_PREFIX}{duty}");
+    let key = duty::key(&duty);
     // The address stays, so that the successor can ask for the grants.
     let before = node.table.borrow().former_holders(&duty);
     let before = before.into_iter().filter(|former| former.boot != node.boot).collect();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::attempts::Attempts;
 use crate::clock;
-use crate::duty::{FormerHolder, Holder, Table};
+use crate::duty::{self, FormerHolder, Holder, Table};
 use crate::effort::Effort;
 use crate::http::{CallError, Client};
 use crate::metrics::Metrics;
@@ -176,13 +176,14 @@
         let known = relinquished.entry(duty.to_owned()).or_default();
         *known = fence.max(*known);
         drop(relinquished);
-        let owner = self.owners.borrow().get(duty).cloned();
+        let pool = duty::pool_of(duty)?;
+        let owner = self.owners.borrow().get(pool).cloned();
         if owner.is_some_and(|owner| !owner.relinquish(fence)) {
             return None;
         }
         let now = clock::now();
         let all = self.retired_grants.borrow();
-        let grants = all.get(duty).filter(|grants| grants.fence < fence)?;
+        let grants = all.get(pool).filter(|grants| grants.fence < fence)?;
         let passed = ms(now - grants.at);
         let left = |(id, left): (&String, &u64)| (id.clone(), left.saturating_sub(passed));
         Some(grants.remaining_ms.iter().map(left).collect())
@@ -214,7 +215,7 @@
         }
         let peers = {
             let table = self.table.borrow();
-            let holder = table.duties.get(pool).map(|record| record.holder.clone());
+            let holder = table.duties.get(&duty::of_pool(pool)).map(|record| record.holder.clone());
             holder.filter(|holder| !self.is_me(holder)).and_then(|holder| holder.peers)
         };
         let Some(peers) = peers else { return Err(CallError::Unsent) };
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -30,7 +30,7 @@
 use crate::clock;
 use crate::couriers::Couriers;
 use crate::division::{self, Arrivals};
-use crate::duty::HolderHistory;
+use crate::duty::{self, HolderHistory};
 use crate::follow::Start;
 use crate::lanes::Lanes;
 use crate::lookup::{job_key, run_key};
@@ -96,6 +96,8 @@
 pub struct Owner {
     node: Rc<Node>,
     name: String,
+    /// The duty of owning the pool.
+    duty: String,
     /// The state of the pool and its decisions.
     pub pool: RefCell<Pool>,
     /// The former owners of the pool.
@@ -175,6 +177,7 @@
         let owner = Rc::new(Self {
             node: node.clone(),
             name: name.to_owned(),
+            duty: duty::of_pool(name),
             pool: RefCell::new(pool),
             predecessors: RefCell::new(predecessors),
             wake: Notify::new(),
@@ -458,12 +461,12 @@
 
     /// Whether orders may be sent: no other holder is known, and see [`Node::may_order`].
     fn may_order(&self) -> bool {
-        self.node.may_order() && !self.node.is_superseded(&self.name, self.fence())
+        self.node.may_order() && !self.node.is_superseded(&self.duty, self.fence())
     }
 
     /// Whether the pool is certain to be still this owner's, as far as it can know.
     fn is_sure(&self) -> bool {
-        self.node.is_sure_of(&self.name, self.fence())
+        self.node.is_sure_of(&self.duty, self.fence())
     }
 
     /// Tells the pool until when no other process can have taken it over.
--- a/crates/entry/src/owner/allowance.rs
+++ b/crates/entry/src/owner/allowance.rs
@@ -13,7 +13,7 @@
 use super::{Owner, ms};
 use crate::allowance::{Record, Request};
 use crate::clock;
-use crate::duty::DUTY_PREFIX;
+use crate::duty;
 use crate::peer::{self, Message, Reply};
 use crate::store::Error;
 
@@ -167,7 +167,7 @@
 
     /// Returns a transaction that only the current holder of the duty can carry out.
     fn limit_txn(&self) -> Txn {
-        let duty = format!("{DUTY_PREFIX}{}", self.name);
+        let duty = duty::key(&self.duty);
         Txn { expect: vec![(duty, self.fence())], ..Txn::default() }
     }
 
@@ -259,7 +259,7 @@
         while !self.retired.get() {
             match self.node.store.txn(txn).await {
                 Ok(Outcome::Conflict(items)) => {
-                    let duty = format!("{DUTY_PREFIX}{}", self.name);
+                    let duty = duty::key(&self.duty);
                     let is_lost = |item: &Item| item.key == duty && item.revision != self.fence();
                     if items.iter().any(is_lost) {
                         self.retire("the store names another holder");
--- a/crates/entry/src/owner/load.rs
+++ b/crates/entry/src/owner/load.rs
@@ -15,7 +15,7 @@
 use super::{Owner, ROSTER_PREFIX, ms};
 use crate::clock;
 use crate::follow::{Recovery, Start, Update, follow};
-use crate::lookup::{JOB_PREFIX, RUN_PREFIX};
+use crate::lookup::{id_of, job_prefix, run_prefix};
 use crate::node::organisations_of;
 use crate::store::Error;
 use crate::write_slots::Slots;
@@ -85,8 +85,7 @@
         let first_slot = Slots::first();
         let roster_key = format!("{ROSTER_PREFIX}{}", self.name);
         let write_key = self.write_slots.borrow().key(first_slot);
-        let (job_prefix, run_prefix) =
-            (format!("{JOB_PREFIX}{}/", self.name), format!("{RUN_PREFIX}{}/", self.name));
+        let (job_prefix, run_prefix) = (job_prefix(&self.name), run_prefix(&self.name));
         let (roster, write, jobs, divisions) = tokio::join!(
             store.get(&roster_key),
             store.get(&write_key),
@@ -111,13 +110,13 @@
         let now = clock::now();
         let mut progress: BTreeMap<String, Progress> = BTreeMap::new();
         let mut unreadable: BTreeSet<&str> = BTreeSet::new();
+        let prefix = run_prefix(&self.name);
         for item in runs {
+            let Some(id) = id_of(&prefix, &item.key) else { continue };
             match serde_json::from_slice(&item.value) {
-                Ok(job_progress) => {
-                    drop(progress.insert(id_of(&item.key).to_owned(), job_progress))
-                }
+                Ok(job_progress) => drop(progress.insert(id.to_owned(), job_progress)),
                 Err(error) => {
-                    unreadable.insert(id_of(&item.key));
+                    unreadable.insert(id);
                     self.log_unreadable(&item.key, &error.to_string());
                 }
             }
@@ -134,11 +133,12 @@
         }
         drop(pool);
         self.limit_inherited();
+        let prefix = job_prefix(&self.name);
         for item in jobs {
-            let known = progress.remove(id_of(&item.key));
+            let Some(id) = id_of(&prefix, &item.key) else { continue };
+            let known = progress.remove(id);
             self.accept_item(&item.key, &item.value, known.as_ref(), item.revision);
-            let held = id_of(&item.key);
-            if let Some(id) = unreadable.get(held).and_then(|id| id.parse().ok()) {
+            if let Some(id) = unreadable.get(id).and_then(|id| id.parse().ok()) {
                 self.pool.borrow_mut().hold(id, Hold::Progress);
             }
         }
@@ -160,7 +160,8 @@
         progress: Option<&Progress>,
         revision: u64,
     ) {
-        let Ok(id) = id_of(key).parse() else { return };
+        let id = id_of(&job_prefix(&self.name), key).and_then(|id| id.parse().ok());
+        let Some(id) = id else { return };
         match serde_json::from_slice::<Record>(value) {
             Ok(record) => self.accept(id, &record, progress, revision),
             Err(error) => self.log_unreadable(key, &error.to_string()),
@@ -211,7 +212,7 @@
             }
             Update::KnownUntil(at, _) => owner.pool.borrow_mut().set_jobs_known_until(at),
         };
-        let prefix = format!("{JOB_PREFIX}{}/", self.name);
+        let prefix = job_prefix(&self.name);
         follow(
             self.node.clone(),
             prefix,
@@ -224,7 +225,3 @@
         .await;
     }
 }
-
-fn id_of(key: &str) -> &str {
-    key.rsplit('/').next().unwrap_or(key)
-}
--- a/crates/entry/src/owner/predecessors.rs
+++ b/crates/entry/src/owner/predecessors.rs
@@ -22,7 +22,7 @@
     /// those that don't respond, the longest possible lease is waited out.
     pub(super) async fn query_predecessors(&self) {
         let former_holders = self.holders_to_query();
-        let message = Message::Retire { duty: self.name.clone(), fence: self.fence() };
+        let message = Message::Retire { duty: self.duty.clone(), fence: self.fence() };
         let answers: Vec<_> = former_holders
             .into_iter()
             .map(|former| {
--- a/crates/entry/src/owner/workers.rs
+++ b/crates/entry/src/owner/workers.rs
@@ -96,7 +96,7 @@
         if is_deposed {
             self.retire("a worker saw a higher fence");
             // The record that still names this process is out of date.
-            self.node.relinquish(&self.name, self.fence() + 1);
+            self.node.relinquish(&self.duty, self.fence() + 1);
         }
         self.write_wake.notify_one();
     }
--- a/crates/entry/src/owner/write.rs
+++ b/crates/entry/src/owner/write.rs
@@ -12,7 +12,7 @@
 
 use super::{Owner, ROSTER_PREFIX, ms};
 use crate::clock;
-use crate::duty::DUTY_PREFIX;
+use crate::duty;
 use crate::lookup::{job_key, run_key};
 use crate::write_slots::Slot;
 
@@ -120,7 +120,7 @@
         let slots = self.write_slots.borrow();
         let write_key = slots.key(slot);
         let mut txn = Txn::default();
-        txn.expect.push((format!("{DUTY_PREFIX}{}", self.name), self.fence()));
+        txn.expect.push((duty::key(&self.duty), self.fence()));
         // See `write_slots`.
         txn.expect.push((write_key.clone(), slots.revision(slot)));
         txn.set.push((write_key, token.as_bytes().to_vec(), 0));
@@ -189,7 +189,7 @@
     fn resolve(&self, slot: Slot, items: &[Item], token: &str) -> Resolution {
         let mut slots = self.write_slots.borrow_mut();
         let key = slots.key(slot);
-        let duty = format!("{DUTY_PREFIX}{}", self.name);
+        let duty = duty::key(&self.duty);
         let is_own_write = |item: &&Item| item.key == key && item.value == token.as_bytes();
         if let Some(item) = items.iter().find(is_own_write) {
             slots.set_revision(slot, item.revision);
--- a/crates/entry/src/planner/orders.rs
+++ b/crates/entry/src/planner/orders.rs
@@ -9,7 +9,7 @@
 use super::{ORDERS_KEY, Planner};
 use crate::away::IN_FLIGHT;
 use crate::clock;
-use crate::duty::{DUTY_PREFIX, FLEET};
+use crate::duty::{self, FLEET};
 
 /// The share of the service's rate limit that is used: the previous holder may have used
 /// some of this second's.
@@ -72,7 +72,7 @@
 
     pub(super) async fn write_order_ages(&mut self) -> bool {
         let txn = Txn {
-            expect: vec![(format!("{DUTY_PREFIX}{FLEET}"), self.holder.fence)],
+            expect: vec![(duty::key(FLEET), self.holder.fence)],
             set: vec![(
                 ORDERS_KEY.to_owned(),
                 serde_json::to_vec(&self.order_ages()).unwrap_or_default(),
--- a/crates/entry/src/planner/wave.rs
+++ b/crates/entry/src/planner/wave.rs
@@ -12,7 +12,7 @@
 
 use super::{EMPTY_VALIDITY, Planner, Progress, VACATE_AHEAD, WAVE_PREFIX};
 use crate::clock;
-use crate::duty::{DUTY_PREFIX, FLEET};
+use crate::duty::{self, FLEET};
 use crate::owner::ms;
 use crate::peer::{Message, Reply};
 
@@ -187,7 +187,7 @@
         let value = serde_json::to_vec(&progress).unwrap_or_default();
         let status = config::wave_status(progress.completed);
         let txn = Txn {
-            expect: vec![(format!("{DUTY_PREFIX}{FLEET}"), self.holder.fence)],
+            expect: vec![(duty::key(FLEET), self.holder.fence)],
             set: vec![
                 (format!("{WAVE_PREFIX}{number}"), value, 0),
                 (config::wave_status_key(number), status, 0),
--- a/crates/entry/src/write_slots.rs
+++ b/crates/entry/src/write_slots.rs
@@ -34,6 +34,8 @@
 /// slots.free(first);
 /// assert_eq!(slots.take(), Some(first));
 /// assert_eq!(slots.revision(first), 7);
+/// // Pools that are called like a slot have keys of their own.
+/// assert_eq!(Slots::new("desk/1").key(first), "write/desk/1/0");
 /// ```
 #[derive(Clone, Debug)]
 pub struct Slots {
@@ -67,7 +69,7 @@
     /// Returns the key of a slot.
     pub fn key(&self, slot: Slot) -> String {
         match slot.0 {
-            0 => format!("{PREFIX}{}", self.pool),
+            0 if !ends_with_a_number(&self.pool) => format!("{PREFIX}{}", self.pool),
             index => format!("{PREFIX}{}/{index}", self.pool),
         }
     }
@@ -82,3 +84,9 @@
         self.states[slot.0].revision = revision;
     }
 }
+
+/// Returns whether a pool is called like a slot of another one: pool `desk/1` beside pool `desk`.
+fn ends_with_a_number(pool: &str) -> bool {
+    let last = pool.rsplit_once('/').map(|(_, last)| last);
+    last.is_some_and(|last| !last.is_empty() && last.bytes().all(|byte| byte.is_ascii_digit()))
+}
