Begin the due occurrences of a schedule in turn

Cause: an owner began all that were due in one turn, looked at each of them in every plan, and wrote the name of each one that had begun, so that it lost its lease, as did its successors.

Occurrences begin in their order, as tasks of earlier ones start; 64 steps of them wait at most.

--- a/crates/jobs/src/pool/entry.rs
+++ b/crates/jobs/src/pool/entry.rs
@@ -16,7 +16,7 @@
 use crate::id::JobId;
 use crate::job::{Job, Step};
 use crate::organisation;
-use crate::record::State;
+use crate::record::{Finished, State};
 use crate::task;
 use crate::worker;
 
@@ -27,6 +27,11 @@
 /// Maximum lateness of an occurrence, in milliseconds: the time of day may jump by seconds.
 const MAX_LATENESS_MS: u64 = 2_000;
 
+/// The most steps of one job in occurrences that are due and of which no task was started; of one
+/// occurrence if it has more. Thousands may be due at once: an owner that laid them all out would not
+/// come back to its event loop in time, and lose its pool to a successor that does the same.
+pub(super) const MAX_UNSTARTED_STEPS: usize = 64;
+
 /// A job of the pool.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -199,6 +204,11 @@
         Self { begun, steps, is_passed_over: false }
     }
 
+    /// Returns whether a task was started.
+    fn is_started(&self) -> bool {
+        self.steps.iter().any(|state| (state.waiting as usize) < state.tasks.len())
+    }
+
     /// Returns whether all steps that `step` depends on are done.
     pub fn is_ready(&self, step: &Step) -> bool {
         let is_done =
@@ -332,11 +342,22 @@
         names
     }
 
-    /// Begins the occurrences that are due.
+    /// Begins the occurrences that are due, the earliest first, up to [`MAX_UNSTARTED_STEPS`]. Others
+    /// follow as tasks of these are started.
     pub fn begin_due_occurrences(&mut self, now: Time, wall_ms: u64) {
-        while self.begun_occurrences < self.occurrence_count
-            && self.due_ms(self.begun_occurrences) <= wall_ms
-        {
+        let is_due = |entry: &Self| {
+            entry.begun_occurrences < entry.occurrence_count
+                && entry.due_ms(entry.begun_occurrences) <= wall_ms
+        };
+        if !is_due(self) {
+            return;
+        }
+        let most = (MAX_UNSTARTED_STEPS / self.steps.len().max(1)).max(1);
+        let unstarted = self.occurrences.values().filter(|occurrence| !occurrence.is_started());
+        for _ in unstarted.count()..most {
+            if !is_due(self) {
+                return;
+            }
             let late_ms = wall_ms - self.due_ms(self.begun_occurrences);
             self.begin_occurrence(if self.schedule.is_some() {
                 time_ago(now, late_ms)
@@ -346,6 +367,31 @@
         }
     }
 
+    /// Returns the occurrences that are finished.
+    pub fn finished(&self) -> Finished {
+        let mut finished = Finished::default();
+        let before = self.occurrences.keys().next().copied().unwrap_or(self.begun_occurrences);
+        finished.set_before(before);
+        let is_finished = |occurrence: &u32| !self.occurrences.contains_key(occurrence);
+        (before..self.begun_occurrences).filter(is_finished).for_each(|o| finished.insert(o));
+        finished
+    }
+
+    /// Begins the next occurrences up to one, but for those that are finished. No occurrence may have
+    /// begun.
+    pub fn begin_unfinished(&mut self, finished: &Finished, last: u32) {
+        self.begun_occurrences = finished.before().min(self.occurrence_count);
+        self.finished_occurrences = self.begun_occurrences;
+        while self.begun_occurrences <= last && self.begun_occurrences < self.occurrence_count {
+            if finished.contains(self.begun_occurrences) {
+                self.begun_occurrences += 1;
+                self.finished_occurrences += 1;
+            } else {
+                self.begin_known_occurrence(self.begun_occurrences);
+            }
+        }
+    }
+
     /// Begins the next occurrence.
     pub fn begin_occurrence(&mut self, begun: Time) {
         let occurrence = Occurrence::new(&self.steps, begun);
--- a/crates/jobs/src/pool/footprint.rs
+++ b/crates/jobs/src/pool/footprint.rs
@@ -4,7 +4,7 @@
 //! which reads the same jobs. So the memory of a job is estimated, not too low, and entry VMs are told
 //! when a pool holds as much as an owner can.
 
-use super::entry::Entry;
+use super::entry::{Entry, MAX_UNSTARTED_STEPS};
 use super::{JobKey, Pool};
 
 /// What a job takes besides its steps, in bytes: its state, and its places in the indices of a pool.
@@ -62,6 +62,8 @@
             label + rack + image + size_of_val(step.after.as_slice())
         };
         let steps: usize = self.steps.iter().map(|step| STEP_BYTES + texts(step)).sum();
-        JOB_BYTES + self.spec.len() + self.queue.len() + steps
+        let occurrences =
+            if self.schedule.is_some() { MAX_UNSTARTED_STEPS * STEP_BYTES } else { 0 };
+        JOB_BYTES + self.spec.len() + self.queue.len() + steps + occurrences
     }
 }
--- a/crates/jobs/src/pool/progress.rs
+++ b/crates/jobs/src/pool/progress.rs
@@ -20,22 +20,23 @@
         if self.state.is_final() {
             return progress;
         }
-        for occurrence in 0..self.begun_occurrences {
-            match self.occurrences.get(&occurrence) {
-                Some(state) => state.add_to(occurrence, &mut progress),
-                None => drop(progress.done.insert(format!("{occurrence}"), Vec::new())),
-            }
+        for (occurrence, state) in &self.occurrences {
+            state.add_to(*occurrence, &mut progress);
         }
+        progress.done.finished = self.finished();
         progress
     }
 
     pub fn restore(&mut self, progress: &Progress) {
         self.state = progress.state;
         self.ended_ms = progress.ended_ms;
-        for occurrence in occurrences(progress) {
-            self.begin_known_occurrence(occurrence);
+        let last = occurrences(progress).chain(progress.done.finished.last()).max();
+        if !self.state.is_final()
+            && let Some(last) = last.filter(|_| self.begun_occurrences == 0)
+        {
+            self.begin_unfinished(&progress.done.finished, last);
         }
-        for (key, bits) in &progress.done {
+        for (key, bits) in &progress.done.tasks {
             self.restore_done(key, bits);
         }
         for (key, failed) in &progress.failed {
@@ -85,11 +86,7 @@
     fn restore_done(&mut self, key: &str, bits: &[u64]) {
         let mut parts = key.split('.').map_while(|part| part.parse::<u32>().ok());
         let Some(occurrence) = parts.next() else { return };
-        let Some(step) = parts.next() else {
-            self.occurrences.remove(&occurrence);
-            self.finished_occurrences += 1;
-            return;
-        };
+        let Some(step) = parts.next() else { return };
         for index in set_bits(bits) {
             self.set_task_state(name(self.id, occurrence, step as usize, index), TaskState::Done);
         }
@@ -131,7 +128,7 @@
                     progress.stopped.insert(key(), task.stopped.clone());
                 }
             }
-            for (map, bits) in [(&mut progress.done, done), (&mut progress.proven, proven)] {
+            for (map, bits) in [(&mut progress.done.tasks, done), (&mut progress.proven, proven)] {
                 if bits.iter().any(|word| *word != 0) {
                     map.insert(format!("{occurrence}.{step}"), bits);
                 }
@@ -142,7 +139,8 @@
 
 /// Returns the occurrences about which something is written.
 fn occurrences(progress: &Progress) -> impl Iterator<Item = u32> {
-    let keys = progress.done.keys().chain(progress.failed.keys()).chain(progress.crashed.keys());
+    let keys =
+        progress.done.tasks.keys().chain(progress.failed.keys()).chain(progress.crashed.keys());
     let keys = keys.chain(progress.proven.keys()).chain(progress.saved.keys());
     let keys = keys.chain(progress.stopped.keys());
     keys.filter_map(|key| key.split('.').next()?.parse().ok())
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,13 @@
 //! Records of jobs in the store.
 
+mod done;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use done::{Done, Finished};
+
 use crate::job::Job;
 
 /// An accepted job. Written once, before the caller gets the confirmation.
@@ -38,9 +42,9 @@
     /// When the job ended, in milliseconds since the Unix epoch; 0 before.
     #[serde(default)]
     pub ended_ms: u64,
-    /// The finished tasks, as a bit set for each occurrence and step.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub done: BTreeMap<String, Vec<u64>>,
+    /// The finished tasks and occurrences.
+    #[serde(default, skip_serializing_if = "Done::is_empty")]
+    pub done: Done,
     /// The numbers of the failed runs of each task, by occurrence, step and index. Numbers are
     /// stored and not a count because a worker may list an exit again after it was written, and
     /// a failed run must not count twice.
--- a/crates/jobs/tests/waiting.rs
+++ b/crates/jobs/tests/waiting.rs
@@ -64,7 +64,7 @@
     let job = sim.submit(1, steps.clone());
     sim.run_for(1_000);
     let progress = sim.progress[&job].clone();
-    let done: u32 = progress.done["0.0"].iter().map(|word| word.count_ones()).sum();
+    let done: u32 = progress.done.tasks["0.0"].iter().map(|word| word.count_ones()).sum();
     assert!(done > 64 && done < 300, "{done}");
     let record = Record {
         queue: "q".to_owned(),
