Take the VM's memory from the environment, not from a new field of the template

A daemon that the platform gave an empty value didn't start either.

An empty value in the file counts as missing.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -140,7 +140,8 @@
     let mut last = node.settings.clone();
     loop {
         tokio::time::sleep(SETTINGS_INTERVAL).await;
-        match Settings::read(&path) {
+        let memory_mb = u64::try_from(node.settings.memory >> 20).unwrap_or(u64::MAX);
+        match Settings::read(&path).map(|settings| settings.or_memory(memory_mb)) {
             Ok(settings) if settings != last => {
                 node.trace.unlimited("settings changed", json!({ "applied": "at the next start" }));
                 last = settings;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,6 +1,7 @@
 //! The daemon's settings.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -13,6 +14,10 @@
 /// cost about 46 us of a core and 1.2 kB of network each, so that 0.25 of a core corresponds
 /// to about 50 Mbit/s.
 const CORES_PER_MBPS: f64 = 0.005;
+/// The memory of a VM that nothing is said of, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// How much memory a VM may have, in megabytes.
+const MEMORY_MB: RangeInclusive<u64> = 16..=1 << 20;
 
 /// The settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +54,8 @@
     pub max_fds: usize,
     /// The memory of this VM, in bytes.
     pub memory: usize,
+    /// Whether the file says how much memory the VM has.
+    has_memory: bool,
     /// The time from SIGTERM to the end of the process.
     pub grace: Duration,
     /// The longest lease that a worker accepts.
@@ -79,6 +86,15 @@
         Self::take(File::read(path)?)
     }
 
+    /// Sets the memory of the VM, in megabytes, unless the file says it or it is out of bounds.
+    #[must_use]
+    pub fn or_memory(mut self, megabytes: u64) -> Self {
+        if !self.has_memory && MEMORY_MB.contains(&megabytes) {
+            self.memory = bytes(megabytes);
+        }
+        self
+    }
+
     /// Reads settings from a text.
     ///
     /// # Errors
@@ -96,6 +112,7 @@
         let fleet: String = file.get_or("fleet", "address", String::new());
         let advice: String = file.get_or("advice", "address", String::new());
         let seconds = |seconds: f64| Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0));
+        let has_memory = file.has("limits", "memory_mb");
         let settings = Self {
             name: file.name("process", "name"),
             data_centre: file.name("process", "data_centre"),
@@ -113,8 +130,8 @@
             network_mbps: network,
             max_fds: usize::try_from(file.number("limits", "max_fds", 1_024, 64..=1_000_000))
                 .unwrap_or(1_024),
-            memory: usize::try_from(file.number("limits", "memory_mb", 256, 16..=1 << 20) << 20)
-                .unwrap_or(usize::MAX),
+            memory: bytes(file.number("limits", "memory_mb", DEFAULT_MEMORY_MB, MEMORY_MB)),
+            has_memory,
             grace: seconds(file.get_or("bounds", "grace_s", 6.0)),
             max_lease: file.millis(
                 "bounds",
@@ -140,6 +157,10 @@
     }
 }
 
+fn bytes(megabytes: u64) -> usize {
+    usize::try_from(megabytes << 20).unwrap_or(usize::MAX)
+}
+
 /// Reads which decisions under contention are made: those that the file switches on, and by
 /// default all but two where the platform announces contention.
 ///
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -88,3 +88,59 @@
     let error = Settings::parse(&text).unwrap_err();
     assert!(error.to_string().contains("write auto, on, newest or off"), "{error}");
 }
+
+/// The fields of the platform that the template asks for. Whoever fills it in knows these, and no
+/// others: programs of the users and of earlier reviews do, too.
+const TEMPLATE_FIELDS: [&str; 21] = [
+    "advice",
+    "bounds.grace_s",
+    "bounds.hold_max_ms",
+    "bounds.lease_ms",
+    "bounds.remote_factor",
+    "bounds.restore_ms",
+    "bounds.status_s",
+    "bounds.stop_ms",
+    "cloud_api.address",
+    "cloud_api.duty_per_s",
+    "ip",
+    "limits.bandwidth_mbps",
+    "limits.cpu_share",
+    "limits.max_fds",
+    "listen.front",
+    "listen.ready",
+    "node_name",
+    "platform.address",
+    "policies",
+    "port_range.0",
+    "zone",
+];
+
+// Guards against daemons that can't be started by a program that fills in the template as before: it
+// refused a field that it didn't know. What is new goes to the command line or the environment.
+#[test]
+fn template_asks_for_no_further_field() {
+    let template = include_str!("../../../deploy/entry.ini");
+    let fields = template.split("{{").skip(1).filter_map(|rest| rest.split("}}").next());
+    let fields: std::collections::BTreeSet<&str> = fields.collect();
+    assert_eq!(fields.into_iter().collect::<Vec<_>>(), TEMPLATE_FIELDS);
+}
+
+// Guards against a daemon that doesn't start where the platform fills in nothing.
+#[test]
+fn parse_empty_values() {
+    let empty = GOOD.replace("[limits]\n", "[limits]\nmemory_mb =\nmax_fds =\n");
+    let settings = Settings::parse(&empty).unwrap();
+    assert_eq!((settings.memory, settings.max_fds), (256 << 20, 1_024));
+    let nameless = GOOD.replace("name = front-1", "name =");
+    let error = Settings::parse(&nameless).unwrap_err().to_string();
+    assert!(error.contains("has no `name`"), "{error}");
+}
+
+#[test]
+fn or_memory_beside_the_file() {
+    let settings = || Settings::parse(GOOD).unwrap();
+    assert_eq!(settings().or_memory(160).memory, 160 << 20);
+    assert_eq!(settings().or_memory(0).memory, 256 << 20, "it isn't known");
+    let said = GOOD.replace("[limits]\n", "[limits]\nmemory_mb = 512\n");
+    assert_eq!(Settings::parse(&said).unwrap().or_memory(160).memory, 512 << 20);
+}
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -139,9 +139,18 @@
         self.sections.get_mut(section)?.remove(key)
     }
 
-    /// Reads a value, or returns `default` if it is missing or invalid.
+    /// Returns whether a key has a value.
+    pub fn has(&self, section: &str, key: &str) -> bool {
+        let value = self.sections.get(section).and_then(|values| values.get(key));
+        value.is_some_and(|value| !value.is_empty())
+    }
+
+    /// Reads a value, or returns `default` if it is missing, empty or invalid. A template leaves a value
+    /// empty that it is given none for.
     pub fn get_or<T: FromStr<Err: Display>>(&mut self, section: &str, key: &str, default: T) -> T {
-        let Some(text) = self.take(section, key) else { return default };
+        let Some(text) = self.take(section, key).filter(|text| !text.is_empty()) else {
+            return default;
+        };
         match text.parse() {
             Ok(value) => value,
             Err(error) => {
@@ -159,8 +168,7 @@
         key: &str,
         placeholder: T,
     ) -> T {
-        let is_present = self.sections.get(section).is_some_and(|values| values.contains_key(key));
-        if !is_present {
+        if !self.has(section, key) {
             self.problems.push(format!("[{section}] has no `{key}`; add `{key} = …`"));
         }
         self.get_or(section, key, placeholder)
