--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -475,6 +475,20 @@
         self.pool.handle_order_answer(at(self.now), order, &answer);
     }
 
+    /// Restarts the worker of an order under its ID, before the owner hears of it.
+    pub fn restart_worker_of(&mut self, order: &Order) {
+        let now = self.now;
+        self.workers.get_mut(&order.id).expect("a worker").restart(now);
+    }
+
+    /// Lets the worker carry an order out, whatever the owner hears of it. Returns its answer.
+    pub fn carry_out(&mut self, order: &Order) -> Answer<u64> {
+        let (now, task_ms) = (self.now, self.task_ms);
+        let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
+        let worker = self.workers.get_mut(&order.id).expect("a worker");
+        worker.handle_order(now, order, room, task_ms)
+    }
+
     pub fn write(&mut self) -> Batch {
         let batch = self.pool.next_batch(at(self.now), 5_000, 28);
         self.pool.confirm_batch(&batch);
--- a/crates/jobs/tests/fence.rs
+++ b/crates/jobs/tests/fence.rs
@@ -4,7 +4,6 @@
 
 use common::{FENCE, Simulation, at, first_task, step};
 use corianderfork_jobs::JobId;
-use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::{Answer, Connection, Order};
 use corianderfork_jobs::record::State;
 
@@ -18,18 +17,6 @@
     (job, order)
 }
 
-fn restart(sim: &mut Simulation, order: &Order) {
-    let now = sim.now;
-    sim.workers.get_mut(&order.id).expect("a worker").restart(now);
-}
-
-/// Lets the worker carry a start out. Returns its answer.
-fn carry_out(sim: &mut Simulation, order: &Order) -> Answer<u64> {
-    let (now, task_ms) = (sim.now, sim.task_ms);
-    let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
-    sim.workers.get_mut(&order.id).expect("a worker").handle_order(now, order, room, task_ms)
-}
-
 /// Polls the worker over a new connection, and returns the fence of that poll.
 fn poll_anew(sim: &mut Simulation, id: &str) -> u64 {
     let (key, _) = sim.pool.worker(id).expect("a worker");
@@ -47,9 +34,9 @@
 fn next_poll_over_a_new_connection() {
     let mut sim = Simulation::new(1);
     let (_, order) = done_after_a_lost_start(&mut sim, 1);
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     assert!(poll_anew(&mut sim, &order.id) > order.fence);
-    assert_eq!(carry_out(&mut sim, &order), Answer::Fenced);
+    assert_eq!(sim.carry_out(&order), Answer::Fenced);
 }
 
 // Guards against tasks on an instance that still accepts starts for a former one: nothing was written
@@ -69,7 +56,7 @@
         sim.plan()
     };
     for _ in 0..2 {
-        restart(&mut sim, &order);
+        sim.restart_worker_of(&order);
         sim.now += 100;
         poll_anew(&mut sim, &order.id);
         let id = 10 + sim.now;
@@ -90,7 +77,7 @@
 fn set_workers_with_one_that_returns() {
     let mut sim = Simulation::new(1);
     let (_, order) = done_after_a_lost_start(&mut sim, 1);
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     poll_anew(&mut sim, &order.id);
     let (job, order) = done_after_a_lost_start(&mut sim, 2);
     let registrations = std::mem::take(&mut sim.registrations);
@@ -98,7 +85,7 @@
     sim.pool.set_workers(at(sim.now), &[]);
     sim.run_for(20_000);
     assert!(sim.pool.worker(&order.id).is_none(), "it is gone");
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.registrations = registrations;
     for registration in &mut sim.registrations {
         registration.revision += 1_000;
@@ -106,7 +93,7 @@
     }
     sim.list_and_poll();
     sim.run_for(500);
-    assert_eq!(carry_out(&mut sim, &order), Answer::Fenced);
+    assert_eq!(sim.carry_out(&order), Answer::Fenced);
     assert!(sim.workers_running(first_task(job)).is_empty(), "it is done");
 }
 
@@ -116,10 +103,10 @@
 fn handle_order_answer_from_an_instance_with_a_higher_fence() {
     let mut sim = Simulation::new(1);
     let (_, order) = done_after_a_lost_start(&mut sim, 1);
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.list_and_poll();
     sim.run_for(500);
-    let answer = carry_out(&mut sim, &order);
+    let answer = sim.carry_out(&order);
     assert_eq!(answer, Answer::Fenced);
     sim.pool.handle_order_answer(at(sim.now), &order, &answer);
     assert!(!sim.pool.is_deposed());
@@ -135,7 +122,7 @@
 fn raise_fence_keeps_below_a_later_revision() {
     let mut sim = Simulation::new(1);
     let (_, order) = done_after_a_lost_start(&mut sim, 1);
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.list_and_poll();
     sim.run_for(500);
     let worker = &sim.workers[&order.id];
--- a/crates/jobs/tests/lease.rs
+++ b/crates/jobs/tests/lease.rs
@@ -7,7 +7,6 @@
 
 use common::{FENCE, MAX_LEASE_MS, MAX_LISTED_EXITS, Simulation, at, first_task, owner, step};
 use corianderfork_jobs::JobId;
-use corianderfork_jobs::job::Room;
 use corianderfork_jobs::pool::{Answer, Order};
 use corianderfork_jobs::record::{Record, State};
 use corianderfork_jobs::task::{Exit, Outcome};
@@ -29,20 +28,6 @@
     (sim, job, order)
 }
 
-/// Restarts the worker of an order under its ID, before the owner hears of it.
-fn restart(sim: &mut Simulation, order: &Order) {
-    let now = sim.now;
-    sim.workers.get_mut(&order.id).expect("a worker").restart(now);
-}
-
-/// Lets the worker carry an order out. Returns its answer.
-fn carry_out(sim: &mut Simulation, order: &Order) -> Answer<u64> {
-    let (now, task_ms) = (sim.now, sim.task_ms);
-    let room = Room { cpu: 1_000, memory_mb: 100, gpu: 0 };
-    let worker = sim.workers.get_mut(&order.id).expect("a worker");
-    worker.handle_order(now, order, room, task_ms)
-}
-
 fn silence(sim: &mut Simulation, id: &str) {
     sim.workers.get_mut(id).expect("a worker").silent = true;
 }
@@ -78,8 +63,8 @@
 #[test]
 fn plan_after_a_start_without_an_answer() {
     let (mut sim, job, order) = ordered();
-    restart(&mut sim, &order);
-    carry_out(&mut sim, &order);
+    sim.restart_worker_of(&order);
+    sim.carry_out(&order);
     silence(&mut sim, &order.id);
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
     assert_single_and_restarted(sim, job, &order.id);
@@ -90,8 +75,8 @@
 #[test]
 fn plan_while_the_answer_to_a_start_is_awaited() {
     let (mut sim, job, order) = ordered();
-    restart(&mut sim, &order);
-    carry_out(&mut sim, &order);
+    sim.restart_worker_of(&order);
+    sim.carry_out(&order);
     silence(&mut sim, &order.id);
     sim.run_for(MAX_LEASE_MS - 1_000);
     assert_eq!(sim.workers_running(first_task(job)), [order.id.as_str()]);
@@ -104,7 +89,7 @@
 fn plan_after_a_refused_start() {
     let (mut sim, job, order) = ordered();
     let other = sim.registrations.iter().position(|entry| entry.id != order.id).expect("another");
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.workers.get_mut(&order.id).expect("a worker").deadline = MAX_LEASE_MS;
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Full);
     sim.registrations[other].draining = true;
@@ -121,11 +106,11 @@
 #[test]
 fn plan_after_a_start_that_arrives_behind_a_restart() {
     let (mut sim, job, order) = ordered();
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.poll_all();
     sim.poll_all();
     sim.now += 1_000;
-    carry_out(&mut sim, &order);
+    sim.carry_out(&order);
     silence(&mut sim, &order.id);
     assert_single_and_restarted(sim, job, &order.id);
 }
@@ -135,8 +120,8 @@
 #[test]
 fn handle_poll_answer_under_the_lease_of_a_former_owner() {
     let (mut sim, job, order) = ordered();
-    restart(&mut sim, &order);
-    carry_out(&mut sim, &order);
+    sim.restart_worker_of(&order);
+    sim.carry_out(&order);
     let until = sim.now + LONG_MS;
     take_over(&mut sim, until);
     sim.poll_all();
@@ -149,7 +134,7 @@
 fn take_notes_of_a_lease_longer_than_granted() {
     let (mut sim, _, order) = ordered();
     sim.pool.take_notes();
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.send(&order);
     let notes = sim.pool.take_notes();
     let note = notes.iter().find(|note| note.event == "lease longer than granted").expect("a note");
@@ -210,11 +195,11 @@
     let other = sim.registrations.iter().position(|entry| entry.id != order.id).expect("another");
     sim.registrations[other].draining = true;
     sim.list_workers();
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
     sim.run_for(10_000);
     assert_eq!(sim.workers_running(first_task(job)), [order.id.as_str()]);
-    assert_eq!(carry_out(&mut sim, &order), Answer::Fenced, "it takes no deadline");
+    assert_eq!(sim.carry_out(&order), Answer::Fenced, "it takes no deadline");
     silence(&mut sim, &order.id);
     sim.registrations[other].draining = false;
     sim.list_workers();
@@ -229,9 +214,9 @@
     let until = sim.now + LONG_MS;
     take_over(&mut sim, until);
     sim.poll_all();
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.now += 600;
-    carry_out(&mut sim, &order);
+    sim.carry_out(&order);
     silence(&mut sim, &order.id);
     assert_single_and_restarted(sim, job, &order.id);
 }
@@ -257,7 +242,7 @@
     former.handle_poll_answer(at(sim.now), at(sim.now), lost, &Answer::Lost);
     sim.now += 1_500;
     for start in former.plan(at(sim.now), 0) {
-        carry_out(&mut sim, &start);
+        sim.carry_out(&start);
     }
     assert_eq!(sim.workers_running(first_task(job)), [place.as_str()]);
 }
@@ -271,10 +256,10 @@
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
     sim.run_for(2_500);
     assert_eq!(sim.pool.state(job), Some(State::Completed));
-    restart(&mut sim, &order);
+    sim.restart_worker_of(&order);
     sim.list_and_poll();
     sim.run_for(500);
-    carry_out(&mut sim, &order);
+    sim.carry_out(&order);
     assert!(sim.workers_running(first_task(job)).is_empty(), "it is done");
 }
 
@@ -286,7 +271,7 @@
     sim.pool.handle_order_answer(at(sim.now), &order, &Answer::Lost);
     sim.run_for(2_500);
     assert_eq!(sim.pool.state(job), Some(State::Completed));
-    restart(&mut sim, &order);
-    carry_out(&mut sim, &order);
+    sim.restart_worker_of(&order);
+    sim.carry_out(&order);
     assert!(sim.workers_running(first_task(job)).is_empty(), "it is done");
 }
